Add the thin path: balancers, fabric, upstreams and callers as processes

Cause: there was no code. A first whole path shows what the processes exchange. Before: nothing to measure.

--- /dev/null
+++ b/benchmarks/Measures.h
@@ -0,0 +1,13 @@
+#pragma once
+
+#include "Measure.h"
+
+namespace bench {
+
+// One function for each area; each adds the measures of its area to the list.
+void addPlacementMeasures(MeasureList&);
+void addRequestMeasures(MeasureList&);
+void addConfigurationMeasures(MeasureList&);
+void addMembershipMeasures(MeasureList&);
+
+} // namespace bench
--- /dev/null
+++ b/benchmarks/MembershipMeasures.cpp
@@ -0,0 +1,7 @@
+#include "Measures.h"
+
+namespace bench {
+
+void addMembershipMeasures(MeasureList&) { }
+
+} // namespace bench
--- /dev/null
+++ b/benchmarks/RequestMeasures.cpp
@@ -0,0 +1,7 @@
+#include "Measures.h"
+
+namespace bench {
+
+void addRequestMeasures(MeasureList&) { }
+
+} // namespace bench
--- /dev/null
+++ b/src/ibisgw/adapters/EventLoop.cpp
@@ -0,0 +1,102 @@
+#include "ibisgw/adapters/EventLoop.h"
+
+#include <csignal>
+#include <h2o.h>
+
+namespace ibisgw::adapters {
+
+namespace {
+
+// Longest time the loop sleeps before it looks for a termination signal.
+constexpr int32_t maxWaitMs = 100;
+
+volatile std::sig_atomic_t terminationSignal = 0;
+
+void recordSignal(int number) { terminationSignal = number; }
+
+} // namespace
+
+struct EventLoop::Watch {
+    Handler handler;
+    h2o_socket_t* socket { nullptr };
+
+    static void onReadable(h2o_socket_t* socket, const char*) { static_cast<Watch*>(socket->data)->handler(); }
+};
+
+struct EventLoop::Periodic {
+    // First member, so that the entry's address is the object's address.
+    h2o_timeout_entry_t entry {};
+    h2o_timeout_t timeout {};
+    h2o_loop_t* loop { nullptr };
+    Handler handler;
+
+    static void onTimeout(h2o_timeout_entry_t* entry)
+    {
+        auto* periodic = reinterpret_cast<Periodic*>(entry);
+        h2o_timeout_link(periodic->loop, &periodic->timeout, &periodic->entry);
+        periodic->handler();
+    }
+};
+
+EventLoop::EventLoop()
+    : m_loop(h2o_evloop_create())
+{
+}
+
+// The loop lives as long as the process; h2o 2.2.5 cannot destroy a loop that still has sockets.
+EventLoop::~EventLoop()
+{
+    for (auto& it : m_watches)
+        h2o_socket_close(it->socket);
+    for (auto& it : m_periodics) {
+        h2o_timeout_unlink(&it->entry);
+        h2o_timeout_dispose(m_loop, &it->timeout);
+    }
+}
+
+void EventLoop::watchReadable(int fd, Handler handler)
+{
+    auto watch = std::make_unique<Watch>();
+    watch->handler = std::move(handler);
+    watch->socket = h2o_evloop_socket_create(m_loop, fd, H2O_SOCKET_FLAG_DONT_READ);
+    watch->socket->data = watch.get();
+    h2o_socket_read_start(watch->socket, Watch::onReadable);
+    m_watches.push_back(std::move(watch));
+}
+
+void EventLoop::addPeriodic(std::chrono::milliseconds period, Handler handler)
+{
+    auto periodic = std::make_unique<Periodic>();
+    periodic->handler = std::move(handler);
+    periodic->loop = m_loop;
+    periodic->entry.cb = Periodic::onTimeout;
+    h2o_timeout_init(m_loop, &periodic->timeout, static_cast<uint64_t>(period.count()));
+    h2o_timeout_link(m_loop, &periodic->timeout, &periodic->entry);
+    m_periodics.push_back(std::move(periodic));
+}
+
+void EventLoop::run()
+{
+    while (!m_stopRequested && !terminationRequested())
+        h2o_evloop_run(m_loop, maxWaitMs);
+}
+
+void EventLoop::stop() { m_stopRequested = true; }
+
+core::TimePoint EventLoop::now() const
+{
+    return std::chrono::time_point_cast<core::Duration>(std::chrono::steady_clock::now());
+}
+
+void installTerminationSignals()
+{
+    struct sigaction action { };
+    action.sa_handler = recordSignal;
+    sigaction(SIGTERM, &action, nullptr);
+    sigaction(SIGINT, &action, nullptr);
+    std::signal(SIGPIPE, SIG_IGN);
+}
+
+bool terminationRequested() { return terminationSignal != 0; }
+
+} // namespace ibisgw::adapters
--- /dev/null
+++ b/src/ibisgw/adapters/KeyFile.h
@@ -0,0 +1,14 @@
+#pragma once
+
+#include "ibisgw/adapters/MessageAuthenticator.h"
+#include "ibisgw/core/Error.h"
+
+#include <string>
+
+namespace ibisgw::adapters {
+
+// Reads `{"signing_key": 1, "keys": {"1": "<64 hexadecimal digits>", ...}}` with at most two keys.
+// Refuses a file that other users can read, because the keys authenticate every daemon.
+core::Result<KeyRing> readKeyFile(const std::string& file);
+
+} // namespace ibisgw::adapters
--- /dev/null
+++ b/src/ibisgw/balancer/Balancer.cpp
@@ -0,0 +1,188 @@
+#include "ibisgw/balancer/Balancer.h"
+
+namespace ibisgw::balancer {
+
+using packet::Packet;
+using packet::PacketType;
+using packet::RefusalKind;
+
+namespace {
+
+// A packet visits at most this many balancers before it leaves for its upstream.
+constexpr std::uint8_t maxRelayHops = 2;
+
+} // namespace
+
+Balancer::Balancer(BalancerOptions options, flow::FlowTokenCodec tokens, core::RandomSource& random)
+    : m_options(std::move(options))
+    , m_tokens(tokens)
+    , m_random(random)
+    , m_flows(m_options.flowCapacity)
+{
+    m_homes.setBalancers({ m_options.self });
+}
+
+void Balancer::applyDocument(std::shared_ptr<const configuration::Document> document, core::TimePoint)
+{
+    m_document = std::move(document);
+}
+
+void Balancer::setPeers(std::vector<core::NodeId> balancers, core::TimePoint)
+{
+    m_homes.setBalancers(std::move(balancers));
+}
+
+void Balancer::handleAnnouncement(const upstream::Announcement& announcement, core::TimePoint now)
+{
+    m_upstreams.apply(announcement, now);
+}
+
+void Balancer::handleRelayedPacket(const Packet& packet, core::TimePoint now, BalancerOutput& output)
+{
+    handleCallerPacket(packet, now, output);
+}
+
+void Balancer::handleCallerPacket(const Packet& packet, core::TimePoint now, BalancerOutput& output)
+{
+    const auto* service = m_document ? m_document->findService(packet.flow.service) : nullptr;
+    if (!service) {
+        ++m_counters.droppedUnknownService;
+        if (packet.type == PacketType::Open)
+            refuse(packet, RefusalKind::NotRun, output);
+        return;
+    }
+    if (const auto upstream = resolveFlow(packet, *service, now)) {
+        forward(packet, *upstream, output);
+        if (packet.type == PacketType::Close)
+            m_flows.erase(packet.flow);
+        return;
+    }
+    if (relayToHome(packet, output))
+        return;
+    if (packet.type == PacketType::Open)
+        placeFlow(packet, *service, now, output);
+    else
+        rejectUnresolved(packet, output);
+}
+
+std::optional<core::UpstreamId> Balancer::resolveFlow(
+    const Packet& packet, const configuration::Service& service, core::TimePoint now)
+{
+    if (const auto* entry = m_flows.find(packet.flow, now))
+        return entry->upstream;
+    if (!packet.token.isPresent())
+        return std::nullopt;
+    if (!m_tokens.verify(packet.flow, packet.token) || !serves(packet.token.upstream, service)) {
+        ++m_counters.droppedInvalidToken;
+        return std::nullopt;
+    }
+    ++m_counters.resolvedByToken;
+    m_flows.insert(packet.flow, packet.token.upstream, now);
+    return packet.token.upstream;
+}
+
+bool Balancer::relayToHome(const Packet& packet, BalancerOutput& output)
+{
+    const auto home = m_homes.homeOf(packet.flow);
+    if (!home.isValid() || home == m_options.self || packet.relayHops >= maxRelayHops)
+        return false;
+    auto relayed = packet;
+    ++relayed.relayHops;
+    ++m_counters.packetsRelayed;
+    output.sendToPeer(home, relayed);
+    return true;
+}
+
+void Balancer::placeFlow(
+    const Packet& packet, const configuration::Service& service, core::TimePoint now, BalancerOutput& output)
+{
+    const auto candidates = m_upstreams.eligible(service.name);
+    if (candidates.empty()) {
+        refuse(packet, RefusalKind::NotRun, output);
+        return;
+    }
+    const auto upstream = candidates[m_random.below(candidates.size())];
+    if (!m_flows.insert(packet.flow, upstream, now)) {
+        refuse(packet, RefusalKind::NotRun, output);
+        return;
+    }
+    ++m_counters.flowsPlaced;
+    forward(packet, upstream, output);
+}
+
+void Balancer::handleUpstreamPacket(const Packet& packet, core::TimePoint now, BalancerOutput& output)
+{
+    const auto* service = m_document ? m_document->findService(packet.flow.service) : nullptr;
+    if (!service || !serves(packet.upstream, *service)) {
+        ++m_counters.droppedMisdirected;
+        return;
+    }
+    const auto* entry = m_flows.find(packet.flow, now);
+    if (entry && entry->upstream != packet.upstream) {
+        ++m_counters.droppedCrossedAnswers;
+        return;
+    }
+    const bool endsFlow = packet.type == PacketType::Close || packet.type == PacketType::Reset;
+    if (endsFlow)
+        m_flows.erase(packet.flow);
+    else if (!entry)
+        m_flows.insert(packet.flow, packet.upstream, now);
+    auto forwarded = packet;
+    forwarded.token = m_tokens.issue(packet.flow, packet.upstream);
+    ++m_counters.packetsToCallers;
+    output.sendToCaller(forwarded);
+}
+
+void Balancer::tick(core::TimePoint now, BalancerOutput&)
+{
+    m_upstreams.removeExpired(now);
+    m_flows.removeIdle(now, m_options.idleLimit);
+}
+
+void Balancer::forward(const Packet& packet, core::UpstreamId upstream, BalancerOutput& output)
+{
+    auto forwarded = packet;
+    forwarded.upstream = upstream;
+    ++m_counters.packetsToUpstreams;
+    output.sendToUpstream(upstream, forwarded);
+}
+
+void Balancer::refuse(const Packet& packet, RefusalKind kind, BalancerOutput& output)
+{
+    Packet refusal;
+    refusal.type = PacketType::Refusal;
+    refusal.flow = packet.flow;
+    refusal.kind = packet.kind;
+    refusal.request = packet.request;
+    refusal.refusal = kind;
+    refusal.trace = packet.trace;
+    ++(kind == RefusalKind::NotRun ? m_counters.refusedNotRun : m_counters.refusedOutcomeUnknown);
+    output.sendToCaller(refusal);
+}
+
+void Balancer::reset(const Packet& packet, BalancerOutput& output)
+{
+    Packet answer;
+    answer.type = PacketType::Reset;
+    answer.flow = packet.flow;
+    answer.kind = packet.kind;
+    ++m_counters.resets;
+    output.sendToCaller(answer);
+}
+
+void Balancer::rejectUnresolved(const Packet& packet, BalancerOutput& output)
+{
+    // Another balancer may have forwarded a copy of the request, so its outcome is not known here.
+    if (packet.type == PacketType::Request)
+        refuse(packet, RefusalKind::OutcomeUnknown, output);
+    else if (packet.type == PacketType::Data)
+        reset(packet, output);
+}
+
+bool Balancer::serves(core::UpstreamId upstream, const configuration::Service& service) const
+{
+    const auto* record = m_upstreams.find(upstream);
+    return record && record->announcement.service == service.name;
+}
+
+} // namespace ibisgw::balancer
--- /dev/null
+++ b/src/ibisgw/balancer/BalancerCounters.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include <cstdint>
+
+namespace ibisgw::balancer {
+
+// Totals since the start of the process.
+struct BalancerCounters {
+    std::uint64_t flowsPlaced { 0 };
+    std::uint64_t packetsToUpstreams { 0 };
+    std::uint64_t packetsToCallers { 0 };
+    std::uint64_t packetsRelayed { 0 };
+    std::uint64_t resolvedByToken { 0 };
+    std::uint64_t refusedNotRun { 0 };
+    std::uint64_t refusedOutcomeUnknown { 0 };
+    std::uint64_t resets { 0 };
+    std::uint64_t droppedUnknownService { 0 };
+    std::uint64_t droppedInvalidToken { 0 };
+    std::uint64_t droppedCrossedAnswers { 0 };
+    std::uint64_t droppedMisdirected { 0 };
+};
+
+} // namespace ibisgw::balancer
--- /dev/null
+++ b/src/ibisgw/balancer/BalancerOutput.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include "ibisgw/core/Ids.h"
+#include "ibisgw/packet/Packet.h"
+
+namespace ibisgw::balancer {
+
+// Where a balancer sends packets. The daemon implements it with sockets, tests with queues.
+class BalancerOutput {
+public:
+    virtual ~BalancerOutput();
+
+    virtual void sendToUpstream(core::UpstreamId, const packet::Packet&) = 0;
+    virtual void sendToCaller(const packet::Packet&) = 0;
+    // Relays a caller's packet to the home of its flow.
+    virtual void sendToPeer(core::NodeId, const packet::Packet&) = 0;
+};
+
+} // namespace ibisgw::balancer
--- /dev/null
+++ b/src/ibisgw/configuration/DocumentReader.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include "ibisgw/configuration/Document.h"
+#include "ibisgw/core/Problem.h"
+
+#include <nlohmann/json_fwd.hpp>
+
+#include <optional>
+#include <vector>
+
+namespace ibisgw::configuration {
+
+// Either a document without problems, or every problem found; never a partial document.
+struct DocumentReading {
+    std::optional<Document> document;
+    std::vector<core::Problem> problems;
+};
+
+DocumentReading readDocument(const nlohmann::json&);
+
+} // namespace ibisgw::configuration
--- /dev/null
+++ b/standins/callers/CallerPool.cpp
@@ -0,0 +1,186 @@
+#include "callers/CallerPool.h"
+
+#include <nlohmann/json.hpp>
+
+namespace standins {
+
+using namespace ibisgw;
+using packet::PacketType;
+using packet::RefusalKind;
+
+namespace {
+
+constexpr std::chrono::milliseconds tickPeriod { 10 };
+constexpr core::Duration retransmitAfter = std::chrono::milliseconds(300);
+constexpr core::Duration streamPingPeriod = std::chrono::milliseconds(500);
+// A stream without any answer for this long counts as broken.
+constexpr core::Duration streamTimeout = std::chrono::seconds(4);
+// First caller address; each flow takes the next one.
+constexpr std::uint32_t firstAddress = 0x7f010001; // 127.1.0.1
+constexpr core::RequestId onlyRequest = 1;
+
+} // namespace
+
+CallerPool::CallerPool(CallerPoolOptions options, adapters::UdpSocket socket)
+    : m_options(options)
+    , m_socket(socket)
+    , m_startedAt(m_loop.now())
+    , m_nextAddress(firstAddress)
+{
+}
+
+void CallerPool::run()
+{
+    m_socket.receive(m_loop, [this](auto datagram, auto) { receive(datagram); });
+    m_loop.addPeriodic(tickPeriod, [this] { tick(); });
+    for (unsigned n = 0; n < m_options.streams; ++n)
+        startFlow(true);
+    m_loop.run();
+}
+
+void CallerPool::tick()
+{
+    const auto now = m_loop.now();
+    const auto elapsed = now - m_startedAt;
+    if (elapsed < m_options.duration) {
+        const auto due = static_cast<std::uint64_t>(core::toSeconds(elapsed) * m_options.requestsPerSecond);
+        for (; m_requestsStarted < due; ++m_requestsStarted)
+            startFlow(false);
+    }
+    for (const auto& it : m_active)
+        drive(m_flows.at(it), now);
+    std::erase_if(m_active, [&](const auto& it) { return m_flows.at(it).phase == Phase::Ended; });
+    const auto grace = std::chrono::milliseconds(m_options.deadlineMs) + retransmitAfter;
+    if (elapsed < m_options.duration + grace)
+        return;
+    for (const auto& it : m_active)
+        send(m_flows.at(it), PacketType::Close);
+    m_loop.stop();
+}
+
+void CallerPool::startFlow(bool isStream)
+{
+    CallerFlow flow;
+    flow.key = { { m_nextAddress++, m_socket.localEndpoint().port }, m_options.service };
+    flow.isStream = isStream;
+    flow.startedAt = flow.lastHeard = m_loop.now();
+    auto& held = m_flows.emplace(flow.key, flow).first->second;
+    m_active.push_back(flow.key);
+    send(held, PacketType::Open);
+}
+
+void CallerPool::drive(CallerFlow& flow, core::TimePoint now)
+{
+    if (flow.isStream) {
+        driveStream(flow, now);
+        return;
+    }
+    if (now - flow.startedAt > std::chrono::milliseconds(m_options.deadlineMs)) {
+        // A request that was never sent cannot have run.
+        endRequest(flow, flow.phase == Phase::Opening ? Outcome::NotRun : Outcome::Unknown);
+        return;
+    }
+    if (now - flow.lastSent >= retransmitAfter)
+        send(flow, flow.phase == Phase::Opening ? PacketType::Open : PacketType::Request);
+}
+
+void CallerPool::driveStream(CallerFlow& flow, core::TimePoint now)
+{
+    if (now - flow.lastHeard > streamTimeout) {
+        flow.broken = true;
+        flow.phase = Phase::Ended;
+        return;
+    }
+    if (flow.phase == Phase::Opening && now - flow.lastSent >= retransmitAfter)
+        send(flow, PacketType::Open);
+    else if (flow.phase == Phase::Established && now - flow.lastSent >= streamPingPeriod)
+        send(flow, PacketType::Data);
+}
+
+void CallerPool::receive(std::span<const std::byte> datagram)
+{
+    const auto packet = adapters::decodePacket(datagram);
+    if (!packet)
+        return;
+    const auto it = m_flows.find(packet->flow);
+    if (it == m_flows.end()) {
+        ++m_unexpectedReplies;
+        return;
+    }
+    if (it->second.phase != Phase::Ended)
+        handleReply(it->second, *packet);
+}
+
+void CallerPool::handleReply(CallerFlow& flow, const packet::Packet& packet)
+{
+    const std::string sender(reinterpret_cast<const char*>(packet.payload.data()), packet.payload.size());
+    flow.lastHeard = m_loop.now();
+    if (packet.type == PacketType::Opened && flow.phase == Phase::Opening) {
+        flow.upstream = sender;
+        flow.token = packet.token;
+        flow.phase = flow.isStream ? Phase::Established : Phase::Requesting;
+        send(flow, flow.isStream ? PacketType::Data : PacketType::Request);
+    } else if (packet.type == PacketType::Data && sender != flow.upstream) {
+        flow.broken = true;
+    } else if (packet.type == PacketType::Answer && packet.request == onlyRequest) {
+        endRequest(flow, Outcome::Answered);
+    } else if (packet.type == PacketType::Refusal && !flow.isStream) {
+        endRequest(flow, packet.refusal == RefusalKind::NotRun ? Outcome::NotRun : Outcome::Unknown);
+    } else if (packet.type == PacketType::Reset) {
+        flow.broken = true;
+        endRequest(flow, Outcome::Unknown);
+    }
+}
+
+void CallerPool::endRequest(CallerFlow& flow, Outcome outcome)
+{
+    flow.outcome = outcome;
+    flow.phase = Phase::Ended;
+    if (!flow.upstream.empty())
+        send(flow, PacketType::Close);
+}
+
+void CallerPool::send(CallerFlow& flow, PacketType type)
+{
+    packet::Packet packet;
+    packet.type = type;
+    packet.flow = flow.key;
+    packet.kind = flow.isStream ? m_options.streamKind : m_options.requestKind;
+    packet.request = type == PacketType::Request ? onlyRequest : 0;
+    const auto elapsed = std::chrono::duration_cast<std::chrono::milliseconds>(m_loop.now() - flow.startedAt);
+    if (!flow.isStream && elapsed.count() < m_options.deadlineMs)
+        packet.deadlineMs = m_options.deadlineMs - static_cast<std::uint32_t>(elapsed.count());
+    if (m_options.echoToken)
+        packet.token = flow.token;
+    flow.lastSent = m_loop.now();
+    if (adapters::encodePacket(packet, m_buffer))
+        m_socket.send(m_buffer, m_options.fabric);
+}
+
+nlohmann::json CallerPool::report() const
+{
+    std::uint64_t answered = 0, notRun = 0, unknown = 0, broken = 0, requests = 0, streams = 0;
+    std::map<std::string, std::uint64_t> flowsByUpstream;
+    auto notRunCallers = nlohmann::json::array();
+    for (const auto& [key, flow] : m_flows) {
+        if (!flow.upstream.empty())
+            ++flowsByUpstream[flow.upstream];
+        if (flow.isStream) {
+            ++streams;
+            broken += flow.broken || flow.phase != Phase::Established;
+            continue;
+        }
+        ++requests;
+        answered += flow.outcome == Outcome::Answered;
+        unknown += flow.outcome == Outcome::Unknown || flow.outcome == Outcome::Pending;
+        if (flow.outcome == Outcome::NotRun) {
+            ++notRun;
+            notRunCallers.push_back(key.caller.toString());
+        }
+    }
+    return { { "requests", requests }, { "answered", answered }, { "not_run", notRun }, { "outcome_unknown", unknown },
+        { "streams", streams }, { "broken_streams", broken }, { "unexpected_replies", m_unexpectedReplies },
+        { "flows_by_upstream", flowsByUpstream }, { "not_run_callers", notRunCallers } };
+}
+
+} // namespace standins
