--- a/src/ibisgw/adapters/EventLoop.cpp
+++ b/src/ibisgw/adapters/EventLoop.cpp
@@ -12,7 +12,10 @@
 
 volatile std::sig_atomic_t terminationSignal = 0;
 
-void recordSignal(int number) { terminationSignal = number; }
+void recordSignal(int number)
+{
+    terminationSignal = number;
+}
 
 } // namespace
 
@@ -81,7 +84,10 @@
         h2o_evloop_run(m_loop, maxWaitMs);
 }
 
-void EventLoop::stop() { m_stopRequested = true; }
+void EventLoop::stop()
+{
+    m_stopRequested = true;
+}
 
 core::TimePoint EventLoop::now() const
 {
@@ -97,6 +103,9 @@
     std::signal(SIGPIPE, SIG_IGN);
 }
 
-bool terminationRequested() { return terminationSignal != 0; }
+bool terminationRequested()
+{
+    return terminationSignal != 0;
+}
 
 } // namespace ibisgw::adapters
--- a/src/ibisgw/adapters/MessageAuthenticator.cpp
+++ b/src/ibisgw/adapters/MessageAuthenticator.cpp
@@ -41,7 +41,10 @@
 {
 }
 
-void MessageAuthenticator::setKeys(KeyRing keys) { m_keys = std::move(keys); }
+void MessageAuthenticator::setKeys(KeyRing keys)
+{
+    m_keys = std::move(keys);
+}
 
 bool MessageAuthenticator::seal(Channel channel, std::span<const std::byte> body, std::vector<std::byte>& datagram)
 {
--- a/src/ibisgw/adapters/PacketCodec.cpp
+++ b/src/ibisgw/adapters/PacketCodec.cpp
@@ -17,9 +17,15 @@
 // Longest service or zone name on the wire.
 constexpr std::size_t maxNameBytes = 64;
 
-std::uint64_t packEndpoint(const core::Endpoint& endpoint) { return core::UpstreamId::fromEndpoint(endpoint).value; }
+std::uint64_t packEndpoint(const core::Endpoint& endpoint)
+{
+    return core::UpstreamId::fromEndpoint(endpoint).value;
+}
 
-core::Endpoint unpackEndpoint(std::uint64_t value) { return core::UpstreamId { value }.endpoint(); }
+core::Endpoint unpackEndpoint(std::uint64_t value)
+{
+    return core::UpstreamId { value }.endpoint();
+}
 
 // Largest value of an endpoint that is packed into 48 bits.
 constexpr std::uint64_t maxPackedEndpoint = (std::uint64_t { 1 } << 48) - 1;
--- a/src/ibisgw/adapters/detail/CborReader.cpp
+++ b/src/ibisgw/adapters/detail/CborReader.cpp
@@ -60,7 +60,10 @@
     return item;
 }
 
-std::size_t CborReader::arrayStart() { return next(ItemType::Array).value; }
+std::size_t CborReader::arrayStart()
+{
+    return next(ItemType::Array).value;
+}
 
 std::uint64_t CborReader::number(std::uint64_t maxValue)
 {
@@ -72,7 +75,10 @@
     return item.value;
 }
 
-std::span<const std::byte> CborReader::bytes() { return next(ItemType::Bytes).data; }
+std::span<const std::byte> CborReader::bytes()
+{
+    return next(ItemType::Bytes).data;
+}
 
 std::string CborReader::text(std::size_t maxBytes)
 {
--- a/src/ibisgw/adapters/detail/CborWriter.cpp
+++ b/src/ibisgw/adapters/detail/CborWriter.cpp
@@ -11,9 +11,15 @@
     m_buffer.resize(maxBytes);
 }
 
-void CborWriter::arrayOf(std::size_t count) { advance(cbor_encode_array_start(count, cursor(), room())); }
+void CborWriter::arrayOf(std::size_t count)
+{
+    advance(cbor_encode_array_start(count, cursor(), room()));
+}
 
-void CborWriter::number(std::uint64_t value) { advance(cbor_encode_uint(value, cursor(), room())); }
+void CborWriter::number(std::uint64_t value)
+{
+    advance(cbor_encode_uint(value, cursor(), room()));
+}
 
 void CborWriter::bytes(std::span<const std::byte> data)
 {
@@ -33,9 +39,15 @@
     return !m_failed;
 }
 
-unsigned char* CborWriter::cursor() { return reinterpret_cast<unsigned char*>(m_buffer.data()) + m_used; }
+unsigned char* CborWriter::cursor()
+{
+    return reinterpret_cast<unsigned char*>(m_buffer.data()) + m_used;
+}
 
-std::size_t CborWriter::room() const { return m_buffer.size() - m_used; }
+std::size_t CborWriter::room() const
+{
+    return m_buffer.size() - m_used;
+}
 
 void CborWriter::advance(std::size_t n)
 {
--- a/src/ibisgw/configuration/AcceptedRevision.cpp
+++ b/src/ibisgw/configuration/AcceptedRevision.cpp
@@ -5,6 +5,9 @@
 
 namespace ibisgw::configuration {
 
-std::uint64_t hashDocument(const std::string& document) { return XXH3_64bits(document.data(), document.size()); }
+std::uint64_t hashDocument(const std::string& document)
+{
+    return XXH3_64bits(document.data(), document.size());
+}
 
 } // namespace ibisgw::configuration
--- a/src/ibisgw/configuration/Document.cpp
+++ b/src/ibisgw/configuration/Document.cpp
@@ -20,11 +20,20 @@
 
 } // namespace
 
-std::string_view nameOf(Placement placement) { return placementNames.nameOf(placement); }
+std::string_view nameOf(Placement placement)
+{
+    return placementNames.nameOf(placement);
+}
 
-std::string_view nameOf(PartitionBehaviour behaviour) { return partitionBehaviourNames.nameOf(behaviour); }
+std::string_view nameOf(PartitionBehaviour behaviour)
+{
+    return partitionBehaviourNames.nameOf(behaviour);
+}
 
-std::optional<Placement> placementFromName(std::string_view name) { return placementNames.valueOf(name); }
+std::optional<Placement> placementFromName(std::string_view name)
+{
+    return placementNames.valueOf(name);
+}
 
 std::optional<PartitionBehaviour> partitionBehaviourFromName(std::string_view name)
 {
--- a/src/ibisgw/core/Error.cpp
+++ b/src/ibisgw/core/Error.cpp
@@ -20,7 +20,10 @@
 
 } // namespace
 
-std::string_view nameOf(ErrorKind kind) { return errorKindNames.nameOf(kind); }
+std::string_view nameOf(ErrorKind kind)
+{
+    return errorKindNames.nameOf(kind);
+}
 
 boost::leaf::error_id fail(ErrorKind kind, std::string message)
 {
--- a/src/ibisgw/core/PcgRandomSource.cpp
+++ b/src/ibisgw/core/PcgRandomSource.cpp
@@ -7,6 +7,9 @@
 {
 }
 
-std::uint64_t PcgRandomSource::next() { return m_generator(); }
+std::uint64_t PcgRandomSource::next()
+{
+    return m_generator();
+}
 
 } // namespace ibisgw::core
--- a/src/ibisgw/core/RandomSource.cpp
+++ b/src/ibisgw/core/RandomSource.cpp
@@ -4,7 +4,10 @@
 
 RandomSource::~RandomSource() = default;
 
-std::uint64_t RandomSource::below(std::uint64_t bound) { return bound ? next() % bound : 0; }
+std::uint64_t RandomSource::below(std::uint64_t bound)
+{
+    return bound ? next() % bound : 0;
+}
 
 double RandomSource::unit()
 {
@@ -12,6 +15,9 @@
     return static_cast<double>(next() >> 11) * twoToMinus53;
 }
 
-bool RandomSource::chance(double probability) { return unit() < probability; }
+bool RandomSource::chance(double probability)
+{
+    return unit() < probability;
+}
 
 } // namespace ibisgw::core
--- a/src/ibisgw/core/Time.h
+++ b/src/ibisgw/core/Time.h
@@ -15,6 +15,9 @@
 using namespace std::chrono_literals;
 
 // Seconds as a floating-point number, for logs, metrics and rate computations.
-constexpr double toSeconds(Duration duration) { return std::chrono::duration<double>(duration).count(); }
+constexpr double toSeconds(Duration duration)
+{
+    return std::chrono::duration<double>(duration).count();
+}
 
 } // namespace ibisgw::core
--- a/src/ibisgw/flow/FlowTable.cpp
+++ b/src/ibisgw/flow/FlowTable.cpp
@@ -24,7 +24,10 @@
     return true;
 }
 
-void FlowTable::erase(const core::FlowKey& key) { m_entries.erase(key); }
+void FlowTable::erase(const core::FlowKey& key)
+{
+    m_entries.erase(key);
+}
 
 std::size_t FlowTable::removeIdle(core::TimePoint now, core::Duration idleLimit)
 {
--- a/src/ibisgw/flow/HomeRing.cpp
+++ b/src/ibisgw/flow/HomeRing.cpp
@@ -2,7 +2,10 @@
 
 namespace ibisgw::flow {
 
-void HomeRing::setBalancers(std::vector<core::NodeId> balancers) { m_balancers = std::move(balancers); }
+void HomeRing::setBalancers(std::vector<core::NodeId> balancers)
+{
+    m_balancers = std::move(balancers);
+}
 
 core::NodeId HomeRing::homeOf(const core::FlowKey& flow) const
 {
--- a/src/ibisgw/packet/Packet.cpp
+++ b/src/ibisgw/packet/Packet.cpp
@@ -26,9 +26,15 @@
 
 } // namespace
 
-std::string_view nameOf(PacketType type) { return packetTypeNames.nameOf(type); }
+std::string_view nameOf(PacketType type)
+{
+    return packetTypeNames.nameOf(type);
+}
 
-std::string_view nameOf(RefusalKind kind) { return refusalKindNames.nameOf(kind); }
+std::string_view nameOf(RefusalKind kind)
+{
+    return refusalKindNames.nameOf(kind);
+}
 
 std::optional<PacketType> packetTypeFromNumber(std::uint64_t number)
 {
--- a/src/ibisgw/upstream/Announcement.cpp
+++ b/src/ibisgw/upstream/Announcement.cpp
@@ -16,7 +16,10 @@
 
 } // namespace
 
-std::string_view nameOf(UpstreamState state) { return upstreamStateNames.nameOf(state); }
+std::string_view nameOf(UpstreamState state)
+{
+    return upstreamStateNames.nameOf(state);
+}
 
 std::optional<UpstreamState> upstreamStateFromNumber(std::uint64_t number)
 {
--- a/src/ibisgw/upstream/UpstreamRegistry.cpp
+++ b/src/ibisgw/upstream/UpstreamRegistry.cpp
@@ -11,7 +11,10 @@
     return candidate.sequence <= held.sequence;
 }
 
-bool takesNewWork(UpstreamState state) { return state == UpstreamState::Ready || state == UpstreamState::Warming; }
+bool takesNewWork(UpstreamState state)
+{
+    return state == UpstreamState::Ready || state == UpstreamState::Warming;
+}
 
 } // namespace
 
--- a/standins/upstream/UpstreamHost.cpp
+++ b/standins/upstream/UpstreamHost.cpp
@@ -19,7 +19,10 @@
 
 volatile std::sig_atomic_t drainSignal = 0;
 
-void recordDrainSignal(int) { drainSignal = 1; }
+void recordDrainSignal(int)
+{
+    drainSignal = 1;
+}
 
 std::uint64_t wallClockMicroseconds()
 {
--- a/tests/support/MessageQueue.cpp
+++ b/tests/support/MessageQueue.cpp
@@ -30,9 +30,15 @@
     m_actions.emplace(std::pair { std::max(time, m_now), m_nextOrder++ }, std::move(action));
 }
 
-void MessageQueue::after(core::Duration delay, Action action) { at(m_now + delay, std::move(action)); }
+void MessageQueue::after(core::Duration delay, Action action)
+{
+    at(m_now + delay, std::move(action));
+}
 
-void MessageQueue::cut(Machine from, Machine to) { m_cuts.insert({ from, to }); }
+void MessageQueue::cut(Machine from, Machine to)
+{
+    m_cuts.insert({ from, to });
+}
 
 void MessageQueue::cutBoth(Machine first, Machine second)
 {
@@ -40,11 +46,20 @@
     cut(second, first);
 }
 
-void MessageQueue::heal(Machine from, Machine to) { m_cuts.erase({ from, to }); }
+void MessageQueue::heal(Machine from, Machine to)
+{
+    m_cuts.erase({ from, to });
+}
 
-void MessageQueue::healAll() { m_cuts.clear(); }
+void MessageQueue::healAll()
+{
+    m_cuts.clear();
+}
 
-bool MessageQueue::isCut(Machine from, Machine to) const { return m_cuts.contains({ from, to }); }
+bool MessageQueue::isCut(Machine from, Machine to) const
+{
+    return m_cuts.contains({ from, to });
+}
 
 bool MessageQueue::step()
 {
@@ -63,7 +78,10 @@
     m_now = std::max(m_now, end);
 }
 
-void MessageQueue::runFor(core::Duration duration) { runUntil(m_now + duration); }
+void MessageQueue::runFor(core::Duration duration)
+{
+    runUntil(m_now + duration);
+}
 
 core::Duration MessageQueue::drawDelay()
 {
