Add a balancer group in virtual time for tests and measures

Cause: placement and request rules need a group of balancers, upstreams and callers without sockets, with equal results for equal seeds.

--- /dev/null
+++ b/tests/support/FakeUpstream.h
@@ -0,0 +1,92 @@
+#pragma once
+
+#include "ibisgw/packet/Packet.h"
+#include "ibisgw/upstream/Announcement.h"
+#include "support/ExecutionLog.h"
+#include "support/MessageQueue.h"
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <optional>
+#include <unordered_map>
+
+namespace support {
+
+struct FakeUpstreamOptions {
+    ibisgw::core::UpstreamId id;
+    ibisgw::core::ServiceName service;
+    ibisgw::core::Endpoint serviceAddress;
+    ibisgw::core::ZoneName zone { "a" };
+    std::uint16_t slots { 2 };
+    std::size_t queueLimit { 4 };
+    // Mean of the exponentially distributed execution time.
+    ibisgw::core::Duration meanServiceTime { std::chrono::milliseconds(100) };
+    // Reports no load and stays "ready" whatever happens.
+    bool misleading { false };
+};
+
+// Upstream in virtual time: opens flows, echoes data, runs requests in its slots, refuses what its
+// queue cannot hold, remembers the requests of each flow, and loses everything on a restart.
+class FakeUpstream {
+public:
+    using Reply = std::function<void(const ibisgw::packet::Packet&)>;
+
+    FakeUpstream(FakeUpstreamOptions, MessageQueue&, ibisgw::core::RandomSource&, ExecutionLog&, Reply);
+
+    void handlePacket(const ibisgw::packet::Packet&);
+    ibisgw::upstream::Announcement announcement();
+
+    void drain() { m_state = ibisgw::upstream::UpstreamState::Draining; }
+    void kill();
+    // Starts again as a new incarnation without flows.
+    void restart();
+    bool isRunning() const { return m_running; }
+
+    const FakeUpstreamOptions& options() const { return m_options; }
+    std::size_t openFlows() const { return m_flows.size(); }
+    std::size_t busySlots() const { return m_busySlots; }
+    std::uint64_t opensReceived() const { return m_opensReceived; }
+    std::uint64_t executions() const { return m_executions; }
+    std::uint64_t refusals() const { return m_refusals; }
+    // When the last flow was opened; for how long a draining upstream still gets new work.
+    std::optional<ibisgw::core::TimePoint> lastOpenAt() const { return m_lastOpenAt; }
+
+private:
+    enum class RequestState {
+        Waiting,
+        Running,
+        Answered,
+        Refused,
+    };
+    struct Pending {
+        ibisgw::packet::Packet packet;
+        std::optional<ibisgw::core::TimePoint> deadline;
+    };
+
+    void handleRequest(const ibisgw::packet::Packet&);
+    void startWaiting();
+    void finish(const ibisgw::packet::Packet&);
+    void reply(ibisgw::packet::PacketType, const ibisgw::packet::Packet&,
+        ibisgw::packet::RefusalKind = ibisgw::packet::RefusalKind::None);
+    ibisgw::core::Duration drawServiceTime();
+
+    FakeUpstreamOptions m_options;
+    MessageQueue& m_queue;
+    ibisgw::core::RandomSource& m_random;
+    ExecutionLog& m_log;
+    Reply m_reply;
+    bool m_running { true };
+    ibisgw::core::Incarnation m_incarnation { 1 };
+    std::uint64_t m_sequence { 0 };
+    ibisgw::upstream::UpstreamState m_state { ibisgw::upstream::UpstreamState::Ready };
+    std::unordered_map<ibisgw::core::FlowKey, std::map<ibisgw::core::RequestId, RequestState>> m_flows;
+    std::deque<Pending> m_waiting;
+    std::size_t m_busySlots { 0 };
+    std::uint64_t m_opensReceived { 0 };
+    std::uint64_t m_executions { 0 };
+    std::uint64_t m_refusals { 0 };
+    std::optional<ibisgw::core::TimePoint> m_lastOpenAt;
+};
+
+} // namespace support
