Carry control messages over WebSocket streams on the event loop

Change: websocketpp sessions over h2o sockets, one loop and one thread; messages are authenticated as on UDP, with a size limit of 4 MiB. Ruled out: one authenticator for UDP and streams, because a slow stream would fall out of the replay window that datagrams move.

--- a/src/ibisgw/adapters/MessageAuthenticator.cpp
+++ b/src/ibisgw/adapters/MessageAuthenticator.cpp
@@ -14,10 +14,8 @@
 constexpr std::uint64_t protocolVersion = 1;
 constexpr std::size_t envelopeFields = 7;
 constexpr std::size_t tagBytes = 16;
-// Largest UDP payload over IPv4.
-constexpr std::size_t maxMessageBytes = 65'507;
-// CBOR head of the byte string that holds the tag.
-constexpr std::size_t tagItemBytes = tagBytes + 1;
+// Upper bound of the CBOR heads and numbers before the body: six numbers of 9 bytes and two heads.
+constexpr std::size_t envelopeBytes = 72;
 // Sequence numbers of one sender that may arrive out of order.
 constexpr std::uint64_t replayWindowSize = 64;
 
@@ -34,10 +32,12 @@
 
 } // namespace
 
-MessageAuthenticator::MessageAuthenticator(core::NodeId self, KeyRing keys, std::uint64_t epoch)
+MessageAuthenticator::MessageAuthenticator(
+    core::NodeId self, KeyRing keys, std::uint64_t epoch, std::size_t maxMessageBytes)
     : m_self(self)
     , m_keys(std::move(keys))
     , m_epoch(epoch)
+    , m_maxMessageBytes(maxMessageBytes)
 {
 }
 
@@ -49,9 +49,9 @@
 bool MessageAuthenticator::seal(Channel channel, std::span<const std::byte> body, std::vector<std::byte>& datagram)
 {
     const auto key = m_keys.keys.find(m_keys.signingKey);
-    if (key == m_keys.keys.end())
+    if (key == m_keys.keys.end() || body.size() + envelopeBytes + tagBytes > m_maxMessageBytes)
         return false;
-    detail::CborWriter writer(datagram, maxMessageBytes - tagItemBytes);
+    detail::CborWriter writer(datagram, body.size() + envelopeBytes);
     writer.arrayOf(envelopeFields);
     writer.number(protocolVersion);
     writer.number(m_self.value);
@@ -70,7 +70,7 @@
 
 std::optional<AuthenticatedMessage> MessageAuthenticator::open(std::span<const std::byte> datagram)
 {
-    if (datagram.size() <= tagBytes) {
+    if (datagram.size() <= tagBytes || datagram.size() > m_maxMessageBytes) {
         ++m_counters.malformed;
         return std::nullopt;
     }
--- a/src/ibisgw/adapters/MessageAuthenticator.h
+++ b/src/ibisgw/adapters/MessageAuthenticator.h
@@ -44,14 +44,21 @@
     std::uint64_t replayed { 0 };
 };
 
+// Largest UDP payload over IPv4.
+inline constexpr std::size_t maxUdpPayloadBytes = 65'507;
+
+// Largest message on a stream; holds a snapshot with a document of the largest size (1 MiB).
+inline constexpr std::size_t maxStreamMessageBytes = std::size_t { 4 } * 1024 * 1024;
+
 // Seals and opens messages between daemons: HMAC-SHA-256 truncated to 16 bytes (RFC 2104, section 5)
 // over sender, key number, epoch, sequence and body. Messages are not encrypted.
 class MessageAuthenticator {
 public:
     // The epoch must be larger after each restart of the sender; receivers drop older epochs.
-    MessageAuthenticator(core::NodeId self, KeyRing, std::uint64_t epoch);
+    // Larger messages than the limit are neither sealed nor opened.
+    MessageAuthenticator(
+        core::NodeId self, KeyRing, std::uint64_t epoch, std::size_t maxMessageBytes = maxUdpPayloadBytes);
 
-    // False when the message does not fit into a datagram.
     bool seal(Channel, std::span<const std::byte> body, std::vector<std::byte>& datagram);
     std::optional<AuthenticatedMessage> open(std::span<const std::byte> datagram);
     // Replaces the keys, for rotation without a restart.
@@ -72,6 +79,7 @@
     core::NodeId m_self;
     KeyRing m_keys;
     std::uint64_t m_epoch;
+    std::size_t m_maxMessageBytes;
     std::uint64_t m_nextSequence { 1 };
     std::unordered_map<core::NodeId, ReplayWindow> m_windows;
     AuthenticationCounters m_counters;
--- /dev/null
+++ b/src/ibisgw/adapters/TcpStream.cpp
@@ -0,0 +1,126 @@
+#include "ibisgw/adapters/TcpStream.h"
+
+#include "ibisgw/adapters/EventLoop.h"
+
+#include <h2o.h>
+#include <netinet/in.h>
+
+namespace ibisgw::adapters {
+
+namespace {
+
+// Output that may wait for a slow peer; larger than one snapshot of the configuration.
+constexpr std::size_t maxQueuedBytes = std::size_t { 8 } * 1024 * 1024;
+
+} // namespace
+
+TcpStream::TcpStream(Callbacks callbacks)
+    : m_callbacks(std::move(callbacks))
+{
+}
+
+TcpStream::~TcpStream()
+{
+    if (m_socket)
+        h2o_socket_close(m_socket);
+}
+
+std::unique_ptr<TcpStream> TcpStream::connect(EventLoop& loop, core::Endpoint target, Callbacks callbacks)
+{
+    sockaddr_in address {};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(target.port);
+    address.sin_addr.s_addr = htonl(target.address);
+    std::unique_ptr<TcpStream> stream(new TcpStream(std::move(callbacks)));
+    auto* socket = h2o_socket_connect(
+        loop.nativeLoop(), reinterpret_cast<sockaddr*>(&address), sizeof address, TcpStream::onConnected);
+    if (!socket)
+        return nullptr;
+    stream->attach(socket);
+    return stream;
+}
+
+std::unique_ptr<TcpStream> TcpStream::adopt(st_h2o_socket_t* socket, Callbacks callbacks)
+{
+    std::unique_ptr<TcpStream> stream(new TcpStream(std::move(callbacks)));
+    stream->attach(socket);
+    stream->m_isConnected = true;
+    h2o_socket_read_start(socket, TcpStream::onReadable);
+    return stream;
+}
+
+void TcpStream::attach(st_h2o_socket_t* socket)
+{
+    m_socket = socket;
+    m_socket->data = this;
+}
+
+void TcpStream::onConnected(st_h2o_socket_t* socket, const char* error)
+{
+    auto* stream = static_cast<TcpStream*>(socket->data);
+    if (error) {
+        stream->close();
+        return;
+    }
+    stream->m_isConnected = true;
+    h2o_socket_read_start(socket, TcpStream::onReadable);
+    stream->flush();
+    stream->m_callbacks.connected();
+}
+
+void TcpStream::onReadable(st_h2o_socket_t* socket, const char* error)
+{
+    auto* stream = static_cast<TcpStream*>(socket->data);
+    if (error) {
+        stream->close();
+        return;
+    }
+    // Copied first, because the receiver may destroy the stream.
+    const std::string data(socket->input->bytes, socket->input->size);
+    h2o_buffer_consume(&socket->input, socket->input->size);
+    stream->m_callbacks.received(data.data(), data.size());
+}
+
+void TcpStream::onWritten(st_h2o_socket_t* socket, const char* error)
+{
+    auto* stream = static_cast<TcpStream*>(socket->data);
+    stream->m_inFlight.clear();
+    if (error)
+        stream->close();
+    else
+        stream->flush();
+}
+
+void TcpStream::write(const char* data, std::size_t n)
+{
+    if (!m_socket)
+        return;
+    if (m_queued.size() + n > maxQueuedBytes) {
+        close();
+        return;
+    }
+    m_queued.append(data, n);
+    flush();
+}
+
+void TcpStream::flush()
+{
+    if (!m_isConnected || !m_inFlight.empty() || m_queued.empty())
+        return;
+    m_inFlight.swap(m_queued);
+    h2o_iovec_t buf { m_inFlight.data(), m_inFlight.size() };
+    h2o_socket_write(m_socket, &buf, 1, TcpStream::onWritten);
+}
+
+void TcpStream::close()
+{
+    if (!m_socket)
+        return;
+    h2o_socket_close(m_socket);
+    m_socket = nullptr;
+    m_isConnected = false;
+    const auto closed = m_callbacks.closed;
+    closed();
+}
+
+} // namespace ibisgw::adapters
--- /dev/null
+++ b/tests/adapters/StreamTransportTests.cpp
@@ -0,0 +1,82 @@
+#include "ibisgw/adapters/EventLoop.h"
+#include "ibisgw/adapters/StreamTransport.h"
+
+#include <doctest/doctest.h>
+#include <string>
+
+using namespace ibisgw;
+
+namespace {
+
+adapters::KeyRing makeKeys(std::uint8_t filler)
+{
+    adapters::KeyRing ring { 1, {} };
+    ring.keys[1].fill(std::byte { filler });
+    return ring;
+}
+
+struct Peer {
+    Peer(adapters::EventLoop& loop, core::NodeId self, std::uint8_t keyFiller)
+        : authenticator(self, makeKeys(keyFiller), 1, adapters::maxStreamMessageBytes)
+        , transport(loop, authenticator, [this](core::NodeId, adapters::Channel, std::span<const std::byte> body) {
+            received.emplace_back(reinterpret_cast<const char*>(body.data()), body.size());
+        })
+    {
+        const auto endpoint = transport.listen({ 0x7f000001, 0 });
+        REQUIRE(endpoint);
+        address = core::NodeId::fromEndpoint(*endpoint);
+    }
+
+    void send(const Peer& target, const std::string& message, core::TimePoint now)
+    {
+        transport.send(target.address, adapters::Channel::Consensus, std::as_bytes(std::span(message)), now);
+    }
+
+    core::NodeId address;
+    adapters::MessageAuthenticator authenticator;
+    std::vector<std::string> received;
+    adapters::StreamTransport transport;
+};
+
+} // namespace
+
+TEST_SUITE("adapters")
+{
+    // Guards against control messages that are lost, cut or accepted from a stranger.
+    TEST_CASE("daemons exchange messages over WebSocket streams")
+    {
+        adapters::EventLoop loop;
+        Peer receiver(loop, core::NodeId { 1 }, 1);
+        bool done = false;
+        int rounds = 0;
+        // The loop wakes every 10 ms; 3,000 rounds only bound a hanging test.
+        loop.addPeriodic(std::chrono::milliseconds(10), [&] {
+            if (done || ++rounds > 3000)
+                loop.stop();
+        });
+
+        SUBCASE("messages arrive whole and in order")
+        {
+            Peer sender(loop, core::NodeId { 2 }, 1);
+            const std::string large(1'000'000, 'x');
+            for (const auto& it : { std::string("first"), large, std::string("last") })
+                sender.send(receiver, it, loop.now());
+            loop.addPeriodic(std::chrono::milliseconds(10), [&] { done = receiver.received.size() == 3; });
+            loop.run();
+            REQUIRE(receiver.received.size() == 3);
+            CHECK(receiver.received[0] == "first");
+            CHECK(receiver.received[1] == large);
+            CHECK(receiver.received[2] == "last");
+        }
+        SUBCASE("a message under another key is counted and dropped")
+        {
+            Peer stranger(loop, core::NodeId { 3 }, 2);
+            stranger.send(receiver, "vote", loop.now());
+            loop.addPeriodic(
+                std::chrono::milliseconds(10), [&] { done = receiver.transport.malformedMessages() == 1; });
+            loop.run();
+            CHECK(receiver.received.empty());
+            CHECK(receiver.authenticator.counters().altered == 1);
+        }
+    }
+}
