--- /dev/null
+++ b/src/ibisgw/configuration/DocumentPatch.cpp
@@ -0,0 +1,101 @@
+#include "ibisgw/configuration/DocumentPatch.h"
+
+#include <nlohmann/json.hpp>
+
+namespace ibisgw::configuration {
+
+namespace {
+
+using Json = nlohmann::json;
+
+void addOperation(Json& patch, const char* operation, const std::string& path)
+{
+    patch.push_back({ { "op", operation }, { "path", path } });
+}
+
+void addOperation(Json& patch, const char* operation, const std::string& path, const Json& value)
+{
+    patch.push_back({ { "op", operation }, { "path", path }, { "value", value } });
+}
+
+// Escapes a key for a JSON pointer (RFC 6901, section 3).
+std::string childPath(const std::string& path, const std::string& key)
+{
+    return (Json::json_pointer(path) / key).to_string();
+}
+
+void compare(Json& patch, const std::string& path, const Json& base, const Json& target);
+
+void compareArrays(Json& patch, const std::string& path, const Json& base, const Json& target)
+{
+    std::size_t first = 0;
+    while (first < base.size() && first < target.size() && base[first] == target[first])
+        ++first;
+    std::size_t baseEnd = base.size();
+    std::size_t targetEnd = target.size();
+    while (baseEnd > first && targetEnd > first && base[baseEnd - 1] == target[targetEnd - 1]) {
+        --baseEnd;
+        --targetEnd;
+    }
+    std::size_t n = first;
+    for (; n < baseEnd && n < targetEnd; ++n)
+        compare(patch, path + "/" + std::to_string(n), base[n], target[n]);
+    for (auto rest = n; rest < baseEnd; ++rest)
+        addOperation(patch, "remove", path + "/" + std::to_string(n));
+    for (; n < targetEnd; ++n)
+        addOperation(patch, "add", path + "/" + std::to_string(n), target[n]);
+}
+
+void compareObjects(Json& patch, const std::string& path, const Json& base, const Json& target)
+{
+    for (const auto& [key, value] : base.items()) {
+        if (const auto found = target.find(key); found != target.end())
+            compare(patch, childPath(path, key), value, *found);
+        else
+            addOperation(patch, "remove", childPath(path, key));
+    }
+    for (const auto& [key, value] : target.items()) {
+        if (!base.contains(key))
+            addOperation(patch, "add", childPath(path, key), value);
+    }
+}
+
+void compare(Json& patch, const std::string& path, const Json& base, const Json& target)
+{
+    if (base == target && base.type() == target.type())
+        return;
+    if (base.is_array() && target.is_array())
+        compareArrays(patch, path, base, target);
+    else if (base.is_object() && target.is_object())
+        compareObjects(patch, path, base, target);
+    else
+        addOperation(patch, "replace", path, target);
+}
+
+} // namespace
+
+std::optional<std::string> makePatch(const std::string& base, const std::string& target)
+{
+    const auto from = Json::parse(base, nullptr, false);
+    const auto to = Json::parse(target, nullptr, false);
+    if (from.is_discarded() || to.is_discarded())
+        return std::nullopt;
+    auto patch = Json::array();
+    compare(patch, "", from, to);
+    return patch.dump();
+}
+
+std::optional<std::string> applyPatch(const std::string& base, const std::string& patch)
+{
+    const auto document = Json::parse(base, nullptr, false);
+    const auto operations = Json::parse(patch, nullptr, false);
+    if (document.is_discarded() || operations.is_discarded())
+        return std::nullopt;
+    try {
+        return document.patch(operations).dump();
+    } catch (const Json::exception&) {
+        return std::nullopt;
+    }
+}
+
+} // namespace ibisgw::configuration
