Add membership, gossip and their message codec

Cause: daemons need to know each other, to learn of upstreams and revisions, and to stay below 4,096 control bytes a second. Change: SWIM with suspicion and local health, joins from seeds, delegates between zones, a budget over a sliding second, rumors, load slices, flow records with gap repair, and dissemination of revisions, behind the facade MembershipNode; the codec and the size calculation of the budget share one list of fields.

--- /dev/null
+++ b/src/ibisgw/adapters/GossipCodec.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include "ibisgw/membership/GossipMessage.h"
+
+#include <cstddef>
+#include <optional>
+#include <span>
+#include <vector>
+
+namespace ibisgw::adapters {
+
+// Writes a message as a CBOR array, the body of an authenticated datagram of the channel Gossip.
+// False when it exceeds membership::maxBodyBytes.
+bool encodeGossip(const membership::GossipMessage&, std::vector<std::byte>&);
+
+// Empty for a truncated, oversized or malformed body, or one of another protocol version.
+std::optional<membership::GossipMessage> decodeGossip(std::span<const std::byte>);
+
+} // namespace ibisgw::adapters
--- /dev/null
+++ b/src/ibisgw/membership/ControlBudget.cpp
@@ -0,0 +1,52 @@
+#include "ibisgw/membership/ControlBudget.h"
+
+namespace ibisgw::membership {
+
+namespace {
+
+constexpr core::Duration window = std::chrono::seconds(1);
+
+} // namespace
+
+// Configuration leaves a quarter to membership, so that a long transfer of a document cannot delay probes
+// and refutations until peers declare this daemon dead. Lower priorities leave room for the higher ones.
+ControlBudget::ControlBudget(std::size_t bytesPerSecond, bool reserveForMembership)
+    : m_limits { reserveForMembership ? bytesPerSecond * 3 / 4 : bytesPerSecond, bytesPerSecond,
+        bytesPerSecond * 7 / 10, bytesPerSecond * 6 / 10 }
+{
+}
+
+bool ControlBudget::trySpend(Priority priority, std::size_t bodyBytes, core::TimePoint now)
+{
+    returnTokens(now);
+    const auto bytes = bodyBytes + overheadBytes;
+    if (m_spent + bytes > m_limits[static_cast<std::size_t>(priority)])
+        return false;
+    noteSpent(bytes, now);
+    return true;
+}
+
+std::size_t ControlBudget::room(Priority priority, core::TimePoint now)
+{
+    returnTokens(now);
+    const auto limit = m_limits[static_cast<std::size_t>(priority)];
+    return limit > m_spent + overheadBytes ? limit - m_spent - overheadBytes : 0;
+}
+
+void ControlBudget::noteSpent(std::size_t bytes, core::TimePoint now)
+{
+    m_expenses.push_back({ now, bytes });
+    m_spent += bytes;
+    m_totalBytes += bytes;
+}
+
+void ControlBudget::returnTokens(core::TimePoint now)
+{
+    // An expense exactly one second ago still counts, so that a closed window holds the limit too.
+    while (!m_expenses.empty() && m_expenses.front().time < now - window) {
+        m_spent -= m_expenses.front().bytes;
+        m_expenses.pop_front();
+    }
+}
+
+} // namespace ibisgw::membership
--- /dev/null
+++ b/src/ibisgw/membership/FlowRecordTable.cpp
@@ -0,0 +1,111 @@
+#include "ibisgw/membership/FlowRecordTable.h"
+
+#include <algorithm>
+
+namespace ibisgw::membership {
+
+namespace {
+
+// CBOR heads, origin, epoch and sequence of one record at most.
+constexpr std::size_t recordOverheadBytes = 30;
+
+} // namespace
+
+bool FlowRecordTable::add(const FlowRecordItem& item, core::TimePoint now)
+{
+    auto* origin = originFor(item.origin, item.epoch);
+    if (!origin || item.sequence <= origin->contiguous || origin->records.contains(item.sequence))
+        return false;
+    origin->records[item.sequence] = item.record;
+    const auto contiguousBefore = origin->contiguous;
+    advance(*origin);
+    if (origin->contiguous > contiguousBefore)
+        origin->attempts = 0;
+    noteNewest(item.origin, item.epoch, item.sequence, now);
+    while (origin->records.size() > maxRecordsPerOrigin)
+        origin->records.erase(origin->records.begin());
+    return true;
+}
+
+void FlowRecordTable::noteNewest(core::NodeId id, std::uint64_t epoch, std::uint64_t sequence, core::TimePoint now)
+{
+    if (sequence == 0)
+        return;
+    auto* origin = originFor(id, epoch);
+    if (!origin || sequence <= origin->newest)
+        return;
+    if (origin->newest == origin->contiguous)
+        origin->nextRequestAt = now + repairDelay;
+    origin->newest = sequence;
+}
+
+std::vector<FlowRecordRequest> FlowRecordTable::takeDueRequests(std::size_t maxCount, core::TimePoint now)
+{
+    std::vector<FlowRecordRequest> requests;
+    for (auto& [id, origin] : m_origins) {
+        if (requests.size() == maxCount)
+            break;
+        if (origin.newest <= origin.contiguous || now < origin.nextRequestAt)
+            continue;
+        const auto firstHeld = origin.records.upper_bound(origin.contiguous);
+        const auto to = firstHeld == origin.records.end() ? origin.newest : firstHeld->first - 1;
+        if (origin.attempts++ >= maxAttempts) {
+            origin.contiguous = to;
+            origin.attempts = 0;
+            advance(origin);
+            continue;
+        }
+        origin.nextRequestAt = now + repairDelay;
+        requests.push_back({ id, origin.epoch, origin.contiguous + 1, to });
+    }
+    return requests;
+}
+
+std::vector<FlowRecordItem> FlowRecordTable::find(const FlowRecordRequest& request, std::size_t maxBytes) const
+{
+    std::vector<FlowRecordItem> items;
+    const auto origin = m_origins.find(request.origin);
+    if (origin == m_origins.end() || origin->second.epoch != request.epoch)
+        return items;
+    const auto& records = origin->second.records;
+    std::size_t bytes = 0;
+    for (auto it = records.lower_bound(request.from); it != records.end() && it->first <= request.to; ++it) {
+        bytes += it->second.size() + recordOverheadBytes;
+        if (bytes > maxBytes)
+            break;
+        items.push_back({ request.origin, request.epoch, it->first, it->second });
+    }
+    return items;
+}
+
+std::optional<FlowRecordHead> FlowRecordTable::newestOf(core::NodeId id) const
+{
+    const auto origin = m_origins.find(id);
+    if (origin == m_origins.end() || origin->second.newest == 0)
+        return std::nullopt;
+    return FlowRecordHead { id, origin->second.epoch, origin->second.newest };
+}
+
+bool FlowRecordTable::hasGaps() const
+{
+    return std::any_of(
+        m_origins.begin(), m_origins.end(), [](const auto& it) { return it.second.newest > it.second.contiguous; });
+}
+
+FlowRecordTable::Origin* FlowRecordTable::originFor(core::NodeId id, std::uint64_t epoch)
+{
+    auto& origin = m_origins[id];
+    if (epoch < origin.epoch)
+        return nullptr;
+    if (epoch > origin.epoch)
+        origin = { .epoch = epoch };
+    return &origin;
+}
+
+void FlowRecordTable::advance(Origin& origin)
+{
+    while (origin.records.contains(origin.contiguous + 1))
+        ++origin.contiguous;
+}
+
+} // namespace ibisgw::membership
--- /dev/null
+++ b/src/ibisgw/membership/GossipOutput.cpp
@@ -0,0 +1,7 @@
+#include "ibisgw/membership/GossipOutput.h"
+
+namespace ibisgw::membership {
+
+GossipOutput::~GossipOutput() = default;
+
+} // namespace ibisgw::membership
--- /dev/null
+++ b/src/ibisgw/membership/JoinProcess.cpp
@@ -0,0 +1,83 @@
+#include "ibisgw/membership/JoinProcess.h"
+
+#include "ibisgw/membership/PeerSelection.h"
+
+namespace ibisgw::membership {
+
+namespace {
+
+constexpr core::Duration retryInterval = std::chrono::milliseconds(500);
+constexpr core::Duration refreshInterval = std::chrono::seconds(5);
+constexpr core::Duration reconnectInterval = std::chrono::seconds(2);
+// A daemon whose seeds do not answer serves alone after this time: all daemons may be starting.
+constexpr core::Duration aloneAfter = std::chrono::seconds(5);
+constexpr std::size_t seedsAtOnce = 3;
+
+} // namespace
+
+JoinProcess::JoinProcess(core::NodeId self, std::vector<core::NodeId> seeds, core::RandomSource& random)
+    : m_self(self)
+    , m_seeds(std::move(seeds))
+    , m_random(random)
+{
+    std::erase(m_seeds, self);
+}
+
+void JoinProcess::restart(core::TimePoint now)
+{
+    m_isJoined = false;
+    m_cursor = {};
+    m_startedAt = now;
+    m_nextRequestAt = now;
+}
+
+std::vector<JoinProcess::Request> JoinProcess::takeDueRequests(const MemberTable& members, core::TimePoint now)
+{
+    std::vector<Request> requests;
+    if (!m_startedAt)
+        m_startedAt = now;
+    if (m_seeds.empty() && members.records().empty())
+        m_isJoined = true;
+    if (!m_isJoined && now - *m_startedAt >= aloneAfter)
+        m_isJoined = true;
+    if (now >= m_nextRequestAt) {
+        m_nextRequestAt = now + (m_isJoined ? refreshInterval : retryInterval);
+        auto targets = members.reachable();
+        if (targets.empty() || (!m_isJoined && !m_cursor.isValid()))
+            targets.insert(targets.end(), m_seeds.begin(), m_seeds.end());
+        for (const auto& it : choosePeers(targets, m_isJoined || m_cursor.isValid() ? 1 : seedsAtOnce, m_random))
+            requests.push_back({ it, m_cursor });
+    }
+    if (now >= m_nextReconnectAt) {
+        m_nextReconnectAt = now + reconnectInterval;
+        if (const auto target = chooseReconnect(members))
+            requests.push_back({ *target, {} });
+    }
+    return requests;
+}
+
+void JoinProcess::noteReply(core::NodeId last, core::TimePoint now)
+{
+    m_cursor = last;
+    if (!last.isValid())
+        m_isJoined = true;
+    else if (!m_isJoined)
+        m_nextRequestAt = now;
+}
+
+std::optional<core::NodeId> JoinProcess::chooseReconnect(const MemberTable& members)
+{
+    std::vector<core::NodeId> candidates;
+    for (const auto& [id, record] : members.records()) {
+        if (record.member.state == MemberState::Dead)
+            candidates.push_back(id);
+    }
+    for (const auto& it : m_seeds) {
+        if (!members.find(it))
+            candidates.push_back(it);
+    }
+    const auto chosen = choosePeers(std::move(candidates), 1, m_random);
+    return chosen.empty() ? std::nullopt : std::optional(chosen.front());
+}
+
+} // namespace ibisgw::membership
--- /dev/null
+++ b/src/ibisgw/membership/MembershipEvents.cpp
@@ -0,0 +1,7 @@
+#include "ibisgw/membership/MembershipEvents.h"
+
+namespace ibisgw::membership {
+
+MembershipEvents::~MembershipEvents() = default;
+
+} // namespace ibisgw::membership
--- /dev/null
+++ b/src/ibisgw/membership/MessageSink.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include "ibisgw/membership/ControlBudget.h"
+#include "ibisgw/membership/GossipMessage.h"
+
+namespace ibisgw::membership {
+
+// Takes messages of the parts of a MembershipNode, which adds its header and charges the budget.
+class MessageSink {
+public:
+    virtual ~MessageSink();
+
+    virtual void post(Priority, core::NodeId, GossipMessage) = 0;
+};
+
+} // namespace ibisgw::membership
--- /dev/null
+++ b/src/ibisgw/membership/RevisionExchange.cpp
@@ -0,0 +1,202 @@
+#include "ibisgw/membership/RevisionExchange.h"
+
+#include <algorithm>
+
+namespace ibisgw::membership {
+
+using configuration::ApplyOutcome;
+
+namespace {
+
+// A peer whose budget is used up answers late; asking others meanwhile is cheap.
+constexpr core::Duration requestTimeout = std::chrono::milliseconds(300);
+constexpr core::Duration pieceTimeout = std::chrono::milliseconds(800);
+// Pieces under way at once. Four peers with 3 KB/s each deliver 96 KB in about 8 s.
+constexpr std::size_t maxPiecesUnderWay = 4;
+// Patch bytes of all deltas of one message, so that header and names fit too.
+constexpr std::size_t maxDeltaBytes = 1100;
+
+std::size_t sizeOf(const configuration::RevisionDelta& delta)
+{
+    // Base and target with their hashes take at most 40 bytes.
+    return delta.patch.size() + delta.author.size() + delta.submission.size() + 40;
+}
+
+DeltaItem toItem(const configuration::RevisionDelta& delta)
+{
+    return { { delta.baseRevision, delta.baseHash }, { delta.revision, delta.hash }, delta.patch, delta.author,
+        delta.submission };
+}
+
+} // namespace
+
+RevisionExchange::RevisionExchange(core::RandomSource& random, configuration::ApplierRules rules)
+    : m_random(random)
+    , m_applier(rules)
+{
+}
+
+bool RevisionExchange::publish(const configuration::AcceptedRevision& revision)
+{
+    return m_applier.applyDocument(revision) == ApplyOutcome::Applied;
+}
+
+bool RevisionExchange::handle(core::NodeId from, const GossipMessage& message, core::TimePoint now, MessageSink& sink)
+{
+    m_peers[from] = message.head;
+    if (message.revisionRequest)
+        answer(from, *message.revisionRequest, sink);
+    bool isNewer = false;
+    for (const auto& it : message.deltas)
+        isNewer = applyDelta(it) || isNewer;
+    if (message.piece)
+        isNewer = addPiece(*message.piece) || isNewer;
+    // The answer has arrived, so the next request need not wait.
+    if (!message.deltas.empty() || message.piece)
+        requestNext(now, sink);
+    return isNewer;
+}
+
+void RevisionExchange::tick(core::TimePoint now, MessageSink& sink)
+{
+    if (m_transfer || now >= m_nextRequestAt)
+        requestNext(now, sink);
+}
+
+void RevisionExchange::forgetPeer(core::NodeId peer)
+{
+    m_peers.erase(peer);
+}
+
+RevisionHead RevisionExchange::head() const
+{
+    return { m_applier.inForce().revision, m_applier.inForce().hash };
+}
+
+core::Revision RevisionExchange::newestKnown() const
+{
+    core::Revision newest = 0;
+    for (const auto& [peer, head] : m_peers)
+        newest = std::max(newest, head.revision);
+    return newest;
+}
+
+std::optional<DeltaItem> RevisionExchange::newestDelta() const
+{
+    const auto* delta = m_applier.newestDelta();
+    if (!delta || delta->revision != m_applier.inForce().revision || sizeOf(*delta) > maxDeltaBytes)
+        return std::nullopt;
+    return toItem(*delta);
+}
+
+void RevisionExchange::answer(core::NodeId from, const RevisionRequest& request, MessageSink& sink) const
+{
+    const auto& inForce = m_applier.inForce();
+    if (inForce.revision <= request.base.revision)
+        return;
+    GossipMessage reply;
+    std::size_t bytes = 0;
+    const auto* delta = m_applier.deltaFrom(request.base.revision, request.base.hash);
+    while (delta && bytes + sizeOf(*delta) <= maxDeltaBytes) {
+        bytes += sizeOf(*delta);
+        reply.deltas.push_back(toItem(*delta));
+        delta = m_applier.deltaFrom(delta->revision, delta->hash);
+    }
+    if (reply.deltas.empty()) {
+        const auto isSame = request.wanted == head();
+        const auto offset = isSame ? std::min<std::size_t>(request.offset, inForce.document.size()) : 0;
+        reply.piece = DocumentPiece { head(), static_cast<std::uint32_t>(inForce.document.size()),
+            static_cast<std::uint32_t>(offset), inForce.document.substr(offset, pieceBytes), inForce.author,
+            inForce.submission };
+    }
+    sink.post(Priority::Configuration, from, std::move(reply));
+}
+
+bool RevisionExchange::applyDelta(const DeltaItem& delta)
+{
+    const auto outcome = m_applier.applyDelta({ delta.base.revision, delta.base.hash, delta.target.revision,
+        delta.target.hash, delta.patch, delta.author, delta.submission });
+    // With an equal revision the document in force is kept: only a later one may replace it.
+    if (outcome == ApplyOutcome::WrongHash || outcome == ApplyOutcome::Malformed)
+        m_needsDocument = true;
+    return outcome == ApplyOutcome::Applied;
+}
+
+bool RevisionExchange::addPiece(const DocumentPiece& piece)
+{
+    if (piece.head.revision <= m_applier.inForce().revision)
+        return false;
+    if (!m_transfer || m_transfer->head.revision < piece.head.revision) {
+        m_transfer = Transfer { piece.head, std::string(piece.size, '\0'), piece.author, piece.submission, {}, {} };
+        for (std::size_t offset = 0; offset < piece.size; offset += pieceBytes)
+            m_transfer->missing.insert(offset);
+    }
+    const auto expected = std::min<std::size_t>(pieceBytes, m_transfer->buffer.size() - piece.offset);
+    if (m_transfer->head != piece.head || m_transfer->buffer.size() != piece.size || piece.bytes.size() != expected
+        || m_transfer->missing.erase(piece.offset) == 0)
+        return false;
+    m_transfer->buffer.replace(piece.offset, piece.bytes.size(), piece.bytes);
+    m_transfer->requestedUntil.erase(piece.offset);
+    if (!m_transfer->missing.empty())
+        return false;
+    const auto done = std::move(*m_transfer);
+    m_transfer.reset();
+    const auto outcome
+        = m_applier.applyDocument({ done.head.revision, done.buffer, done.head.hash, done.author, done.submission });
+    m_needsDocument = m_needsDocument && outcome != ApplyOutcome::Applied;
+    return outcome == ApplyOutcome::Applied;
+}
+
+void RevisionExchange::requestNext(core::TimePoint now, MessageSink& sink)
+{
+    if (m_transfer && m_transfer->head.revision <= m_applier.inForce().revision)
+        m_transfer.reset();
+    const auto newest = newestKnown();
+    if (newest <= m_applier.inForce().revision)
+        return;
+    if (m_transfer) {
+        requestPieces(now, sink);
+        return;
+    }
+    std::vector<core::NodeId> candidates;
+    for (const auto& [peer, peerHead] : m_peers) {
+        if (peerHead.revision == newest)
+            candidates.push_back(peer);
+    }
+    m_nextRequestAt = now + requestTimeout;
+    GossipMessage message;
+    message.revisionRequest = RevisionRequest { m_needsDocument ? RevisionHead {} : head(), {}, 0 };
+    sink.post(Priority::Configuration, candidates[m_random.below(candidates.size())], std::move(message));
+}
+
+void RevisionExchange::requestPieces(core::TimePoint now, MessageSink& sink)
+{
+    const auto candidates = peersWith(m_transfer->head);
+    if (candidates.empty()) {
+        // All peers have moved on; the document starts over with the newer revision.
+        m_transfer.reset();
+        return;
+    }
+    std::erase_if(m_transfer->requestedUntil, [now](const auto& it) { return it.second <= now; });
+    for (const auto offset : m_transfer->missing) {
+        if (m_transfer->requestedUntil.size() >= maxPiecesUnderWay)
+            break;
+        if (!m_transfer->requestedUntil.try_emplace(offset, now + pieceTimeout).second)
+            continue;
+        GossipMessage message;
+        message.revisionRequest = RevisionRequest { {}, m_transfer->head, static_cast<std::uint32_t>(offset) };
+        sink.post(Priority::Configuration, candidates[m_random.below(candidates.size())], std::move(message));
+    }
+}
+
+std::vector<core::NodeId> RevisionExchange::peersWith(RevisionHead wanted) const
+{
+    std::vector<core::NodeId> peers;
+    for (const auto& [peer, peerHead] : m_peers) {
+        if (peerHead == wanted)
+            peers.push_back(peer);
+    }
+    return peers;
+}
+
+} // namespace ibisgw::membership
