Report every fault of a document with its path and remedy

Cause: readDocument stopped at the first exception, reported it without a path, read unknown choices as defaults and accepted duplicate names, shared addresses and references to nothing.

Change: core::ObjectReader reads typed members and collects problems with JSON pointers; detail::checkReferences checks what holds between entries. core::parseJson rejects deep nesting and repeated field names, which the parsed value no longer shows. writeDocument and canonicalText are the inverse. Faulty items of a list are read as empty values, so that indexes in paths are those of the JSON.

Conclusion: a daemon or operator sees all faults of a document at once, and a document with faults is never put in force.

--- a/src/ibisgw/configuration/DocumentReader.cpp
+++ b/src/ibisgw/configuration/DocumentReader.cpp
@@ -1,40 +1,52 @@
 #include "ibisgw/configuration/DocumentReader.h"
 
+#include "ibisgw/configuration/detail/ReferenceCheck.h"
+#include "ibisgw/core/ObjectReader.h"
+
 #include <nlohmann/json.hpp>
 
 namespace ibisgw::configuration {
 
 namespace {
 
-RequestKind readKind(const nlohmann::json& json)
+using core::ObjectReader;
+using core::Presence;
+
+constexpr std::uint64_t dayMs = 86'400'000;
+constexpr std::uint64_t maxDrainLimitMs = 7 * dayMs;
+constexpr std::uint64_t maxKindId = 65'535;
+constexpr std::uint64_t maxRetryLimit = 16;
+constexpr std::uint64_t maxConcurrency = 1'000'000;
+
+void readKind(ObjectReader& reader, RequestKind& kind)
 {
-    RequestKind kind;
-    kind.id = json.at("id").get<core::KindId>();
-    kind.name = json.at("name").get<std::string>();
-    kind.idempotent = json.value("idempotent", kind.idempotent);
-    kind.placement = placementFromName(json.value("placement", "load")).value_or(Placement::Load);
-    kind.deadlineMs = json.value("deadline_ms", kind.deadlineMs);
-    kind.retryLimit = json.value("retry_limit", kind.retryLimit);
-    kind.concurrencyLimit = json.value("concurrency_limit", kind.concurrencyLimit);
-    kind.queueLimit = json.value("queue_limit", kind.queueLimit);
-    kind.onPartition
-        = partitionBehaviourFromName(json.value("on_partition", "serve")).value_or(PartitionBehaviour::Serve);
-    return kind;
+    reader.readInteger("id", kind.id, 1, maxKindId, Presence::Required);
+    reader.readName("name", kind.name, Presence::Required);
+    reader.readBoolean("idempotent", kind.idempotent);
+    reader.readEnum("placement", kind.placement, placementFromName, "sticky, load");
+    reader.readInteger("deadline_ms", kind.deadlineMs, 1, dayMs, Presence::Optional);
+    reader.readInteger("retry_limit", kind.retryLimit, 0, maxRetryLimit, Presence::Optional);
+    reader.readInteger("concurrency_limit", kind.concurrencyLimit, 1, maxConcurrency, Presence::Optional);
+    reader.readInteger("queue_limit", kind.queueLimit, 0, maxConcurrency, Presence::Optional);
+    reader.readEnum("on_partition", kind.onPartition, partitionBehaviourFromName, "serve, refuse");
 }
 
-Service readService(const nlohmann::json& json)
+void readService(ObjectReader& reader, Service& service)
 {
-    Service service;
-    service.name = json.at("name").get<std::string>();
-    service.organization = json.at("organization").get<std::string>();
-    for (const auto& it : json.at("addresses"))
-        service.addresses.push_back(core::Endpoint::parse(it.get<std::string>()).value());
-    service.zones = json.value("zones", service.zones);
-    service.crossZone = json.value("cross_zone", service.crossZone);
-    service.drainLimitMs = json.value("drain_limit_ms", service.drainLimitMs);
-    for (const auto& it : json.at("kinds"))
-        service.kinds.push_back(readKind(it));
-    return service;
+    const auto requireEntry = [&](std::string_view member, bool isEmpty) {
+        if (isEmpty && reader.has(member))
+            reader.report(member, "needs at least one entry");
+    };
+    reader.readName("name", service.name, Presence::Required);
+    reader.readName("organization", service.organization, Presence::Required);
+    reader.readEndpoints("addresses", service.addresses, Presence::Required);
+    requireEntry("addresses", service.addresses.empty());
+    reader.readNames("zones", service.zones, Presence::Optional);
+    reader.readBoolean("cross_zone", service.crossZone);
+    reader.readInteger("drain_limit_ms", service.drainLimitMs, 0, maxDrainLimitMs, Presence::Optional);
+    reader.readObjects("kinds", Presence::Required,
+        [&](ObjectReader& kindReader) { readKind(kindReader, service.kinds.emplace_back()); });
+    requireEntry("kinds", service.kinds.empty());
 }
 
 } // namespace
@@ -42,18 +54,22 @@
 DocumentReading readDocument(const nlohmann::json& json)
 {
     DocumentReading reading;
-    try {
-        Document document;
-        for (const auto& it : json.at("organizations"))
-            document.organizations.push_back({ it.at("name").get<std::string>() });
-        for (const auto& it : json.at("zones"))
-            document.zones.push_back({ it.at("name").get<std::string>(), it.at("region").get<std::string>() });
-        for (const auto& it : json.at("services"))
-            document.services.push_back(readService(it));
+    Document document;
+    ObjectReader reader(json, "", reading.problems);
+    reader.readObjects("organizations", Presence::Required, [&](ObjectReader& itemReader) {
+        itemReader.readName("name", document.organizations.emplace_back().name, Presence::Required);
+    });
+    reader.readObjects("zones", Presence::Required, [&](ObjectReader& itemReader) {
+        auto& zone = document.zones.emplace_back();
+        itemReader.readName("name", zone.name, Presence::Required);
+        itemReader.readName("region", zone.region, Presence::Required);
+    });
+    reader.readObjects("services", Presence::Required,
+        [&](ObjectReader& itemReader) { readService(itemReader, document.services.emplace_back()); });
+    reader.finish();
+    detail::checkReferences(document, reading.problems);
+    if (reading.problems.empty())
         reading.document = std::move(document);
-    } catch (const std::exception& exception) {
-        reading.problems.push_back({ "", exception.what() });
-    }
     return reading;
 }
 
--- /dev/null
+++ b/src/ibisgw/configuration/DocumentWriter.cpp
@@ -0,0 +1,67 @@
+#include "ibisgw/configuration/DocumentWriter.h"
+
+#include <nlohmann/json.hpp>
+
+namespace ibisgw::configuration {
+
+namespace {
+
+using nlohmann::json;
+
+json writeKind(const RequestKind& kind)
+{
+    return {
+        { "id", kind.id },
+        { "name", kind.name },
+        { "idempotent", kind.idempotent },
+        { "placement", nameOf(kind.placement) },
+        { "deadline_ms", kind.deadlineMs },
+        { "retry_limit", kind.retryLimit },
+        { "concurrency_limit", kind.concurrencyLimit },
+        { "queue_limit", kind.queueLimit },
+        { "on_partition", nameOf(kind.onPartition) },
+    };
+}
+
+json writeService(const Service& service)
+{
+    auto addresses = json::array();
+    for (const auto& it : service.addresses)
+        addresses.push_back(it.toString());
+    auto kinds = json::array();
+    for (const auto& it : service.kinds)
+        kinds.push_back(writeKind(it));
+    return {
+        { "name", service.name },
+        { "organization", service.organization },
+        { "addresses", std::move(addresses) },
+        { "zones", service.zones },
+        { "cross_zone", service.crossZone },
+        { "drain_limit_ms", service.drainLimitMs },
+        { "kinds", std::move(kinds) },
+    };
+}
+
+} // namespace
+
+nlohmann::json writeDocument(const Document& document)
+{
+    auto organizations = json::array();
+    for (const auto& it : document.organizations)
+        organizations.push_back(json { { "name", it.name } });
+    auto zones = json::array();
+    for (const auto& it : document.zones)
+        zones.push_back(json { { "name", it.name }, { "region", it.region } });
+    auto services = json::array();
+    for (const auto& it : document.services)
+        services.push_back(writeService(it));
+    return { { "organizations", std::move(organizations) }, { "zones", std::move(zones) },
+        { "services", std::move(services) } };
+}
+
+std::string canonicalText(const Document& document)
+{
+    return writeDocument(document).dump();
+}
+
+} // namespace ibisgw::configuration
--- /dev/null
+++ b/src/ibisgw/configuration/detail/ReferenceCheck.cpp
@@ -0,0 +1,93 @@
+#include "ibisgw/configuration/detail/ReferenceCheck.h"
+
+#include <map>
+#include <set>
+#include <string>
+#include <unordered_map>
+
+namespace ibisgw::configuration::detail {
+
+namespace {
+
+using core::Problem;
+
+std::string itemPath(const std::string& list, std::size_t index)
+{
+    return list + "/" + std::to_string(index);
+}
+
+// Reports each entry whose name occurred before, and returns all names.
+template <typename Entry>
+std::set<std::string> collectNames(
+    const std::vector<Entry>& entries, const std::string& list, std::vector<Problem>& problems)
+{
+    std::set<std::string> names;
+    for (std::size_t n = 0; n < entries.size(); ++n) {
+        const auto& name = entries[n].name;
+        if (!name.empty() && !names.insert(name).second)
+            problems.push_back({ itemPath(list, n) + "/name", "is already used in this list; choose another name" });
+    }
+    return names;
+}
+
+// Kind numbers travel in packets without the service name, so they are unique within the document.
+void checkKindIds(const Document& document, std::vector<Problem>& problems)
+{
+    std::map<core::KindId, std::string> owners;
+    for (std::size_t n = 0; n < document.services.size(); ++n) {
+        const auto& kinds = document.services[n].kinds;
+        for (std::size_t k = 0; k < kinds.size(); ++k) {
+            if (kinds[k].id == 0)
+                continue;
+            const auto path = itemPath(itemPath("/services", n) + "/kinds", k) + "/id";
+            const auto [owner, isNew] = owners.try_emplace(kinds[k].id, path);
+            if (!isNew)
+                problems.push_back({ path,
+                    std::to_string(kinds[k].id) + " is already the number at " + owner->second
+                        + "; choose another number" });
+        }
+    }
+}
+
+void checkAddresses(const Document& document, std::vector<Problem>& problems)
+{
+    std::unordered_map<core::Endpoint, std::size_t> owners;
+    for (std::size_t n = 0; n < document.services.size(); ++n) {
+        const auto& addresses = document.services[n].addresses;
+        for (std::size_t k = 0; k < addresses.size(); ++k) {
+            if (addresses[k].port == 0)
+                continue;
+            const auto [owner, isNew] = owners.try_emplace(addresses[k], n);
+            if (!isNew && owner->second != n)
+                problems.push_back({ itemPath(itemPath("/services", n) + "/addresses", k),
+                    addresses[k].toString() + " already belongs to " + itemPath("/services", owner->second)
+                        + "; give each service its own addresses" });
+        }
+    }
+}
+
+} // namespace
+
+void checkReferences(const Document& document, std::vector<Problem>& problems)
+{
+    const auto organizations = collectNames(document.organizations, "/organizations", problems);
+    const auto zones = collectNames(document.zones, "/zones", problems);
+    collectNames(document.services, "/services", problems);
+    for (std::size_t n = 0; n < document.services.size(); ++n) {
+        const auto& service = document.services[n];
+        const auto path = itemPath("/services", n);
+        if (!service.organization.empty() && !organizations.contains(service.organization))
+            problems.push_back({ path + "/organization",
+                "'" + service.organization + "' is not listed in /organizations; add it there or correct the name" });
+        for (std::size_t k = 0; k < service.zones.size(); ++k) {
+            if (!service.zones[k].empty() && !zones.contains(service.zones[k]))
+                problems.push_back({ itemPath(path + "/zones", k),
+                    "'" + service.zones[k] + "' is not listed in /zones; add it there or correct the name" });
+        }
+        collectNames(service.kinds, path + "/kinds", problems);
+    }
+    checkKindIds(document, problems);
+    checkAddresses(document, problems);
+}
+
+} // namespace ibisgw::configuration::detail
--- /dev/null
+++ b/src/ibisgw/core/JsonText.cpp
@@ -0,0 +1,56 @@
+#include "ibisgw/core/JsonText.h"
+
+#include <nlohmann/json.hpp>
+
+#include <set>
+
+namespace ibisgw::core {
+
+namespace {
+
+using Event = nlohmann::json::parse_event_t;
+
+// Watches the parser's events for faults that are not visible in the finished value.
+struct ParseWatch {
+    std::vector<std::set<std::string>> openObjects;
+    std::set<std::string> repeatedNames;
+    bool tooDeep { false };
+
+    bool handle(int depth, Event event, const nlohmann::json& parsed)
+    {
+        if (tooDeep || depth > maxJsonDepth) {
+            tooDeep = true;
+            return false;
+        }
+        if (event == Event::object_start)
+            openObjects.emplace_back();
+        else if (event == Event::object_end)
+            openObjects.pop_back();
+        else if (event == Event::key && !openObjects.back().insert(parsed.get_ref<const std::string&>()).second)
+            repeatedNames.insert(parsed.get_ref<const std::string&>());
+        return true;
+    }
+};
+
+} // namespace
+
+std::optional<nlohmann::json> parseJson(std::string_view text, std::vector<Problem>& problems)
+{
+    ParseWatch watch;
+    try {
+        auto json = nlohmann::json::parse(
+            text, [&](int depth, Event event, nlohmann::json& parsed) { return watch.handle(depth, event, parsed); });
+        if (watch.tooDeep)
+            problems.push_back({ "", "nested more than " + std::to_string(maxJsonDepth) + " levels deep; flatten it" });
+        for (const auto& it : watch.repeatedNames)
+            problems.push_back({ "", "the field '" + it + "' occurs twice in one object; keep one of them" });
+        if (watch.tooDeep || !watch.repeatedNames.empty())
+            return std::nullopt;
+        return json;
+    } catch (const nlohmann::json::exception& exception) {
+        problems.push_back({ "", std::string("not JSON: ") + exception.what() });
+        return std::nullopt;
+    }
+}
+
+} // namespace ibisgw::core
--- /dev/null
+++ b/tests/configuration/DocumentReaderTests.cpp
@@ -0,0 +1,203 @@
+#include "ibisgw/configuration/DocumentReader.h"
+#include "ibisgw/configuration/DocumentWriter.h"
+#include "ibisgw/core/JsonText.h"
+#include "ibisgw/core/PcgRandomSource.h"
+#include "support/ProblemList.h"
+
+#include <doctest/doctest.h>
+#include <nlohmann/json.hpp>
+
+using namespace ibisgw;
+using nlohmann::json;
+
+namespace {
+
+json validDocument()
+{
+    return json::parse(R"({
+        "organizations": [{"name": "peachtree"}, {"name": "gravurwerk"}],
+        "zones": [{"name": "bern", "region": "ch-mittelland"}, {"name": "biel", "region": "ch-mittelland"}],
+        "services": [
+            {"name": "atelier", "organization": "gravurwerk", "addresses": ["127.0.0.1:4430"], "zones": ["bern"],
+             "cross_zone": false, "drain_limit_ms": 60000,
+             "kinds": [{"id": 1, "name": "progress", "idempotent": true, "placement": "sticky"},
+                       {"id": 2, "name": "order", "deadline_ms": 900, "retry_limit": 2, "concurrency_limit": 10,
+                        "queue_limit": 0, "on_partition": "refuse"}]},
+            {"name": "slotdesk", "organization": "peachtree", "addresses": ["127.0.0.1:4431", "127.0.0.1:4432"],
+             "kinds": [{"id": 3, "name": "booking"}]}
+        ]
+    })");
+}
+
+std::string faultsOf(const json& document)
+{
+    const auto reading = configuration::readDocument(document);
+    // Guards against a partial document: a daemon would put it in force.
+    CHECK(reading.document.has_value() == reading.problems.empty());
+    return support::pathsOf(reading.problems);
+}
+
+// A value of another type or size than the reader expects, for random damage.
+json randomValue(core::RandomSource& random)
+{
+    const json values[] = { nullptr, true, -1, 0, 70000, 1.5, 1e300, "", "x/~y", "\xff\xfe", "1.2.3.4", "1.2.3.4:99999",
+        json::array(), json::array({ 1, nullptr, json::object() }), json::object(),
+        json::object({ { "name", json::array() } }), std::numeric_limits<std::uint64_t>::max() };
+    return values[random.below(std::size(values))];
+}
+
+} // namespace
+
+TEST_SUITE("configuration")
+{
+    TEST_CASE("a valid document is read completely and written back")
+    {
+        const auto reading = configuration::readDocument(validDocument());
+        REQUIRE(reading.document);
+        const auto& document = *reading.document;
+        CHECK(document.services[0].kinds[1].deadlineMs == 900);
+        CHECK(document.services[0].kinds[1].onPartition == configuration::PartitionBehaviour::Refuse);
+        CHECK_FALSE(document.services[0].crossZone);
+
+        SUBCASE("a field that the writer forgets would be lost at the next acceptance")
+        {
+            const auto written = configuration::writeDocument(document);
+            const auto again = configuration::readDocument(written);
+            REQUIRE(again.document);
+            CHECK(configuration::writeDocument(*again.document) == written);
+            // Every field that the operator wrote is unchanged in the written form.
+            const auto flat = validDocument().flatten();
+            for (const auto& [path, value] : flat.items())
+                CHECK(written.at(json::json_pointer(path)) == value);
+        }
+        SUBCASE("the canonical text does not depend on the order of the fields, or hashes would differ")
+        {
+            const auto text = configuration::canonicalText(document);
+            const auto again = configuration::readDocument(json::parse(text));
+            REQUIRE(again.document);
+            CHECK(configuration::canonicalText(*again.document) == text);
+            CHECK(text.starts_with(R"({"organizations":[{"name":"peachtree"})"));
+        }
+    }
+
+    TEST_CASE("all faults are reported at once, so that an operator corrects a document in one pass")
+    {
+        auto document = validDocument();
+        auto& services = document["services"];
+
+        SUBCASE("unknown fields, which hide a misspelled limit")
+        {
+            document["zone"] = 1;
+            services[0]["kinds"][1]["deadline"] = 5;
+            CHECK(faultsOf(document) == "/services/0/kinds/1/deadline /zone");
+        }
+        SUBCASE("wrong types and missing fields")
+        {
+            services[0]["cross_zone"] = "yes";
+            services[0]["kinds"][0]["id"] = "1";
+            services[1].erase("organization");
+            document["zones"][1] = "biel";
+            CHECK(faultsOf(document)
+                == "/services/0/cross_zone /services/0/kinds/0/id /services/1/organization /zones/1");
+        }
+        SUBCASE("values out of range, which would wrap around in a narrower integer")
+        {
+            services[0]["kinds"][0]["id"] = 65536;
+            services[0]["kinds"][1]["deadline_ms"] = 0;
+            services[0]["kinds"][1]["retry_limit"] = -1;
+            services[1]["kinds"][0]["concurrency_limit"] = 1.5;
+            services[1]["kinds"][0]["queue_limit"] = 4'294'967'296;
+            CHECK(faultsOf(document)
+                == "/services/0/kinds/0/id /services/0/kinds/1/deadline_ms /services/0/kinds/1/retry_limit "
+                   "/services/1/kinds/0/concurrency_limit /services/1/kinds/0/queue_limit");
+        }
+        SUBCASE("unknown names of choices, which were once read as the default")
+        {
+            services[0]["kinds"][0]["placement"] = "stiky";
+            services[0]["kinds"][1]["on_partition"] = "";
+            CHECK(faultsOf(document) == "/services/0/kinds/0/placement /services/0/kinds/1/on_partition");
+        }
+        SUBCASE("duplicate names and kind numbers")
+        {
+            document["organizations"][1]["name"] = "peachtree";
+            document["zones"][1]["name"] = "bern";
+            services[1]["name"] = "atelier";
+            services[1]["kinds"][0]["id"] = 2;
+            services[0]["kinds"][1]["name"] = "progress";
+            services[0]["organization"] = "peachtree";
+            CHECK(faultsOf(document)
+                == "/organizations/1/name /services/0/kinds/1/name /services/1/kinds/0/id /services/1/name "
+                   "/zones/1/name");
+        }
+        SUBCASE("an address of two services would deliver packets to the wrong upstreams")
+        {
+            services[1]["addresses"] = { "bad", "127.0.0.1:4430", "127.0.0.1:0", "127.0.0.1:4431", "127.0.0.1:4431" };
+            CHECK(faultsOf(document)
+                == "/services/1/addresses/0 /services/1/addresses/1 /services/1/addresses/2 /services/1/addresses/4");
+        }
+        SUBCASE("references to nothing")
+        {
+            services[0]["zones"] = { "bern", "thun" };
+            services[1]["organization"] = "nobody";
+            CHECK(faultsOf(document) == "/services/0/zones/1 /services/1/organization");
+        }
+        SUBCASE("a service without addresses or kinds serves nothing")
+        {
+            services[0]["addresses"] = json::array();
+            services[0]["kinds"] = json::array();
+            CHECK(faultsOf(document) == "/services/0/addresses /services/0/kinds");
+        }
+        SUBCASE("names that do not fit into URLs and metric labels")
+        {
+            services[0]["name"] = "a b";
+            services[1]["name"] = std::string(65, 'x');
+            CHECK(faultsOf(document) == "/services/0/name /services/1/name");
+        }
+    }
+
+    TEST_CASE("no document makes the reader throw, because the daemon reads documents from its peers")
+    {
+        for (const json& it : { json(), json(1), json("x"), json::array({ 1 }), json::object() })
+            CHECK_FALSE(configuration::readDocument(it).document);
+        core::PcgRandomSource random(11);
+        const auto valid = validDocument();
+        const auto flat = valid.flatten();
+        for (int round = 0; round < 5000; ++round) {
+            auto damaged = valid;
+            auto target = flat.begin();
+            std::advance(target, static_cast<std::ptrdiff_t>(random.below(flat.size())));
+            auto pointer = json::json_pointer(target.key());
+            for (auto n = random.below(3); n > 0; --n)
+                pointer.pop_back();
+            damaged[pointer] = randomValue(random);
+            const auto reading = configuration::readDocument(damaged);
+            CHECK(reading.document.has_value() == reading.problems.empty());
+        }
+    }
+
+    TEST_CASE("JSON text with hidden faults is rejected before it is read")
+    {
+        std::vector<core::Problem> problems;
+        SUBCASE("a repeated field would drop one of its two values without notice")
+        {
+            CHECK_FALSE(core::parseJson(R"({"a": {"b": 1, "b": 2}})", problems));
+            CHECK(support::mentions(problems, "'b'"));
+        }
+        SUBCASE("deep nesting would exhaust the stack when the value is copied")
+        {
+            CHECK_FALSE(core::parseJson(std::string(500'000, '['), problems));
+            CHECK_FALSE(core::parseJson(std::string(100, '[') + std::string(100, ']'), problems));
+            CHECK(support::mentions(problems, "levels"));
+        }
+        SUBCASE("malformed text states its position")
+        {
+            CHECK_FALSE(core::parseJson("{\"a\": }", problems));
+            CHECK(support::mentions(problems, "column 7"));
+        }
+        SUBCASE("the same field in different objects is no fault")
+        {
+            CHECK(core::parseJson(R"([{"a": {"a": 1}}, {"a": 2}])", problems));
+            CHECK(problems.empty());
+        }
+    }
+}
