Validate daemon settings by role

Cause: readSettings threw away all faults but the first and accepted settings with which a daemon cannot work, such as a controller without a data folder.

Change: readSettings uses core::ObjectReader. A balancer needs caller_side and upstream_side; a controller needs data_folder and must be among controllers; every daemon needs name, zone, control and key_file and at least one role.

Conclusion: a daemon with incomplete settings does not start and says why.

--- a/src/ibisgw/settings/DaemonSettings.cpp
+++ b/src/ibisgw/settings/DaemonSettings.cpp
@@ -1,24 +1,55 @@
 #include "ibisgw/settings/DaemonSettings.h"
 
+#include "ibisgw/core/ObjectReader.h"
+
 #include <nlohmann/json.hpp>
 
 namespace ibisgw::settings {
 
 namespace {
 
-core::Endpoint readEndpoint(const nlohmann::json& json, const char* name)
+using core::ObjectReader;
+using core::PortRule;
+using core::Presence;
+
+// Below this, one full datagram would use the control budget of several seconds.
+constexpr std::uint64_t minControlBytesPerSecond = 512;
+constexpr std::uint64_t maxControlBytesPerSecond = 1'000'000'000;
+constexpr std::uint64_t maxFlowCapacity = 100'000'000;
+
+Presence requiredIf(bool condition)
+{
+    return condition ? Presence::Required : Presence::Optional;
+}
+
+void readAddresses(ObjectReader& reader, DaemonSettings& settings)
+{
+    reader.readEndpoint("caller_side", settings.callerSide, requiredIf(settings.balancer), PortRule::AnyPort);
+    reader.readEndpoint("upstream_side", settings.upstreamSide, requiredIf(settings.balancer), PortRule::AnyPort);
+    reader.readEndpoint("control", settings.control, Presence::Required, PortRule::AnyPort);
+    reader.readEndpoint("admin", settings.admin, Presence::Optional, PortRule::AnyPort);
+    reader.readEndpoints("fabrics", settings.fabrics, Presence::Optional);
+    reader.readEndpoints("seeds", settings.seeds, Presence::Optional);
+    reader.readEndpoints("controllers", settings.controllers, requiredIf(settings.controller));
+}
+
+void readFiles(ObjectReader& reader, DaemonSettings& settings)
 {
-    if (!json.contains(name))
-        return {};
-    return core::Endpoint::parse(json.at(name).get<std::string>()).value();
+    reader.readText("data_folder", settings.dataFolder, requiredIf(settings.controller));
+    reader.readText("key_file", settings.keyFile, Presence::Required);
+    reader.readText("token_file", settings.tokenFile, Presence::Optional);
+    reader.readText("trace_file", settings.traceFile, Presence::Optional);
+    reader.readText("log_file", settings.logFile, Presence::Optional);
+    reader.readText("initial_document", settings.initialDocument, Presence::Optional);
 }
 
-std::vector<core::Endpoint> readEndpoints(const nlohmann::json& json, const char* name)
+void checkRoles(ObjectReader& reader, const DaemonSettings& settings)
 {
-    std::vector<core::Endpoint> endpoints;
-    for (const auto& it : json.value(name, nlohmann::json::array()))
-        endpoints.push_back(core::Endpoint::parse(it.get<std::string>()).value());
-    return endpoints;
+    if (!settings.balancer && !settings.controller)
+        reader.report("balancer", "is false and so is controller; enable at least one role");
+    const bool isListed = std::ranges::find(settings.controllers, settings.control) != settings.controllers.end();
+    if (settings.controller && reader.has("controllers") && !isListed)
+        reader.report("controllers", "does not list the control address of this controller; add it");
 }
 
 } // namespace
@@ -26,34 +57,24 @@
 SettingsReading readSettings(const nlohmann::json& json)
 {
     SettingsReading reading;
-    try {
-        DaemonSettings settings;
-        settings.name = json.at("name").get<std::string>();
-        settings.zone = json.at("zone").get<std::string>();
-        settings.region = json.value("region", settings.region);
-        settings.group = json.value("group", settings.group);
-        settings.balancer = json.value("balancer", settings.balancer);
-        settings.controller = json.value("controller", settings.controller);
-        settings.callerSide = readEndpoint(json, "caller_side");
-        settings.upstreamSide = readEndpoint(json, "upstream_side");
-        settings.control = readEndpoint(json, "control");
-        settings.admin = readEndpoint(json, "admin");
-        settings.fabrics = readEndpoints(json, "fabrics");
-        settings.seeds = readEndpoints(json, "seeds");
-        settings.controllers = readEndpoints(json, "controllers");
-        settings.dataFolder = json.value("data_folder", settings.dataFolder);
-        settings.keyFile = json.value("key_file", settings.keyFile);
-        settings.tokenFile = json.value("token_file", settings.tokenFile);
-        settings.controlBytesPerSecond = json.value("control_bytes_per_second", settings.controlBytesPerSecond);
-        settings.flowCapacity = json.value("flow_capacity", settings.flowCapacity);
-        settings.traceSamplingRate = json.value("trace_sampling_rate", settings.traceSamplingRate);
-        settings.traceFile = json.value("trace_file", settings.traceFile);
-        settings.logFile = json.value("log_file", settings.logFile);
-        settings.initialDocument = json.value("initial_document", settings.initialDocument);
+    DaemonSettings settings;
+    ObjectReader reader(json, "", reading.problems);
+    reader.readName("name", settings.name, Presence::Required);
+    reader.readName("zone", settings.zone, Presence::Required);
+    reader.readName("region", settings.region, Presence::Optional);
+    reader.readName("group", settings.group, Presence::Optional);
+    reader.readBoolean("balancer", settings.balancer);
+    reader.readBoolean("controller", settings.controller);
+    readAddresses(reader, settings);
+    readFiles(reader, settings);
+    reader.readInteger("control_bytes_per_second", settings.controlBytesPerSecond, minControlBytesPerSecond,
+        maxControlBytesPerSecond, Presence::Optional);
+    reader.readInteger("flow_capacity", settings.flowCapacity, 1, maxFlowCapacity, Presence::Optional);
+    reader.readNumber("trace_sampling_rate", settings.traceSamplingRate, 0.0, 1.0);
+    reader.finish();
+    checkRoles(reader, settings);
+    if (reading.problems.empty())
         reading.settings = std::move(settings);
-    } catch (const std::exception& exception) {
-        reading.problems.push_back({ "", exception.what() });
-    }
     return reading;
 }
 
--- /dev/null
+++ b/tests/settings/DaemonSettingsTests.cpp
@@ -0,0 +1,87 @@
+#include "ibisgw/settings/DaemonSettings.h"
+#include "support/ProblemList.h"
+
+#include <doctest/doctest.h>
+#include <nlohmann/json.hpp>
+
+using namespace ibisgw;
+using nlohmann::json;
+
+namespace {
+
+json balancerSettings()
+{
+    return { { "name", "balancer-0" }, { "zone", "bern" }, { "caller_side", "127.0.0.1:0" },
+        { "upstream_side", "127.0.0.1:0" }, { "control", "127.0.0.1:7000" }, { "key_file", "keys.json" } };
+}
+
+std::string faultsOf(const json& settings)
+{
+    const auto reading = settings::readSettings(settings);
+    CHECK(reading.settings.has_value() == reading.problems.empty());
+    return support::pathsOf(reading.problems);
+}
+
+} // namespace
+
+TEST_SUITE("settings")
+{
+    TEST_CASE("settings of a balancer")
+    {
+        auto settings = balancerSettings();
+
+        SUBCASE("the sockets may have any port, and other fields keep their defaults")
+        {
+            const auto reading = settings::readSettings(settings);
+            REQUIRE(reading.settings);
+            CHECK(reading.settings->balancer);
+            CHECK(reading.settings->controlBytesPerSecond == 4096);
+        }
+        SUBCASE("all faults are reported at once, also a misspelled field that would leave a default in force")
+        {
+            settings.erase("caller_side");
+            settings["control"] = "localhost";
+            settings["flow_capacity"] = 0;
+            settings["trace_sampling_rate"] = 1.5;
+            settings["seeds"] = { "127.0.0.1:7000", 7 };
+            settings["controll_bytes_per_second"] = 9;
+            CHECK(faultsOf(settings)
+                == "/caller_side /control /controll_bytes_per_second /flow_capacity /seeds/1 /trace_sampling_rate");
+        }
+        SUBCASE("a daemon without a role would start and do nothing")
+        {
+            settings["balancer"] = false;
+            CHECK(faultsOf(settings) == "/balancer");
+        }
+    }
+
+    TEST_CASE("settings of a controller")
+    {
+        json settings = { { "name", "controller-0" }, { "zone", "bern" }, { "balancer", false }, { "controller", true },
+            { "control", "127.0.0.1:7000" }, { "key_file", "keys.json" }, { "data_folder", "data" },
+            { "controllers", { "127.0.0.1:7000", "127.0.0.1:7001", "127.0.0.1:7002" } } };
+
+        SUBCASE("it needs no packet sockets")
+        {
+            CHECK(faultsOf(settings).empty());
+        }
+        SUBCASE("without a data folder its votes would be lost at a restart")
+        {
+            settings.erase("data_folder");
+            CHECK(faultsOf(settings) == "/data_folder");
+        }
+        SUBCASE("a controller that is not in its own list would never reach a majority")
+        {
+            settings["control"] = "127.0.0.1:7009";
+            CHECK(faultsOf(settings) == "/controllers");
+            settings.erase("controllers");
+            CHECK(faultsOf(settings) == "/controllers");
+        }
+    }
+
+    TEST_CASE("settings of another JSON type are reported, not thrown")
+    {
+        for (const json& it : { json(), json(1), json::array() })
+            CHECK(faultsOf(it).starts_with("(root)"));
+    }
+}
