Run membership and dissemination in the daemon

Change: the daemon is split into PeerNetwork, BalancerRole and Daemon; gossip, group members, announcements and documents come from MembershipNode; SIGTERM withdraws from the fabric, leaves the group and stops once packets have ceased.

--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -91,6 +91,8 @@
             settings = {
                 "name": f"balancer-{n}",
                 "zone": ZONES[n % len(ZONES)],
+                "region": "ga-central",
+                "group": "peachtree",
                 "caller_side": "127.0.0.1:0",
                 "upstream_side": "127.0.0.1:0",
                 "control": control,
--- a/src/ibisgw/adapters/EventLoop.cpp
+++ b/src/ibisgw/adapters/EventLoop.cpp
@@ -2,6 +2,7 @@
 
 #include <csignal>
 #include <h2o.h>
+#include <utility>
 
 namespace ibisgw::adapters {
 
@@ -80,8 +81,15 @@
 
 void EventLoop::run()
 {
-    while (!m_stopRequested && !terminationRequested())
+    while (!m_stopRequested) {
+        if (terminationSignal != 0) {
+            terminationSignal = 0;
+            if (!m_terminationHandler)
+                return;
+            std::exchange(m_terminationHandler, nullptr)();
+        }
         h2o_evloop_run(m_loop, maxWaitMs);
+    }
 }
 
 void EventLoop::stop()
@@ -103,9 +111,4 @@
     std::signal(SIGPIPE, SIG_IGN);
 }
 
-bool terminationRequested()
-{
-    return terminationSignal != 0;
-}
-
 } // namespace ibisgw::adapters
--- a/src/ibisgw/adapters/EventLoop.h
+++ b/src/ibisgw/adapters/EventLoop.h
@@ -26,6 +26,10 @@
     // Calls the handler repeatedly with the given period, first after one period.
     void addPeriodic(std::chrono::milliseconds period, Handler);
 
+    // Called once when a signal asks the process to end; a second signal stops the loop. Without a handler
+    // the first signal stops it.
+    void onTermination(Handler handler) { m_terminationHandler = std::move(handler); }
+
     // Runs until stop() is called or a signal asks the process to end.
     void run();
     void stop();
@@ -42,11 +46,11 @@
     st_h2o_evloop_t* m_loop;
     std::vector<std::unique_ptr<Watch>> m_watches;
     std::vector<std::unique_ptr<Periodic>> m_periodics;
+    Handler m_terminationHandler;
     bool m_stopRequested { false };
 };
 
 // Installs handlers for SIGTERM and SIGINT that only record the signal.
 void installTerminationSignals();
-bool terminationRequested();
 
 } // namespace ibisgw::adapters
--- a/src/ibisgwd/Daemon.cpp
+++ b/src/ibisgwd/Daemon.cpp
@@ -1,8 +1,10 @@
 #include "ibisgwd/Daemon.h"
 
+#include "ibisgw/adapters/GossipCodec.h"
 #include "ibisgw/adapters/KeyFile.h"
 #include "ibisgw/adapters/Log.h"
 #include "ibisgw/configuration/DocumentReader.h"
+#include "ibisgw/membership/GossipMessage.h"
 
 #include <fstream>
 #include <nlohmann/json.hpp>
@@ -10,13 +12,18 @@
 namespace ibisgwd {
 
 using namespace ibisgw;
+using adapters::Channel;
 using adapters::LogLevel;
 
 namespace {
 
-constexpr std::chrono::milliseconds tickPeriod { 50 };
-// The fabric stops using a balancer that it has not heard from for a few of these.
-constexpr std::chrono::milliseconds presencePeriod { 200 };
+constexpr auto tickPeriod = std::chrono::duration_cast<std::chrono::milliseconds>(membership::tickInterval);
+
+// A planned stop ends after this time even when packets still arrive.
+constexpr core::Duration shutdownLimit = std::chrono::seconds(10);
+
+// How long a leaving daemon goes on gossiping, so that its peers learn of it.
+constexpr core::Duration leaveGossipTime = std::chrono::seconds(1);
 
 std::uint64_t wallClockMicroseconds()
 {
@@ -24,18 +31,6 @@
     return static_cast<std::uint64_t>(duration_cast<microseconds>(system_clock::now().time_since_epoch()).count());
 }
 
-core::Result<std::shared_ptr<const configuration::Document>> loadInitialDocument(const std::string& file)
-{
-    std::ifstream in(file);
-    const auto json = nlohmann::json::parse(in, nullptr, false);
-    if (json.is_discarded())
-        return core::fail(core::ErrorKind::InvalidInput, file + " is missing or not JSON; correct initial_document");
-    auto reading = configuration::readDocument(json);
-    if (!reading.document)
-        return core::fail(core::ErrorKind::InvalidInput, file + ": " + reading.problems.front().message);
-    return std::make_shared<const configuration::Document>(std::move(*reading.document));
-}
-
 flow::FlowTokenCodec makeTokenCodec(const adapters::KeyRing& keys)
 {
     const auto& current = keys.keys.at(keys.signingKey);
@@ -46,138 +41,152 @@
     return { current, std::nullopt };
 }
 
-std::vector<core::NodeId> peersFromSeeds(const settings::DaemonSettings& settings, core::NodeId self)
+membership::MembershipSettings makeMembershipSettings(const settings::DaemonSettings& settings, core::NodeId self)
 {
-    std::vector<core::NodeId> peers { self };
+    membership::MembershipSettings result;
+    result.self.id = self;
+    result.self.name = settings.name;
+    result.self.zone = settings.zone;
+    result.self.region = settings.region;
+    result.self.group = settings.group;
+    result.self.roles = static_cast<std::uint8_t>(
+        (settings.balancer ? membership::balancerRole : 0) | (settings.controller ? membership::controllerRole : 0));
+    result.self.incarnation = wallClockMicroseconds() / 1000;
     for (const auto& it : settings.seeds) {
-        const auto peer = core::NodeId::fromEndpoint(it);
-        if (peer != self)
-            peers.push_back(peer);
+        if (core::NodeId::fromEndpoint(it) != self)
+            result.seeds.push_back(core::NodeId::fromEndpoint(it));
     }
-    return peers;
+    result.controlBytesPerSecond = settings.controlBytesPerSecond;
+    return result;
 }
 
 } // namespace
 
 core::Result<std::unique_ptr<Daemon>> Daemon::create(settings::DaemonSettings settings)
 {
-    BOOST_LEAF_AUTO(callerSide, adapters::UdpSocket::bind(settings.callerSide));
-    BOOST_LEAF_AUTO(upstreamSide, adapters::UdpSocket::bind(settings.upstreamSide));
     BOOST_LEAF_AUTO(control, adapters::UdpSocket::bind(settings.control));
     BOOST_LEAF_AUTO(keys, adapters::readKeyFile(settings.keyFile));
-    std::unique_ptr<Daemon> daemon(
-        new Daemon(std::move(settings), Sockets { callerSide, upstreamSide, control }, keys));
-    if (!daemon->m_settings.initialDocument.empty()) {
-        BOOST_LEAF_AUTO(document, loadInitialDocument(daemon->m_settings.initialDocument));
-        daemon->m_balancer.applyDocument(std::move(document), daemon->m_loop.now());
+    std::unique_ptr<Daemon> daemon(new Daemon(std::move(settings), control, keys));
+    BOOST_LEAF_CHECK(daemon->m_network.start());
+    if (daemon->m_settings.balancer) {
+        BOOST_LEAF_ASSIGN(daemon->m_balancer,
+            BalancerRole::create(daemon->m_settings, makeTokenCodec(keys), daemon->m_random, daemon->m_loop,
+                daemon->m_network, [daemon = daemon.get()](const auto& announcement) {
+                    daemon->m_membership.publish(announcement, daemon->m_loop.now());
+                }));
     }
     return daemon;
 }
 
-Daemon::Daemon(settings::DaemonSettings settings, Sockets sockets, const adapters::KeyRing& keys)
+Daemon::Daemon(settings::DaemonSettings settings, adapters::UdpSocket control, const adapters::KeyRing& keys)
     : m_settings(std::move(settings))
-    , m_sockets(sockets)
-    , m_self(core::NodeId::fromEndpoint(m_sockets.control.localEndpoint()))
-    , m_random(wallClockMicroseconds() ^ m_self.value)
-    , m_authenticator(m_self, keys, wallClockMicroseconds())
-    , m_balancer({ m_self, m_settings.zone, m_settings.flowCapacity }, makeTokenCodec(keys), m_random)
+    , m_random(wallClockMicroseconds() ^ core::NodeId::fromEndpoint(control.localEndpoint()).value)
+    , m_network(m_loop, control, keys, wallClockMicroseconds(),
+          [this](auto sender, auto channel, auto body) { receive(sender, channel, body); })
+    , m_membership(makeMembershipSettings(m_settings, m_network.self()), m_random, *this)
 {
-    m_balancer.setPeers(peersFromSeeds(m_settings, m_self), m_loop.now());
 }
 
 Daemon::~Daemon() = default;
 
 void Daemon::run()
 {
-    m_sockets.callerSide.receive(m_loop, [this](auto datagram, auto) { receiveFromCallers(datagram); });
-    m_sockets.upstreamSide.receive(m_loop, [this](auto datagram, auto) { receiveFromUpstreams(datagram); });
-    m_sockets.control.receive(m_loop, [this](auto datagram, auto) { receiveFromPeers(datagram); });
-    m_loop.addPeriodic(tickPeriod, [this] { m_balancer.tick(m_loop.now(), *this); });
-    m_loop.addPeriodic(presencePeriod, [this] { sendPresence(adapters::FrameKind::Heartbeat); });
-    adapters::log(LogLevel::Info, "daemon started",
-        { { "control", m_sockets.control.localEndpoint().toString() },
-            { "caller_side", m_sockets.callerSide.localEndpoint().toString() },
-            { "upstream_side", m_sockets.upstreamSide.localEndpoint().toString() } });
+    if (m_balancer)
+        m_balancer->start();
+    publishInitialDocument();
+    m_loop.addPeriodic(tickPeriod, [this] { tick(); });
+    m_loop.onTermination([this] { beginShutdown(); });
+    adapters::log(LogLevel::Info, "daemon started", { { "control", m_network.self().endpoint().toString() } });
     m_loop.run();
-    sendPresence(adapters::FrameKind::Withdrawal);
     adapters::log(LogLevel::Info, "daemon stopped");
 }
 
-void Daemon::receiveFromCallers(std::span<const std::byte> datagram)
+void Daemon::tick()
 {
-    const auto packet = adapters::decodePacket(datagram);
-    if (!packet) {
-        ++m_malformedDatagrams;
+    const auto now = m_loop.now();
+    m_membership.tick(now, m_network);
+    m_network.tick();
+    if (m_balancer)
+        m_balancer->tick();
+    if (!m_shutdownAt)
         return;
-    }
-    m_balancer.handleCallerPacket(*packet, m_loop.now(), *this);
+    const auto elapsed = now - *m_shutdownAt;
+    const bool isQuiet = !m_balancer || m_balancer->isQuiet();
+    if (elapsed > shutdownLimit || (elapsed > leaveGossipTime && isQuiet))
+        m_loop.stop();
 }
 
-void Daemon::receiveFromUpstreams(std::span<const std::byte> datagram)
+void Daemon::beginShutdown()
 {
-    if (const auto packet = adapters::decodePacket(datagram)) {
-        m_balancer.handleUpstreamPacket(*packet, m_loop.now(), *this);
-    } else if (const auto announcement = adapters::decodeAnnouncement(datagram)) {
-        m_balancer.handleAnnouncement(*announcement, m_loop.now());
-        forwardAnnouncement(datagram);
-    } else {
-        ++m_malformedDatagrams;
-    }
+    adapters::log(LogLevel::Info, "shutdown requested; leaving the group");
+    m_shutdownAt = m_loop.now();
+    m_membership.leave(*m_shutdownAt);
+    if (m_balancer)
+        m_balancer->withdraw();
 }
 
-void Daemon::receiveFromPeers(std::span<const std::byte> datagram)
+void Daemon::receive(core::NodeId sender, Channel channel, std::span<const std::byte> body)
 {
-    const auto message = m_authenticator.open(datagram);
-    if (!message)
-        return;
-    if (message->channel == adapters::Channel::Relay) {
-        if (const auto packet = adapters::decodePacket(message->body))
-            m_balancer.handleRelayedPacket(*packet, m_loop.now(), *this);
-    } else if (message->channel == adapters::Channel::Gossip) {
-        if (const auto announcement = adapters::decodeAnnouncement(message->body))
-            m_balancer.handleAnnouncement(*announcement, m_loop.now());
+    if (channel == Channel::Relay && m_balancer) {
+        m_balancer->handleRelayed(body);
+    } else if (channel == Channel::Gossip) {
+        if (const auto message = adapters::decodeGossip(body))
+            m_membership.handleMessage(sender, *message, m_loop.now(), m_network);
     }
 }
 
-void Daemon::sendToUpstream(core::UpstreamId upstream, const packet::Packet& packet)
+void Daemon::announcementLearned(const upstream::Announcement& announcement)
 {
-    if (adapters::encodePacket(packet, m_packetBuffer))
-        m_sockets.upstreamSide.send(m_packetBuffer, upstream.endpoint());
+    if (m_balancer)
+        m_balancer->balancer().handleAnnouncement(announcement, m_loop.now());
 }
 
-void Daemon::sendToCaller(const packet::Packet& packet)
+void Daemon::flowRecordLearned(const membership::FlowRecordItem&) { }
+
+void Daemon::revisionInForce(const configuration::AcceptedRevision& revision)
 {
-    if (adapters::encodePacket(packet, m_packetBuffer))
-        m_sockets.callerSide.send(m_packetBuffer, packet.flow.caller);
+    const auto json = nlohmann::json::parse(revision.document, nullptr, false);
+    auto reading = configuration::readDocument(json);
+    if (!reading.document) {
+        adapters::log(LogLevel::Error, "an accepted document cannot be read; upgrade this daemon",
+            { { "revision", revision.revision } });
+        return;
+    }
+    if (m_balancer)
+        m_balancer->balancer().applyDocument(
+            std::make_shared<const configuration::Document>(std::move(*reading.document)), m_loop.now());
+    adapters::log(LogLevel::Info, "revision in force", { { "revision", revision.revision } });
 }
 
-void Daemon::sendToPeer(core::NodeId peer, const packet::Packet& packet)
+void Daemon::groupChanged()
 {
-    if (adapters::encodePacket(packet, m_packetBuffer)
-        && m_authenticator.seal(adapters::Channel::Relay, m_packetBuffer, m_messageBuffer))
-        m_sockets.control.send(m_messageBuffer, peer.endpoint());
+    if (m_balancer)
+        m_balancer->balancer().setPeers(m_membership.groupBalancers(), m_loop.now());
 }
 
-void Daemon::forwardAnnouncement(std::span<const std::byte> datagram)
+void Daemon::pauseDetected(core::Duration duration)
 {
-    for (const auto& it : m_settings.seeds) {
-        if (core::NodeId::fromEndpoint(it) != m_self
-            && m_authenticator.seal(adapters::Channel::Gossip, datagram, m_messageBuffer))
-            m_sockets.control.send(m_messageBuffer, it);
-    }
+    adapters::log(LogLevel::Warning, "the process was paused; rejoining as a new incarnation",
+        { { "seconds", core::toSeconds(duration) } });
 }
 
-void Daemon::sendPresence(adapters::FrameKind kind)
+void Daemon::publishInitialDocument()
 {
-    const adapters::BalancerPresence presence {
-        kind,
-        m_sockets.callerSide.localEndpoint(),
-        m_sockets.upstreamSide.localEndpoint(),
-    };
-    if (!adapters::encodePresence(presence, m_packetBuffer))
+    if (m_settings.initialDocument.empty())
+        return;
+    std::ifstream in(m_settings.initialDocument);
+    const auto json = nlohmann::json::parse(in, nullptr, false);
+    const auto reading = configuration::readDocument(json);
+    if (!reading.document) {
+        adapters::log(LogLevel::Error, "the initial document is not valid; correct it with ibisgw config check",
+            { { "file", m_settings.initialDocument } });
         return;
-    for (const auto& it : m_settings.fabrics)
-        m_sockets.upstreamSide.send(m_packetBuffer, it);
+    }
+    configuration::AcceptedRevision revision;
+    revision.revision = 1;
+    revision.document = json.dump();
+    revision.hash = configuration::hashDocument(revision.document);
+    m_membership.publishRevision(revision, m_loop.now(), m_network);
 }
 
 } // namespace ibisgwd
--- a/src/ibisgwd/Daemon.h
+++ b/src/ibisgwd/Daemon.h
@@ -1,17 +1,16 @@
 #pragma once
 
 #include "ibisgw/adapters/EventLoop.h"
-#include "ibisgw/adapters/MessageAuthenticator.h"
-#include "ibisgw/adapters/PacketCodec.h"
-#include "ibisgw/adapters/UdpSocket.h"
-#include "ibisgw/balancer/Balancer.h"
 #include "ibisgw/core/PcgRandomSource.h"
+#include "ibisgw/membership/MembershipNode.h"
 #include "ibisgw/settings/DaemonSettings.h"
+#include "ibisgwd/BalancerRole.h"
+#include "ibisgwd/PeerNetwork.h"
 
 namespace ibisgwd {
 
 // Connects the state machines of one process to sockets, files and the clock.
-class Daemon final : private ibisgw::balancer::BalancerOutput {
+class Daemon final : private ibisgw::membership::MembershipEvents {
 public:
     static ibisgw::core::Result<std::unique_ptr<Daemon>> create(ibisgw::settings::DaemonSettings);
     ~Daemon() override;
@@ -19,34 +18,26 @@
     void run();
 
 private:
-    struct Sockets {
-        ibisgw::adapters::UdpSocket callerSide;
-        ibisgw::adapters::UdpSocket upstreamSide;
-        ibisgw::adapters::UdpSocket control;
-    };
+    Daemon(ibisgw::settings::DaemonSettings, ibisgw::adapters::UdpSocket control, const ibisgw::adapters::KeyRing&);
 
-    Daemon(ibisgw::settings::DaemonSettings, Sockets, const ibisgw::adapters::KeyRing&);
+    void announcementLearned(const ibisgw::upstream::Announcement&) override;
+    void flowRecordLearned(const ibisgw::membership::FlowRecordItem&) override;
+    void revisionInForce(const ibisgw::configuration::AcceptedRevision&) override;
+    void groupChanged() override;
+    void pauseDetected(ibisgw::core::Duration) override;
 
-    void sendToUpstream(ibisgw::core::UpstreamId, const ibisgw::packet::Packet&) override;
-    void sendToCaller(const ibisgw::packet::Packet&) override;
-    void sendToPeer(ibisgw::core::NodeId, const ibisgw::packet::Packet&) override;
-
-    void receiveFromCallers(std::span<const std::byte>);
-    void receiveFromUpstreams(std::span<const std::byte>);
-    void receiveFromPeers(std::span<const std::byte>);
-    void sendPresence(ibisgw::adapters::FrameKind);
-    void forwardAnnouncement(std::span<const std::byte>);
+    void receive(ibisgw::core::NodeId sender, ibisgw::adapters::Channel, std::span<const std::byte> body);
+    void tick();
+    void beginShutdown();
+    void publishInitialDocument();
 
     ibisgw::settings::DaemonSettings m_settings;
-    Sockets m_sockets;
-    ibisgw::core::NodeId m_self;
     ibisgw::core::PcgRandomSource m_random;
-    ibisgw::adapters::MessageAuthenticator m_authenticator;
-    ibisgw::balancer::Balancer m_balancer;
     ibisgw::adapters::EventLoop m_loop;
-    ibisgw::adapters::Datagram m_packetBuffer;
-    ibisgw::adapters::Datagram m_messageBuffer;
-    std::uint64_t m_malformedDatagrams { 0 };
+    PeerNetwork m_network;
+    ibisgw::membership::MembershipNode m_membership;
+    std::unique_ptr<BalancerRole> m_balancer;
+    std::optional<ibisgw::core::TimePoint> m_shutdownAt;
 };
 
 } // namespace ibisgwd
