--- /dev/null
+++ b/src/ibisgw/adapters/MetricsRegistry.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "ibisgw/adapters/LatencyQuantiles.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace ibisgw::adapters {
+
+// Named metrics of one process, rendered in the Prometheus text format (version 0.0.4). The returned
+// references stay valid as long as the registry; recording through them does not allocate.
+class MetricsRegistry {
+public:
+    using Labels = std::vector<std::pair<std::string, std::string>>;
+
+    // A name belongs to one kind of metric. The help text of the first call counts.
+    std::uint64_t& counter(const std::string& name, const std::string& help, const Labels& = {});
+    double& gauge(const std::string& name, const std::string& help, const Labels& = {});
+    // By convention the name ends in "_seconds".
+    LatencyQuantiles& latency(const std::string& name, const std::string& help, const Labels& = {});
+
+    std::string render() const;
+
+private:
+    template <typename Metric> struct Family {
+        std::string help;
+        // By labels in their text form.
+        std::map<std::string, Metric> metrics;
+    };
+    template <typename Metric> using Families = std::map<std::string, Family<Metric>>;
+
+    template <typename Metric>
+    static Metric& find(Families<Metric>&, const std::string& name, const std::string& help, const Labels&);
+
+    Families<std::uint64_t> m_counters;
+    Families<double> m_gauges;
+    Families<LatencyQuantiles> m_latencies;
+};
+
+} // namespace ibisgw::adapters
