--- /dev/null
+++ b/tests/support/TemporaryFile.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include <cstdlib>
+#include <fstream>
+#include <string>
+#include <sys/stat.h>
+#include <unistd.h>
+
+namespace support {
+
+// A file with the given content that only this user can access, removed at the end of the scope.
+class TemporaryFile {
+public:
+    explicit TemporaryFile(const std::string& content, mode_t mode = 0600)
+    {
+        const int fd = ::mkstemp(m_path.data());
+        ::fchmod(fd, mode);
+        ::close(fd);
+        std::ofstream(m_path) << content;
+    }
+    ~TemporaryFile() { ::unlink(m_path.c_str()); }
+    TemporaryFile(const TemporaryFile&) = delete;
+    TemporaryFile& operator=(const TemporaryFile&) = delete;
+
+    const std::string& path() const { return m_path; }
+
+private:
+    std::string m_path { "/tmp/ibisgw-test-XXXXXX" };
+};
+
+} // namespace support
