Measure placement and its baselines

Cause: placement needs figures before it changes. FakeCallers also repeated answered stream data every 300 ms, so quiet flows did not exist. The planned change drains each upstream: every other drain is taken back with its flows open, in the others callers end their flows and the upstream restarts. Busy slots count work that waits, because a busy host's slots are always full.

--- /dev/null
+++ b/benchmarks/AllocationCounter.cpp
@@ -0,0 +1,36 @@
+#include "AllocationCounter.h"
+
+#include <atomic>
+#include <cstddef>
+
+namespace {
+
+std::atomic<std::uint64_t> allocations { 0 };
+
+} // namespace
+
+#ifndef __SANITIZE_ADDRESS__
+
+extern "C" {
+
+// glibc's own allocator, under the name that it keeps for programs that replace malloc.
+void* __libc_malloc(std::size_t); // NOLINT(bugprone-reserved-identifier,readability-identifier-naming)
+
+void* malloc(std::size_t size) noexcept
+{
+    allocations.fetch_add(1, std::memory_order_relaxed);
+    return __libc_malloc(size);
+}
+
+} // extern "C"
+
+#endif
+
+namespace bench {
+
+std::uint64_t allocationCount()
+{
+    return allocations.load(std::memory_order_relaxed);
+}
+
+} // namespace bench
--- a/benchmarks/PlacementMeasures.cpp
+++ b/benchmarks/PlacementMeasures.cpp
@@ -1,7 +1,208 @@
 #include "Measures.h"
+#include "PlacementScenario.h"
+
+#include <algorithm>
 
 namespace bench {
 
-void addPlacementMeasures(MeasureList&) { }
+using namespace ibisgw;
+using namespace std::chrono_literals;
+
+namespace {
+
+using Run = std::function<double(PlacementScenarioOptions, nlohmann::json& details)>;
+
+// Runs the same scenario with ibisgw and with both baselines.
+MeasureResult compare(std::uint64_t seed, double bound, const Run& run)
+{
+    MeasureResult result;
+    result.bound = bound;
+    nlohmann::json ignored;
+    PlacementScenarioOptions options;
+    options.seed = seed;
+    result.value = run(options, result.details);
+    options.way = PlacementWay::Hash;
+    result.details["baseline_hash"] = run(options, ignored);
+    options.way = PlacementWay::Local;
+    result.details["baseline_local"] = run(options, ignored);
+    return result;
+}
+
+double brokenFlows(PlacementScenario& scenario, nlohmann::json& details)
+{
+    const auto totals = scenario.callers().totals();
+    details["broken_without_token"] = totals.brokenStreamsWithoutToken;
+    details["broken_with_token"] = totals.brokenStreams - totals.brokenStreamsWithoutToken;
+    return static_cast<double>(totals.brokenStreams);
+}
+
+// Restarts one balancer after the other: 5 s to finish, 2 s down, then it joins.
+void scheduleRollingRestart(PlacementScenario& scenario)
+{
+    for (unsigned n = 0; n < scenario.group().balancerCount(); ++n) {
+        scenario.queue().after(15s * n, [&, n](auto) { scenario.group().stopBalancer(n, 5s); });
+        scenario.queue().after(15s * n + 7s, [&, n](auto) { scenario.group().startBalancer(n); });
+    }
+}
+
+// Drains one upstream after the other. Every other drain is taken back with its flows open; in the
+// others the callers end their flows and open new ones, and the upstream restarts.
+void scheduleRollingDrain(PlacementScenario& scenario)
+{
+    for (unsigned n = 0; n < PlacementScenario::upstreamCount; ++n) {
+        scenario.queue().after(20s * n, [&, n](auto) { scenario.upstream(n).drain(); });
+        if (n % 2 == 0) {
+            scenario.queue().after(20s * n + 15s, [&, n](auto) { scenario.upstream(n).resume(); });
+            continue;
+        }
+        scenario.queue().after(20s * n + 4s, [&, n](auto) {
+            core::Duration delay = 0s;
+            for (const auto& key : scenario.callers().establishedStreamsOn(scenario.upstream(n).options().id)) {
+                scenario.queue().after(delay, [&, key](auto) {
+                    scenario.callers().closeStream(key);
+                    scenario.callers().openStream(1min, false);
+                });
+                delay += 3ms;
+            }
+        });
+        scenario.queue().after(20s * n + 15s, [&, n](auto) { scenario.upstream(n).restart(); });
+    }
+}
+
+double runPlannedChange(const PlacementScenarioOptions& options, nlohmann::json& details)
+{
+    PlacementScenario scenario(options);
+    scenario.openFlows(PlacementScenario::flowCount, 60s);
+    scheduleRollingRestart(scenario);
+    scenario.runFor(140s);
+    scheduleRollingDrain(scenario);
+    scenario.runFor(30s);
+    scheduleRollingRestart(scenario);
+    // Each quiet flow sends once after the changes.
+    scenario.runFor(620s);
+    return brokenFlows(scenario, details);
+}
+
+double runBalancerKill(const PlacementScenarioOptions& options, nlohmann::json& details)
+{
+    PlacementScenario scenario(options);
+    scenario.openFlows(PlacementScenario::flowCount, 60s);
+    scenario.runFor(8min);
+    scenario.group().killBalancer(0);
+    scenario.runFor(20s);
+    scenario.group().killBalancer(1);
+    scenario.group().killBalancer(2);
+    scenario.runFor(3min);
+    return brokenFlows(scenario, details);
+}
+
+double runUpstreamKill(const PlacementScenarioOptions& options, nlohmann::json& details)
+{
+    PlacementScenario scenario(options);
+    scenario.openFlows(PlacementScenario::flowCount, 60s);
+    scenario.upstream(3).kill();
+    scenario.runFor(3min);
+    details["broken_on_killed_upstream"] = scenario.callers().totals().brokenStreams
+        - scenario.callers().brokenStreamsElsewhere(scenario.upstream(3).options().id);
+    return static_cast<double>(scenario.callers().brokenStreamsElsewhere(scenario.upstream(3).options().id));
+}
+
+double runFlowImbalance(const PlacementScenarioOptions& options, nlohmann::json&)
+{
+    PlacementScenario scenario(options);
+    scenario.openFlows(PlacementScenario::flowCount, 60s);
+    double worst = 0;
+    for (int n = 0; n < 10; ++n) {
+        scenario.replaceFlows(static_cast<double>(PlacementScenario::flowCount) / 600, 10s);
+        worst = std::max(worst, scenario.worstFlowImbalance());
+    }
+    return worst;
+}
+
+// Work at an upstream is what it runs and what waits there: the slots of a busy host are always full.
+double runBusySlots(const PlacementScenarioOptions& options, nlohmann::json& details)
+{
+    PlacementScenario scenario(options);
+    scenario.startRequests(0.7, 130s);
+    scenario.runFor(10s);
+    std::vector<double> samples;
+    scenario.sample(120s, 50ms, [&] {
+        std::size_t total = 0;
+        std::size_t most = 0;
+        for (const auto& it : scenario.group().upstreams()) {
+            const auto work = it->busySlots() + it->waitingRequests();
+            total += work;
+            most = std::max(most, work);
+        }
+        const auto mean = static_cast<double>(total) / PlacementScenario::upstreamCount;
+        samples.push_back((static_cast<double>(most) - mean) / PlacementScenario::slotsPerUpstream);
+    });
+    std::ranges::sort(samples);
+    const auto totals = scenario.callers().totals();
+    details["requests"] = totals.requests;
+    details["answered"] = totals.answered;
+    return samples[samples.size() * 99 / 100];
+}
+
+MeasureResult measureBusySlots(std::uint64_t seed)
+{
+    auto result = compare(seed, 0, runBusySlots);
+    result.bound = result.details["baseline_hash"].get<double>() / 2;
+    result.comparison = Comparison::Below;
+    return result;
+}
+
+double runMisleadingReports(PlacementScenarioOptions options, nlohmann::json& details)
+{
+    constexpr unsigned misleading = 5;
+    options.misleadingUpstream = misleading;
+    PlacementScenario scenario(options);
+    scenario.startRequests(0.6, 120s);
+    scenario.runFor(125s);
+    std::uint64_t total = 0;
+    for (const auto& it : scenario.group().upstreams())
+        total += it->opensReceived();
+    details["opens"] = total;
+    return static_cast<double>(scenario.upstream(misleading).opensReceived()) * PlacementScenario::upstreamCount
+        / static_cast<double>(total);
+}
+
+double runDrain(PlacementScenarioOptions options, nlohmann::json&)
+{
+    options.loss = 0.01;
+    PlacementScenario scenario(options);
+    scenario.openFlows(2'000, 5s);
+    double worst = 0;
+    for (unsigned n = 0; n < 5; ++n) {
+        scenario.startRequests(0.5, 8s);
+        const auto start = scenario.queue().now();
+        scenario.upstream(n).drain();
+        scenario.replaceFlows(100, 8s);
+        if (const auto last = scenario.upstream(n).lastOpenAt(); last && *last > start)
+            worst = std::max(worst, core::toSeconds(*last - start));
+        scenario.upstream(n).resume();
+        scenario.runFor(3s);
+    }
+    return worst;
+}
+
+} // namespace
+
+void addPlacementMeasures(MeasureList& list)
+{
+    list.push_back(
+        { "planned_change_broken_flows", "flows", true, [](auto seed) { return compare(seed, 0, runPlannedChange); } });
+    list.push_back(
+        { "balancer_kill_broken_flows", "flows", true, [](auto seed) { return compare(seed, 0, runBalancerKill); } });
+    list.push_back({ "upstream_kill_broken_flows_elsewhere", "flows", true,
+        [](auto seed) { return compare(seed, 0, runUpstreamKill); } });
+    list.push_back(
+        { "imbalance_flows", "max/mean", true, [](auto seed) { return compare(seed, 1.05, runFlowImbalance); } });
+    list.push_back({ "imbalance_busy_slots", "share of slots", true, measureBusySlots });
+    list.push_back({ "imbalance_misleading_reports", "share/fair", true,
+        [](auto seed) { return compare(seed, 1.1, runMisleadingReports); } });
+    list.push_back({ "drain_new_work_after_s", "s", true, [](auto seed) { return compare(seed, 3, runDrain); } });
+    addFlowStateMeasures(list);
+}
 
 } // namespace bench
--- /dev/null
+++ b/benchmarks/PlacementScenario.cpp
@@ -0,0 +1,126 @@
+#include "PlacementScenario.h"
+
+#include "BaselineMembers.h"
+
+#include <algorithm>
+
+namespace bench {
+
+using namespace ibisgw;
+using namespace std::chrono_literals;
+
+namespace {
+
+const core::Endpoint serviceAddress { 0xc0000201, 443 }; // 192.0.2.1
+constexpr core::Duration streamPeriod = 1min;
+constexpr core::Duration quietPeriod = 10min;
+
+std::shared_ptr<const configuration::Document> makeDocument()
+{
+    configuration::RequestKind stream { 1, "live-view" };
+    stream.placement = configuration::Placement::Sticky;
+    const configuration::RequestKind booking { 2, "booking" };
+    configuration::Service service { "slotdesk", "peachtree", { serviceAddress } };
+    service.kinds = { stream, booking };
+    return std::make_shared<const configuration::Document>(
+        configuration::Document { { { "peachtree" } }, { { "a", "r" } }, { service } });
+}
+
+support::BalancerGroupOptions groupOptions(const PlacementScenarioOptions& options)
+{
+    support::BalancerGroupOptions group;
+    group.zones = options.zones;
+    if (options.way == PlacementWay::Hash)
+        group.makeMember = [](const auto&) { return std::make_unique<HashBaseline>(); };
+    else if (options.way == PlacementWay::Local)
+        group.makeMember = [](const auto&) { return std::make_unique<LocalBaseline>(); };
+    return group;
+}
+
+} // namespace
+
+PlacementScenario::PlacementScenario(PlacementScenarioOptions options)
+    : m_random(options.seed)
+    , m_queue({ 1ms, 2ms, options.loss, 0.0 }, m_random)
+    , m_group(groupOptions(options), makeDocument(), m_queue, m_random)
+    , m_callers({ serviceAddress }, m_group)
+{
+    for (unsigned n = 0; n < upstreamCount; ++n) {
+        support::FakeUpstreamOptions upstream { core::UpstreamId::fromEndpoint({ 0x0a010001 + n, 80 }), "slotdesk",
+            serviceAddress };
+        upstream.zone = options.zones[n % options.zones.size()];
+        upstream.slots = slotsPerUpstream;
+        // Long enough that the queues of the baselines are not cut off.
+        upstream.queueLimit = 64;
+        upstream.meanServiceTime = core::Duration(static_cast<core::Duration::rep>(meanServiceSeconds * 1e6));
+        if (options.misleadingUpstream == n) {
+            upstream.misleading = true;
+            upstream.meanServiceTime *= 10;
+        }
+        m_group.addUpstream(upstream);
+    }
+    // Long enough for the slow start of upstreams to end.
+    m_queue.runFor(40s);
+}
+
+PlacementScenario::~PlacementScenario() = default;
+
+void PlacementScenario::openNext()
+{
+    const bool isQuiet = m_opened % 2 == 1;
+    const bool echoToken = m_opened / 2 % 2 == 1;
+    ++m_opened;
+    m_keys.push_back(m_callers.openStream(isQuiet ? quietPeriod : streamPeriod, echoToken));
+}
+
+void PlacementScenario::openFlows(unsigned count, core::Duration spread)
+{
+    const auto start = m_queue.now();
+    for (unsigned n = 0; n < count; ++n) {
+        m_queue.runUntil(start + spread * n / count);
+        openNext();
+    }
+    m_queue.runUntil(start + spread + 2s);
+}
+
+void PlacementScenario::replaceFlows(double flowsPerSecond, core::Duration duration)
+{
+    const auto start = m_queue.now();
+    const auto count = static_cast<unsigned>(flowsPerSecond * core::toSeconds(duration));
+    for (unsigned n = 0; n < count; ++n) {
+        m_queue.runUntil(start + duration * n / count);
+        auto& closed = m_keys[m_random.below(m_keys.size())];
+        m_callers.closeStream(closed);
+        openNext();
+        closed = m_keys.back();
+        m_keys.pop_back();
+    }
+}
+
+void PlacementScenario::startRequests(double load, core::Duration duration)
+{
+    m_callers.startArrivals(
+        load * upstreamCount * slotsPerUpstream / meanServiceSeconds, m_queue.now() + duration, m_random);
+}
+
+void PlacementScenario::sample(core::Duration duration, core::Duration step, const std::function<void()>& take)
+{
+    const auto end = m_queue.now() + duration;
+    while (m_queue.now() < end) {
+        m_queue.runFor(step);
+        take();
+    }
+}
+
+double PlacementScenario::worstFlowImbalance()
+{
+    std::uint64_t total = 0;
+    std::uint64_t most = 0;
+    for (const auto& [upstream, count] : m_callers.streamsByUpstream()) {
+        total += count;
+        most = std::max(most, count);
+    }
+    return total ? static_cast<double>(most) * upstreamCount / static_cast<double>(total) : 0;
+}
+
+} // namespace bench
--- a/tests/support/BalancerGroup.cpp
+++ b/tests/support/BalancerGroup.cpp
@@ -1,5 +1,7 @@
 #include "support/BalancerGroup.h"
 
+#include "support/BalancerMember.h"
+
 namespace support {
 
 using namespace ibisgw;
@@ -9,13 +11,6 @@
 
 constexpr core::Duration tickPeriod = std::chrono::milliseconds(50);
 
-flow::FlowTokenCodec makeTokenCodec()
-{
-    flow::TokenKey key {};
-    key[0] = std::byte { 7 };
-    return { key, std::nullopt };
-}
-
 } // namespace
 
 struct BalancerGroup::Output final : balancer::BalancerOutput {
@@ -50,8 +45,8 @@
             group.m_queue.send(self.value, peer.value, [&group = group, index = it->index, packet](auto now) {
                 auto& slot = *group.m_slots[index];
                 Output output(group, slot.node);
-                if (slot.balancer)
-                    slot.balancer->handleRelayedPacket(packet, now, output);
+                if (slot.member)
+                    slot.member->handleRelayedPacket(packet, now, output);
             });
         }
     }
@@ -73,8 +68,11 @@
         slot->node = core::NodeId::fromEndpoint({ 0x0a000001 + n, 7000 });
         m_slots.push_back(std::move(slot));
     }
-    for (unsigned n = 0; n < m_options.balancers; ++n)
-        startBalancer(n);
+    for (auto& it : m_slots) {
+        createMember(*it);
+        it->inFabric = true;
+    }
+    tellPeers();
     schedulePeriodicWork();
 }
 
@@ -103,7 +101,7 @@
 void BalancerGroup::deliverToBalancer(unsigned index, const std::function<void(Slot&)>& deliver)
 {
     auto& slot = *m_slots[index];
-    if (slot.balancer)
+    if (slot.member)
         deliver(slot);
 }
 
@@ -115,7 +113,7 @@
     m_queue.send(callersMachine, m_slots[*target]->node.value, [this, target, packet](core::TimePoint now) {
         deliverToBalancer(*target, [&](Slot& slot) {
             Output output(*this, slot.node);
-            slot.balancer->handleCallerPacket(packet, now, output);
+            slot.member->handleCallerPacket(packet, now, output);
         });
     });
 }
@@ -128,7 +126,7 @@
     m_queue.send(packet.upstream.value, m_slots[*target]->node.value, [this, target, packet](core::TimePoint now) {
         deliverToBalancer(*target, [&](Slot& slot) {
             Output output(*this, slot.node);
-            slot.balancer->handleUpstreamPacket(packet, now, output);
+            slot.member->handleUpstreamPacket(packet, now, output);
         });
     });
 }
@@ -141,7 +139,7 @@
     for (auto& it : m_slots) {
         m_queue.send(
             upstream.options().id.value, it->node.value, [this, index = it->index, announcement](core::TimePoint now) {
-                deliverToBalancer(index, [&](Slot& slot) { slot.balancer->handleAnnouncement(announcement, now); });
+                deliverToBalancer(index, [&](Slot& slot) { slot.member->handleAnnouncement(announcement, now); });
             });
     }
 }
@@ -151,8 +149,8 @@
     m_queue.after(tickPeriod, [this](core::TimePoint now) {
         for (auto& it : m_slots) {
             Output output(*this, it->node);
-            if (it->balancer)
-                it->balancer->tick(now, output);
+            if (it->member)
+                it->member->tick(now, output);
         }
         const auto previous = now - tickPeriod;
         const auto period = m_options.announcementPeriod;
@@ -168,20 +166,26 @@
 {
     std::vector<core::NodeId> running;
     for (const auto& it : m_slots) {
-        if (it->balancer && it->inFabric)
+        if (it->member && it->inFabric && !it->isLeaving)
             running.push_back(it->node);
     }
     for (auto& it : m_slots) {
-        if (it->balancer)
-            it->balancer->setPeers(running, m_queue.now());
+        if (it->member && it->member->balancer())
+            it->member->balancer()->setPeers(running, m_queue.now());
     }
 }
 
+balancer::Balancer* BalancerGroup::balancer(unsigned index)
+{
+    auto& member = m_slots[index]->member;
+    return member ? member->balancer() : nullptr;
+}
+
 void BalancerGroup::killBalancer(unsigned index)
 {
-    m_slots[index]->balancer.reset();
+    m_slots[index]->member.reset();
     m_queue.after(m_options.fabricDetectionDelay, [this, index](auto) {
-        if (!m_slots[index]->balancer)
+        if (!m_slots[index]->member)
             m_slots[index]->inFabric = false;
     });
     m_queue.after(m_options.detectionDelay, [this](auto) { tellPeers(); });
@@ -189,20 +193,40 @@
 
 void BalancerGroup::stopBalancer(unsigned index, core::Duration grace)
 {
-    m_slots[index]->inFabric = false;
+    auto& slot = *m_slots[index];
+    slot.inFabric = false;
+    slot.isLeaving = true;
     tellPeers();
-    m_queue.after(grace, [this, index](auto) { m_slots[index]->balancer.reset(); });
+    m_queue.after(grace, [this, index, starts = slot.starts](auto) {
+        if (m_slots[index]->starts == starts)
+            m_slots[index]->member.reset();
+    });
 }
 
 void BalancerGroup::startBalancer(unsigned index)
 {
     auto& slot = *m_slots[index];
-    const auto zone = m_options.zones[index % m_options.zones.size()];
-    slot.balancer = std::make_unique<balancer::Balancer>(
-        balancer::BalancerOptions { slot.node, zone, m_options.flowCapacity }, makeTokenCodec(), m_random);
-    slot.balancer->applyDocument(m_document, m_queue.now());
-    slot.inFabric = true;
-    tellPeers();
+    createMember(slot);
+    m_queue.after(m_options.joinDelay, [this, index, starts = slot.starts](auto) {
+        auto& joining = *m_slots[index];
+        if (!joining.member || joining.starts != starts)
+            return;
+        joining.inFabric = true;
+        tellPeers();
+    });
+}
+
+void BalancerGroup::createMember(Slot& slot)
+{
+    const balancer::BalancerOptions options { slot.node, m_options.zones[slot.index % m_options.zones.size()],
+        m_options.flowCapacity };
+    slot.member
+        = m_options.makeMember ? m_options.makeMember(options) : std::make_unique<BalancerMember>(options, m_random);
+    ++slot.starts;
+    slot.inFabric = false;
+    slot.isLeaving = false;
+    if (auto* created = slot.member->balancer())
+        created->applyDocument(m_document, m_queue.now());
 }
 
 } // namespace support
--- a/tests/support/BalancerGroup.h
+++ b/tests/support/BalancerGroup.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "ibisgw/balancer/Balancer.h"
 #include "support/FakeUpstream.h"
+#include "support/GroupMember.h"
 
 #include <memory>
 #include <vector>
@@ -17,6 +17,10 @@
     ibisgw::core::Duration detectionDelay { std::chrono::seconds(3) };
     ibisgw::core::Duration fabricDetectionDelay { std::chrono::seconds(1) };
     ibisgw::core::Duration announcementPeriod { std::chrono::seconds(1) };
+    // A started balancer listens this long before the fabric and its peers use it.
+    ibisgw::core::Duration joinDelay { std::chrono::milliseconds(1500) };
+    // Creates the balancers; those of ibisgw when empty.
+    GroupMemberFactory makeMember;
 };
 
 // A group of balancers behind a fabric, with fake upstreams, in virtual time. Membership and gossip
@@ -37,11 +41,12 @@
     void killBalancer(unsigned index);
     // Planned: the fabric and the peers are told, then the process ends after the given time.
     void stopBalancer(unsigned index, ibisgw::core::Duration grace);
+    // Joins: the fabric and the peers use it after the join delay.
     void startBalancer(unsigned index);
 
     unsigned balancerCount() const { return static_cast<unsigned>(m_slots.size()); }
     // Null while the balancer is not running.
-    ibisgw::balancer::Balancer* balancer(unsigned index) { return m_slots[index]->balancer.get(); }
+    ibisgw::balancer::Balancer* balancer(unsigned index);
     std::vector<std::unique_ptr<FakeUpstream>>& upstreams() { return m_upstreams; }
     ExecutionLog& executions() { return m_executions; }
     MessageQueue& queue() { return m_queue; }
@@ -51,8 +56,11 @@
     struct Slot {
         unsigned index { 0 };
         ibisgw::core::NodeId node;
-        std::unique_ptr<ibisgw::balancer::Balancer> balancer;
+        std::unique_ptr<GroupMember> member;
+        // Grows with each start, so that timers of an earlier process do not act on a later one.
+        unsigned starts { 0 };
         bool inFabric { false };
+        bool isLeaving { false };
     };
 
     static constexpr MessageQueue::Machine callersMachine = 1;
@@ -63,6 +71,7 @@
     void announce(FakeUpstream&);
     void schedulePeriodicWork();
     void tellPeers();
+    void createMember(Slot&);
 
     BalancerGroupOptions m_options;
     std::shared_ptr<const ibisgw::configuration::Document> m_document;
--- /dev/null
+++ b/tests/support/BalancerMember.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include "support/GroupMember.h"
+
+namespace support {
+
+// The balancer of ibisgw as a member of a group.
+class BalancerMember final : public GroupMember {
+public:
+    BalancerMember(ibisgw::balancer::BalancerOptions, ibisgw::core::RandomSource&);
+
+    void handleCallerPacket(const Packet&, TimePoint now, Output&) override;
+    void handleRelayedPacket(const Packet&, TimePoint now, Output&) override;
+    void handleUpstreamPacket(const Packet&, TimePoint now, Output&) override;
+    void handleAnnouncement(const ibisgw::upstream::Announcement&, TimePoint now) override;
+    void tick(TimePoint now, Output&) override;
+    ibisgw::balancer::Balancer* balancer() override { return &m_balancer; }
+
+private:
+    ibisgw::balancer::Balancer m_balancer;
+};
+
+} // namespace support
--- a/tests/support/FakeCallers.cpp
+++ b/tests/support/FakeCallers.cpp
@@ -31,6 +31,8 @@
     CallerFlow flow;
     flow.key = { { m_nextAddress++, callerPort }, m_options.service };
     flow.isStream = isStream;
+    flow.echoToken = m_options.echoToken;
+    flow.period = m_options.streamPeriod;
     flow.startedAt = flow.lastHeard = m_queue.now();
     auto& held = m_flows.emplace(flow.key, flow).first->second;
     send(held, PacketType::Open);
@@ -40,7 +42,15 @@
 
 core::FlowKey FakeCallers::openStream()
 {
-    return startFlow(true).key;
+    return openStream(m_options.streamPeriod, m_options.echoToken);
+}
+
+core::FlowKey FakeCallers::openStream(core::Duration period, bool echoToken)
+{
+    auto& flow = startFlow(true);
+    flow.period = period;
+    flow.echoToken = echoToken;
+    return flow.key;
 }
 
 void FakeCallers::startRequest()
@@ -81,15 +91,21 @@
 {
     // An unanswered packet is repeated soon, so that one lost packet does not look like a broken flow.
     const auto& scheduled = m_flows.at(key);
-    const auto delay = scheduled.awaitsData ? m_options.retransmitAfter : m_options.streamPeriod;
-    m_queue.after(delay, [this, key](core::TimePoint now) {
+    const auto next = scheduled.awaitsData ? m_queue.now() + m_options.retransmitAfter : scheduled.nextDataAt;
+    m_queue.at(next, [this, key](core::TimePoint now) {
         auto& flow = m_flows.at(key);
         if (flow.phase != Phase::Established)
             return;
-        if (flow.awaitsData && now - flow.lastHeard > m_options.streamPeriod + m_options.streamTimeout) {
+        if (!flow.awaitsData && now < flow.nextDataAt) {
+            scheduleStreamData(key);
+            return;
+        }
+        if (flow.awaitsData && now > flow.nextDataAt - flow.period + m_options.streamTimeout) {
             breakStream(flow);
             return;
         }
+        if (!flow.awaitsData)
+            flow.nextDataAt = now + flow.period;
         flow.awaitsData = true;
         send(flow, PacketType::Data);
         scheduleStreamData(key);
@@ -121,6 +137,7 @@
         flow.upstream = packet.upstream;
         flow.token = packet.token;
         flow.phase = flow.isStream ? Phase::Established : Phase::Requesting;
+        flow.nextDataAt = m_queue.now() + flow.period;
         if (flow.isStream)
             scheduleStreamData(flow.key);
         else
@@ -170,7 +187,7 @@
         const auto left = static_cast<std::int64_t>(m_options.deadlineMs) - elapsed.count();
         packet.deadlineMs = static_cast<std::uint32_t>(std::max<std::int64_t>(left, 1));
     }
-    if (m_options.echoToken)
+    if (flow.echoToken)
         packet.token = flow.token;
     m_group.sendFromCaller(packet);
 }
@@ -181,7 +198,9 @@
     totals.crossedAnswers = m_crossedAnswers;
     for (const auto& [key, flow] : m_flows) {
         if (flow.isStream) {
-            totals.brokenStreams += flow.broken || flow.phase == Phase::Opening;
+            const bool isBroken = flow.broken || flow.phase == Phase::Opening;
+            totals.brokenStreams += isBroken;
+            totals.brokenStreamsWithoutToken += isBroken && !flow.echoToken;
             continue;
         }
         ++totals.requests;
@@ -202,6 +221,24 @@
     return n;
 }
 
+std::uint64_t FakeCallers::brokenStreamsElsewhere(core::UpstreamId upstream) const
+{
+    std::uint64_t n = 0;
+    for (const auto& [key, flow] : m_flows)
+        n += flow.isStream && flow.broken && flow.upstream != upstream;
+    return n;
+}
+
+std::vector<core::FlowKey> FakeCallers::establishedStreamsOn(core::UpstreamId upstream) const
+{
+    std::vector<core::FlowKey> keys;
+    for (const auto& [key, flow] : m_flows) {
+        if (flow.isStream && flow.phase == Phase::Established && flow.upstream == upstream)
+            keys.push_back(key);
+    }
+    return keys;
+}
+
 std::unordered_map<core::UpstreamId, std::uint64_t> FakeCallers::streamsByUpstream() const
 {
     std::unordered_map<core::UpstreamId, std::uint64_t> counts;
--- a/tests/support/FakeCallers.h
+++ b/tests/support/FakeCallers.h
@@ -28,6 +28,7 @@
     // Answers for a request that the caller did not send, or from another upstream than the flow's.
     std::uint64_t crossedAnswers { 0 };
     std::uint64_t brokenStreams { 0 };
+    std::uint64_t brokenStreamsWithoutToken { 0 };
 };
 
 // Callers in virtual time: keep streams open and send one request on each short flow.
@@ -36,6 +37,8 @@
     FakeCallers(FakeCallersOptions, BalancerGroup&);
 
     ibisgw::core::FlowKey openStream();
+    // With its own period and its own way with tokens.
+    ibisgw::core::FlowKey openStream(ibisgw::core::Duration period, bool echoToken);
     void startRequest();
     void closeStream(const ibisgw::core::FlowKey&);
     // Poisson arrivals of requests until the given time.
@@ -44,6 +47,9 @@
     void handlePacket(const ibisgw::packet::Packet&);
     CallerTotals totals() const;
     std::size_t establishedStreams() const;
+    // Broken streams that are or were on other upstreams than the given one.
+    std::uint64_t brokenStreamsElsewhere(ibisgw::core::UpstreamId) const;
+    std::vector<ibisgw::core::FlowKey> establishedStreamsOn(ibisgw::core::UpstreamId) const;
     // Established, unbroken flows of streams for each upstream.
     std::unordered_map<ibisgw::core::UpstreamId, std::uint64_t> streamsByUpstream() const;
 
@@ -63,6 +69,8 @@
     struct CallerFlow {
         ibisgw::core::FlowKey key;
         bool isStream { false };
+        bool echoToken { true };
+        ibisgw::core::Duration period { 0 };
         Phase phase { Phase::Opening };
         Outcome outcome { Outcome::Pending };
         bool broken { false };
@@ -71,6 +79,8 @@
         ibisgw::core::TimePoint startedAt;
         ibisgw::core::TimePoint lastHeard;
         bool awaitsData { false };
+        // When the next stream data is due; one period after the last.
+        ibisgw::core::TimePoint nextDataAt;
     };
 
     CallerFlow& startFlow(bool isStream);
--- a/tests/support/FakeUpstream.h
+++ b/tests/support/FakeUpstream.h
@@ -38,6 +38,8 @@
     ibisgw::upstream::Announcement announcement();
 
     void drain() { m_state = ibisgw::upstream::UpstreamState::Draining; }
+    // Takes back a drain, as an operator who cancels a planned stop.
+    void resume() { m_state = ibisgw::upstream::UpstreamState::Ready; }
     void kill();
     // Starts again as a new incarnation without flows.
     void restart();
@@ -46,6 +48,7 @@
     const FakeUpstreamOptions& options() const { return m_options; }
     std::size_t openFlows() const { return m_flows.size(); }
     std::size_t busySlots() const { return m_busySlots; }
+    std::size_t waitingRequests() const { return m_waiting.size(); }
     std::uint64_t opensReceived() const { return m_opensReceived; }
     std::uint64_t executions() const { return m_executions; }
     std::uint64_t refusals() const { return m_refusals; }
--- /dev/null
+++ b/tests/support/GroupMember.cpp
@@ -0,0 +1,7 @@
+#include "support/GroupMember.h"
+
+namespace support {
+
+GroupMember::~GroupMember() = default;
+
+} // namespace support
