Keep flows by home, default upstream and flow records

Cause: without tokens, 2,408 of 28,000 flows broke when three balancers died and 13,576 in a planned change, because a new home knows nothing; requests were placed at random. Change: zones and homes by rendezvous hashing, DefaultPlacement with bounded loads and retained versions of the upstream set, FlowRecordLog for exceptions, an earlier home is asked about unknown flows, relays are capped; UpstreamRegistry with readmission, slow start and a last view without contact; OutlierDetector, LoadEstimate, and selection behind UpstreamSelector; tokens without allocations (9 a packet before).

--- a/benchmarks/PlacementMeasures.cpp
+++ b/benchmarks/PlacementMeasures.cpp
@@ -32,6 +32,11 @@
 {
     const auto totals = scenario.callers().totals();
     details["broken_without_token"] = totals.brokenStreamsWithoutToken;
+    details["flow_record_bytes_per_s"] = scenario.group().worstFlowRecordBytesPerSecond();
+    if (auto* balancer = scenario.group().balancer(4)) {
+        details["records"] = balancer->flowRecords().size();
+        details["records_gave_way"] = balancer->flowRecords().gaveWay();
+    }
     details["broken_with_token"] = totals.brokenStreams - totals.brokenStreamsWithoutToken;
     return static_cast<double>(totals.brokenStreams);
 }
--- a/src/ibisgw/balancer/Balancer.cpp
+++ b/src/ibisgw/balancer/Balancer.cpp
@@ -1,5 +1,7 @@
 #include "ibisgw/balancer/Balancer.h"
 
+#include "ibisgw/upstream/LeastInFlightSelector.h"
+
 namespace ibisgw::balancer {
 
 using packet::Packet;
@@ -8,10 +10,12 @@
 
 namespace {
 
-// A packet visits at most this many balancers before it leaves for its upstream.
-constexpr std::uint8_t maxRelayHops = 2;
 // A pass over the flow table takes this many ticks (10 s at 50 ms), so that no tick stalls packets.
 constexpr std::size_t scanTicks = 200;
+// Flow records beyond this share of the open flows give way.
+constexpr double maxRecordShare = 0.04;
+// A caller opens a new flow from the same port later than this after the end of the last one.
+constexpr core::Duration portReuseDelay = std::chrono::seconds(1);
 
 } // namespace
 
@@ -20,23 +24,47 @@
     , m_tokens(tokens)
     , m_random(random)
     , m_flows(m_options.flowCapacity)
+    , m_records(m_options.self, m_options.firstRecordSequence)
+    , m_relayBudget(m_options.relaysPerSecond, m_options.relaysPerSecond)
 {
-    m_homes.setBalancers({ m_options.self });
+    if (!m_options.makeSelector) {
+        m_options.makeSelector = [](const auto& load, auto& source) {
+            return std::make_unique<upstream::LeastInFlightSelector>(load, source);
+        };
+    }
+    m_homes.setMembers({ { m_options.self, m_options.zone } }, {});
+    m_flows.onEviction([this](const flow::FlowEntry& entry) {
+        auto evicted = entry;
+        setCounted(evicted, false);
+    });
 }
 
-void Balancer::applyDocument(std::shared_ptr<const configuration::Document> document, core::TimePoint)
+void Balancer::applyDocument(std::shared_ptr<const configuration::Document> document, core::TimePoint now)
 {
     m_document = std::move(document);
+    for (const auto& it : m_document->services)
+        placementOf(it).update(now);
 }
 
-void Balancer::setPeers(std::vector<core::NodeId> balancers, core::TimePoint)
+void Balancer::setPeers(const std::vector<core::NodeId>& balancers, core::TimePoint now)
 {
-    m_homes.setBalancers(std::move(balancers));
+    std::vector<flow::RingMember> members;
+    for (const auto& it : balancers)
+        members.push_back({ it, m_options.zone });
+    setPeers(std::move(members), now);
+}
+
+void Balancer::setPeers(std::vector<flow::RingMember> members, core::TimePoint now)
+{
+    m_homes.setMembers(std::move(members), now);
 }
 
 void Balancer::handleAnnouncement(const upstream::Announcement& announcement, core::TimePoint now)
 {
-    m_upstreams.apply(announcement, now);
+    if (!m_upstreams.apply(announcement, now))
+        return;
+    if (const auto it = m_placements.find(announcement.service); it != m_placements.end())
+        it->second->load().noteReport(announcement, now);
 }
 
 void Balancer::handleRelayedPacket(const Packet& packet, core::TimePoint now, BalancerOutput& output)
@@ -53,65 +81,28 @@
             refuse(packet, RefusalKind::NotRun, output);
         return;
     }
-    if (const auto upstream = resolveFlow(packet, *service, now)) {
-        forward(packet, *upstream, output);
-        if (packet.type == PacketType::Close)
-            m_flows.erase(packet.flow);
+    if (packet.type == PacketType::Close) {
+        closeFlow(packet, *service, now, output);
         return;
     }
-    if (relayToHome(packet, output))
+    // An open always goes to its home: an entry here may be left over from an earlier flow of the caller.
+    if (packet.type != PacketType::Open) {
+        if (const auto upstream = resolveFlow(packet, *service, now)) {
+            noteForwarded(packet, *upstream, *service, now);
+            forward(packet, *upstream, output);
+            return;
+        }
+    }
+    if (relayToHome(packet, now, output))
         return;
     if (packet.type == PacketType::Open)
         placeFlow(packet, *service, now, output);
+    else if (const auto upstream = resolveByDefault(packet, *service, now))
+        forward(packet, *upstream, output);
     else
         rejectUnresolved(packet, output);
 }
 
-std::optional<core::UpstreamId> Balancer::resolveFlow(
-    const Packet& packet, const configuration::Service& service, core::TimePoint now)
-{
-    if (const auto* entry = m_flows.find(packet.flow, now))
-        return entry->upstream();
-    if (!packet.token.isPresent())
-        return std::nullopt;
-    if (!m_tokens.verify(packet.flow, packet.token) || !serves(packet.token.upstream, service)) {
-        ++m_counters.droppedInvalidToken;
-        return std::nullopt;
-    }
-    ++m_counters.resolvedByToken;
-    m_flows.insert(packet.flow, packet.token.upstream, now);
-    return packet.token.upstream;
-}
-
-bool Balancer::relayToHome(const Packet& packet, BalancerOutput& output)
-{
-    const auto home = m_homes.homeOf(packet.flow);
-    if (!home.isValid() || home == m_options.self || packet.relayHops >= maxRelayHops)
-        return false;
-    auto relayed = packet;
-    ++relayed.relayHops;
-    ++m_counters.packetsRelayed;
-    output.sendToPeer(home, relayed);
-    return true;
-}
-
-void Balancer::placeFlow(
-    const Packet& packet, const configuration::Service& service, core::TimePoint now, BalancerOutput& output)
-{
-    const auto candidates = m_upstreams.eligible(service.name);
-    if (candidates.empty()) {
-        refuse(packet, RefusalKind::NotRun, output);
-        return;
-    }
-    const auto upstream = candidates[m_random.below(candidates.size())];
-    if (!m_flows.insert(packet.flow, upstream, now)) {
-        refuse(packet, RefusalKind::NotRun, output);
-        return;
-    }
-    ++m_counters.flowsPlaced;
-    forward(packet, upstream, output);
-}
-
 void Balancer::handleUpstreamPacket(const Packet& packet, core::TimePoint now, BalancerOutput& output)
 {
     const auto* service = m_document ? m_document->findService(packet.flow.service) : nullptr;
@@ -119,16 +110,31 @@
         ++m_counters.droppedMisdirected;
         return;
     }
-    const auto* entry = m_flows.find(packet.flow, now);
+    auto* entry = m_flows.find(packet.flow, now, flow::FlowTable::Touch::No);
     if (entry && entry->upstream() != packet.upstream) {
-        ++m_counters.droppedCrossedAnswers;
-        return;
+        // A caller may use its port again after a flow whose end this balancer has not seen.
+        const bool isNewFlow = packet.type == PacketType::Opened && entry->idleTime(now) > portReuseDelay;
+        if (!isNewFlow) {
+            ++m_counters.droppedCrossedAnswers;
+            return;
+        }
+        dropFlow(packet.flow, now);
+        entry = nullptr;
+    }
+    if (packet.type == PacketType::Close || packet.type == PacketType::Reset) {
+        // The home counts the flow and keeps its record.
+        auto close = packet;
+        close.type = PacketType::Close;
+        if (const auto home = homeOf(packet.flow.hash(), *service); home != m_options.self && home.isValid())
+            relay(close, home, now, output);
+        dropFlow(packet.flow, now);
+    } else {
+        if (!entry)
+            entry = learn(packet, packet.upstream, *service, now);
+        else
+            entry->touch(now);
+        noteAnswer(packet, entry, *service, now);
     }
-    const bool endsFlow = packet.type == PacketType::Close || packet.type == PacketType::Reset;
-    if (endsFlow)
-        m_flows.erase(packet.flow);
-    else if (!entry)
-        m_flows.insert(packet.flow, packet.upstream, now);
     auto forwarded = packet;
     forwarded.token = m_tokens.issue(packet.flow, packet.upstream);
     ++m_counters.packetsToCallers;
@@ -138,9 +144,16 @@
 void Balancer::tick(core::TimePoint now, BalancerOutput&)
 {
     m_upstreams.removeExpired(now);
-    m_flows.scan(m_flows.bucketCount() / scanTicks + 1, [&](flow::FlowEntry& entry) {
-        return entry.idleTime(now) > m_options.idleLimit ? flow::FlowTable::Visit::Erase : flow::FlowTable::Visit::Keep;
-    });
+    for (auto& [service, placement] : m_placements)
+        placement->update(now);
+    m_flows.scan(
+        m_flows.bucketCount() / scanTicks + 1, [&](flow::FlowEntry& entry) { return maintainFlow(entry, now); });
+    std::size_t streams = 0;
+    for (auto& [service, placement] : m_placements)
+        streams += placement->defaults().flowCount();
+    // Each home has about the same number of flows.
+    const auto recordShare = static_cast<double>(streams * m_homes.homeCount()) * maxRecordShare;
+    m_records.setLimit(static_cast<std::size_t>(recordShare));
 }
 
 void Balancer::forward(const Packet& packet, core::UpstreamId upstream, BalancerOutput& output)
--- a/src/ibisgw/balancer/Balancer.h
+++ b/src/ibisgw/balancer/Balancer.h
@@ -2,15 +2,20 @@
 
 #include "ibisgw/balancer/BalancerCounters.h"
 #include "ibisgw/balancer/BalancerOutput.h"
+#include "ibisgw/balancer/RelayBudget.h"
+#include "ibisgw/balancer/ServicePlacement.h"
 #include "ibisgw/configuration/Document.h"
 #include "ibisgw/core/RandomSource.h"
+#include "ibisgw/flow/FlowRecordLog.h"
 #include "ibisgw/flow/FlowTable.h"
 #include "ibisgw/flow/FlowTokenCodec.h"
 #include "ibisgw/flow/HomeRing.h"
 #include "ibisgw/upstream/UpstreamRegistry.h"
 
+#include <map>
 #include <memory>
 #include <optional>
+#include <unordered_map>
 
 namespace ibisgw::balancer {
 
@@ -20,6 +25,14 @@
     std::size_t flowCapacity { 400'000 };
     // Flows without a packet for this long are forgotten.
     core::Duration idleLimit { std::chrono::minutes(30) };
+    // The same for flows that carry short requests: most balancers never see such a flow close.
+    core::Duration requestIdleLimit { std::chrono::seconds(60) };
+    // Must be larger after each restart of the balancer; the daemon gives wall-clock microseconds.
+    std::uint64_t firstRecordSequence { 1 };
+    // Twice the 2,000 new flows a second of the largest user, several packets each.
+    double relaysPerSecond { 20'000 };
+    // Way of selecting the upstream for requests; least in flight when empty.
+    SelectorFactory makeSelector;
 };
 
 // State machine of one balancer: selects the upstream of each new flow and forwards the packets of
@@ -29,7 +42,10 @@
     Balancer(BalancerOptions, flow::FlowTokenCodec, core::RandomSource&);
 
     void applyDocument(std::shared_ptr<const configuration::Document>, core::TimePoint now);
-    void setPeers(std::vector<core::NodeId> balancers, core::TimePoint now);
+    // Synchronized balancers of the group, all taken to be in this balancer's zone.
+    void setPeers(const std::vector<core::NodeId>& balancers, core::TimePoint now);
+    // Running balancers of the group, this one included; those that leave are no homes.
+    void setPeers(std::vector<flow::RingMember>, core::TimePoint now);
     void handleAnnouncement(const upstream::Announcement&, core::TimePoint now);
 
     void handleCallerPacket(const packet::Packet&, core::TimePoint now, BalancerOutput&);
@@ -37,6 +53,15 @@
     void handleUpstreamPacket(const packet::Packet&, core::TimePoint now, BalancerOutput&);
     void tick(core::TimePoint now, BalancerOutput&);
 
+    void applyFlowRecord(const flow::FlowRecord&, core::TimePoint now);
+    // Flow records to publish to the group, oldest first.
+    std::vector<flow::FlowRecord> takeFlowRecords(std::size_t maxCount);
+    // For gap repair, and for a joining balancer, which takes over all records before it becomes a home.
+    const flow::FlowRecordLog& flowRecords() const { return m_records; }
+    void adoptFlowRecords(const std::vector<flow::FlowRecord>&, const std::map<core::NodeId, std::uint64_t>& heads);
+    // Called when this balancer starts to leave: turns what the others cannot derive into flow records.
+    void handOver(core::TimePoint now);
+
     const BalancerCounters& counters() const { return m_counters; }
     const upstream::UpstreamRegistry& upstreams() const { return m_upstreams; }
     std::size_t flowCount() const { return m_flows.size(); }
@@ -45,7 +70,30 @@
     void placeFlow(const packet::Packet&, const configuration::Service&, core::TimePoint now, BalancerOutput&);
     std::optional<core::UpstreamId> resolveFlow(
         const packet::Packet&, const configuration::Service&, core::TimePoint now);
-    bool relayToHome(const packet::Packet&, BalancerOutput&);
+    std::optional<core::UpstreamId> resolveByToken(
+        const packet::Packet&, const configuration::Service&, core::TimePoint now);
+    std::optional<core::UpstreamId> resolveByRecord(
+        const packet::Packet&, const configuration::Service&, core::TimePoint now);
+    std::optional<core::UpstreamId> resolveByDefault(
+        const packet::Packet&, const configuration::Service&, core::TimePoint now);
+    void closeFlow(const packet::Packet&, const configuration::Service&, core::TimePoint now, BalancerOutput&);
+    // True when the packet needs no further work here.
+    bool relayToHome(const packet::Packet&, core::TimePoint now, BalancerOutput&);
+    void relay(const packet::Packet&, core::NodeId, core::TimePoint now, BalancerOutput&);
+    core::NodeId homeOf(std::uint64_t flowHash, const configuration::Service&);
+    flow::FlowEntry* learn(const packet::Packet&, core::UpstreamId, const configuration::Service&, core::TimePoint now);
+    void noteForwarded(const packet::Packet&, core::UpstreamId, const configuration::Service&, core::TimePoint now);
+    void noteAnswer(const packet::Packet&, flow::FlowEntry*, const configuration::Service&, core::TimePoint now);
+    ServicePlacement& placementOf(const configuration::Service&);
+    // The home of a flow counts it, for the bounded-load rule or as a request in flight.
+    void setCounted(flow::FlowEntry&, bool);
+    void dropFlow(const core::FlowKey&, core::TimePoint now);
+    void dropRecord(const flow::FlowEntry&, const configuration::Service&);
+    // Incremental work on the flow table: idle flows, counts and records after changes.
+    flow::FlowTable::Visit maintainFlow(flow::FlowEntry&, core::TimePoint now);
+    void recordIfNeeded(const flow::FlowEntry&, ServicePlacement&, bool isHome, core::TimePoint now);
+    bool isLost(const flow::FlowEntry&, const configuration::Service&, core::TimePoint now) const;
+    core::Duration idleLimitOf(const flow::FlowEntry&, const configuration::Service&) const;
     void forward(const packet::Packet&, core::UpstreamId, BalancerOutput&);
     void refuse(const packet::Packet&, packet::RefusalKind, BalancerOutput&);
     void reset(const packet::Packet&, BalancerOutput&);
@@ -59,6 +107,9 @@
     flow::FlowTable m_flows;
     flow::HomeRing m_homes;
     upstream::UpstreamRegistry m_upstreams;
+    flow::FlowRecordLog m_records;
+    RelayBudget m_relayBudget;
+    std::unordered_map<core::ServiceName, std::unique_ptr<ServicePlacement>> m_placements;
     BalancerCounters m_counters;
 };
 
--- a/src/ibisgw/balancer/BalancerCounters.h
+++ b/src/ibisgw/balancer/BalancerCounters.h
@@ -11,6 +11,8 @@
     std::uint64_t packetsToCallers { 0 };
     std::uint64_t packetsRelayed { 0 };
     std::uint64_t resolvedByToken { 0 };
+    std::uint64_t resolvedByRecord { 0 };
+    std::uint64_t resolvedByDefault { 0 };
     std::uint64_t refusedNotRun { 0 };
     std::uint64_t refusedOutcomeUnknown { 0 };
     std::uint64_t resets { 0 };
@@ -18,6 +20,9 @@
     std::uint64_t droppedInvalidToken { 0 };
     std::uint64_t droppedCrossedAnswers { 0 };
     std::uint64_t droppedMisdirected { 0 };
+    std::uint64_t droppedRelays { 0 };
+    // Records that name an upstream of another service.
+    std::uint64_t droppedInvalidRecord { 0 };
 };
 
 } // namespace ibisgw::balancer
--- /dev/null
+++ b/src/ibisgw/balancer/ServicePlacement.cpp
@@ -0,0 +1,68 @@
+#include "ibisgw/balancer/ServicePlacement.h"
+
+#include <map>
+
+namespace ibisgw::balancer {
+
+using upstream::UpstreamState;
+
+ServicePlacement::ServicePlacement(core::ServiceName service, const upstream::UpstreamRegistry& upstreams,
+    const SelectorFactory& makeSelector, core::RandomSource& random)
+    : m_service(std::move(service))
+    , m_upstreams(upstreams)
+    , m_selector(makeSelector(m_load, random))
+{
+}
+
+void ServicePlacement::update(core::TimePoint now)
+{
+    if (m_appliedChange != m_upstreams.changeCount()) {
+        m_appliedChange = m_upstreams.changeCount();
+        rebuildDefaults(now);
+        m_eligible = m_upstreams.eligible(m_service);
+    }
+    m_defaults.dropOldVersions(now);
+    m_outliers.update(m_eligible, now);
+}
+
+void ServicePlacement::rebuildDefaults(core::TimePoint now)
+{
+    std::map<core::ZoneName, flow::ZoneUpstreams> zones;
+    for (const auto& [id, record] : m_upstreams.records()) {
+        const auto& it = record.announcement;
+        if (it.service != m_service || it.state == UpstreamState::Stopped)
+            continue;
+        auto& zone = zones[it.zone];
+        zone.zone = it.zone;
+        zone.slots += it.slots;
+        zone.upstreams.push_back(id);
+    }
+    std::vector<flow::ZoneUpstreams> list;
+    for (auto& [name, zone] : zones)
+        list.push_back(std::move(zone));
+    m_defaults.setUpstreams(std::move(list), now);
+}
+
+double ServicePlacement::newWorkShare(core::UpstreamId upstream, core::TimePoint now) const
+{
+    const auto* record = m_upstreams.find(upstream);
+    if (!record || record->announcement.service != m_service || m_outliers.isEjected(upstream, now)
+        || m_upstreams.isZoneCutOff(record->announcement.zone, now))
+        return 0;
+    return m_upstreams.newWorkShare(upstream, now);
+}
+
+core::UpstreamId ServicePlacement::placeStream(std::uint64_t flowHash, core::TimePoint now)
+{
+    return m_defaults.place(flowHash, [&](auto it) { return newWorkShare(it, now); });
+}
+
+core::UpstreamId ServicePlacement::placeRequest(std::uint64_t flowHash, core::TimePoint now)
+{
+    std::vector<upstream::SelectionCandidate> candidates;
+    for (const auto& it : m_defaults.candidatesFor(flowHash, [&](auto it) { return newWorkShare(it, now); }))
+        candidates.push_back({ it, newWorkShare(it, now) });
+    return m_selector->select(candidates, now);
+}
+
+} // namespace ibisgw::balancer
--- /dev/null
+++ b/src/ibisgw/flow/DefaultPlacement.cpp
@@ -0,0 +1,187 @@
+#include "ibisgw/flow/DefaultPlacement.h"
+
+#include "ibisgw/core/FlowKey.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace ibisgw::flow {
+
+namespace {
+
+// Bounds the memory of an upstream set that changes all the time.
+constexpr std::size_t maxVersions = 16;
+// Below this number of flows a home always balances.
+constexpr std::size_t freeExceptions = 16;
+
+std::uint64_t hashOfZone(const core::ZoneName& zone)
+{
+    // FNV-1a: the same on every balancer.
+    std::uint64_t hash = 0xcbf29ce484222325;
+    for (const char it : zone)
+        hash = (hash ^ static_cast<unsigned char>(it)) * 0x100000001b3;
+    return hash;
+}
+
+// Weighted rendezvous score (Schindelhauer and Schomaker, 2005): the largest wins.
+double zoneScore(std::uint64_t flowHash, const ZoneUpstreams& zone)
+{
+    const auto hash = core::rendezvousWeight(flowHash, hashOfZone(zone.zone));
+    const auto unit = (static_cast<double>(hash >> 11) + 0.5) / 9007199254740992.0;
+    return static_cast<double>(zone.slots) / -std::log(unit);
+}
+
+const ZoneUpstreams* zoneIn(const std::vector<ZoneUpstreams>& zones, std::uint64_t flowHash)
+{
+    if (zones.size() == 1)
+        return zones.data();
+    const ZoneUpstreams* best = nullptr;
+    double bestScore = 0;
+    for (const auto& it : zones) {
+        const auto score = zoneScore(flowHash, it);
+        if (!best || score > bestScore) {
+            best = &it;
+            bestScore = score;
+        }
+    }
+    return best;
+}
+
+} // namespace
+
+void DefaultPlacement::setUpstreams(std::vector<ZoneUpstreams> zones, core::TimePoint now)
+{
+    if (!m_versions.empty() && m_versions.back().zones == zones)
+        return;
+    // A version that decided nothing needs no memory; a joining balancer sees many of them.
+    if (!m_versions.empty() && !m_versions.back().isUsed)
+        m_versions.pop_back();
+    if (!m_versions.empty())
+        m_versions.back().supersededAt = now;
+    m_versions.push_back({ std::move(zones), now, false });
+    if (m_versions.size() > maxVersions)
+        m_versions.pop_front();
+}
+
+void DefaultPlacement::dropOldVersions(core::TimePoint now)
+{
+    while (m_versions.size() > 1 && now - m_versions.front().supersededAt > versionRetention)
+        m_versions.pop_front();
+}
+
+const core::ZoneName* DefaultPlacement::zoneOf(std::uint64_t flowHash) const
+{
+    const auto* zone = m_versions.empty() ? nullptr : zoneIn(m_versions.back().zones, flowHash);
+    return zone ? &zone->zone : nullptr;
+}
+
+core::UpstreamId DefaultPlacement::defaultIn(const Version& version, std::uint64_t flowHash)
+{
+    const auto* zone = zoneIn(version.zones, flowHash);
+    core::UpstreamId best;
+    std::uint64_t bestWeight = 0;
+    if (!zone)
+        return best;
+    for (const auto& it : zone->upstreams) {
+        const auto weight = core::rendezvousWeight(flowHash, it.value);
+        if (!best.isValid() || weight > bestWeight) {
+            best = it;
+            bestWeight = weight;
+        }
+    }
+    return best;
+}
+
+core::UpstreamId DefaultPlacement::defaultOf(std::uint64_t flowHash) const
+{
+    return m_versions.empty() ? core::UpstreamId {} : defaultIn(m_versions.back(), flowHash);
+}
+
+core::UpstreamId DefaultPlacement::derivedUpstream(std::uint64_t flowHash) const
+{
+    const auto present = defaultOf(flowHash);
+    for (const auto& it : m_versions) {
+        if (defaultIn(it, flowHash) != present)
+            return {};
+    }
+    return present;
+}
+
+core::UpstreamId DefaultPlacement::useDerivedUpstream(std::uint64_t flowHash)
+{
+    if (!m_versions.empty())
+        m_versions.back().isUsed = true;
+    return derivedUpstream(flowHash);
+}
+
+std::vector<core::UpstreamId> DefaultPlacement::candidatesFor(std::uint64_t flowHash, const ShareOf& shareOf) const
+{
+    if (m_versions.empty())
+        return {};
+    std::vector<std::pair<double, const ZoneUpstreams*>> order;
+    for (const auto& it : m_versions.back().zones)
+        order.emplace_back(-zoneScore(flowHash, it), &it);
+    std::ranges::sort(order);
+    std::vector<core::UpstreamId> candidates;
+    for (const auto& [score, zone] : order) {
+        std::ranges::copy_if(zone->upstreams, std::back_inserter(candidates), [&](auto it) { return shareOf(it) > 0; });
+        if (!candidates.empty())
+            break;
+    }
+    return candidates;
+}
+
+core::UpstreamId DefaultPlacement::place(std::uint64_t flowHash, const ShareOf& shareOf)
+{
+    auto candidates = candidatesFor(flowHash, shareOf);
+    if (candidates.empty())
+        return {};
+    m_versions.back().isUsed = true;
+    std::ranges::sort(
+        candidates, std::ranges::greater {}, [&](auto it) { return core::rendezvousWeight(flowHash, it.value); });
+    std::size_t total = 1;
+    for (const auto& it : candidates)
+        total += flowsOf(it);
+    const auto mean = static_cast<double>(total) / static_cast<double>(candidates.size());
+    const auto isBelowBound = [&](core::UpstreamId it) {
+        return static_cast<double>(flowsOf(it) + 1) <= std::ceil(loadBound * mean * shareOf(it));
+    };
+    const bool mayDeviate = m_exceptionCount
+        < freeExceptions + static_cast<std::size_t>(balanceExceptionShare * static_cast<double>(m_flowCount));
+    if (!mayDeviate || isBelowBound(candidates.front()))
+        return candidates.front();
+    for (const auto& it : candidates) {
+        // A cold upstream gets only the flows of its own share, or each overload would go to it.
+        if (isBelowBound(it) && shareOf(it) >= 1)
+            return it;
+    }
+    return candidates.front();
+}
+
+void DefaultPlacement::addFlow(std::uint64_t flowHash, core::UpstreamId upstream)
+{
+    ++m_flows[upstream];
+    ++m_flowCount;
+    m_exceptionCount += defaultOf(flowHash) != upstream;
+}
+
+void DefaultPlacement::removeFlow(std::uint64_t flowHash, core::UpstreamId upstream)
+{
+    const auto it = m_flows.find(upstream);
+    if (it == m_flows.end())
+        return;
+    if (--it->second == 0)
+        m_flows.erase(it);
+    --m_flowCount;
+    // The set may have changed since the flow was added, so the count is an estimate.
+    if (defaultOf(flowHash) != upstream && m_exceptionCount > 0)
+        --m_exceptionCount;
+}
+
+std::size_t DefaultPlacement::flowsOf(core::UpstreamId upstream) const
+{
+    const auto it = m_flows.find(upstream);
+    return it == m_flows.end() ? 0 : it->second;
+}
+
+} // namespace ibisgw::flow
--- a/src/ibisgw/flow/FlowTable.cpp
+++ b/src/ibisgw/flow/FlowTable.cpp
@@ -49,11 +49,11 @@
     }
 }
 
-FlowEntry* FlowTable::find(const core::FlowKey& key, core::TimePoint now)
+FlowEntry* FlowTable::find(const core::FlowKey& key, core::TimePoint now, Touch touch)
 {
     const auto hash = key.hash();
     auto* entry = findIn(segmentOf(hash), key, hash);
-    if (entry)
+    if (entry && touch == Touch::Yes)
         entry->touch(now);
     return entry;
 }
@@ -153,6 +153,16 @@
     }
 }
 
+void FlowTable::forEach(const std::function<void(const FlowEntry&)>& visit) const
+{
+    for (const auto& segment : m_segments) {
+        for (const auto& it : segment.buckets) {
+            if (it.isUsed())
+                visit(it);
+        }
+    }
+}
+
 std::size_t FlowTable::bucketCount() const
 {
     std::size_t n = 0;
--- a/src/ibisgw/flow/FlowTable.h
+++ b/src/ibisgw/flow/FlowTable.h
@@ -17,6 +17,10 @@
         Keep,
         Erase,
     };
+    enum class Touch {
+        Yes,
+        No, // leaves the idle time as it is
+    };
     using Visitor = std::function<Visit(FlowEntry&)>;
     // Called with each entry that is removed to make room.
     using EvictionHandler = std::function<void(const FlowEntry&)>;
@@ -26,7 +30,7 @@
     void onEviction(EvictionHandler handler) { m_evictionHandler = std::move(handler); }
 
     // Null when the flow is not known. Refreshes the idle time. Valid until the next insertion or removal.
-    FlowEntry* find(const core::FlowKey&, core::TimePoint now);
+    FlowEntry* find(const core::FlowKey&, core::TimePoint now, Touch = Touch::Yes);
     // Replaces the upstream of an existing entry. A full table evicts the longest idle of a sample of
     // flows, never one with an unanswered request of a kind that is not idempotent; null when there is none.
     FlowEntry* insert(const core::FlowKey&, core::UpstreamId, core::TimePoint now);
@@ -34,6 +38,9 @@
     // Visits the next part of the table, about the given number of buckets, and wraps at its end.
     void scan(std::size_t buckets, const Visitor&);
 
+    // Visits all flows at once; for rare events such as leaving the group.
+    void forEach(const std::function<void(const FlowEntry&)>&) const;
+
     std::size_t size() const { return m_size; }
     std::size_t bucketCount() const;
     std::size_t memoryBytes() const { return bucketCount() * sizeof(FlowEntry) + sizeof *this; }
--- a/src/ibisgw/flow/FlowTokenCodec.cpp
+++ b/src/ibisgw/flow/FlowTokenCodec.cpp
@@ -1,50 +1,72 @@
 #include "ibisgw/flow/FlowTokenCodec.h"
 
-#include <openssl/evp.h>
-#include <openssl/hmac.h>
-
 #include <cstring>
 
 namespace ibisgw::flow {
 
 namespace {
 
-std::uint32_t computeTag(const TokenKey& key, const core::FlowKey& flow, core::UpstreamId upstream)
+constexpr unsigned char innerPad = 0x36;
+constexpr unsigned char outerPad = 0x5c;
+
+SHA256_CTX startWithPad(const TokenKey& key, unsigned char pad)
+{
+    std::array<unsigned char, SHA256_CBLOCK> block {};
+    std::memcpy(block.data(), key.data(), key.size());
+    for (auto& it : block)
+        it ^= pad;
+    SHA256_CTX state;
+    SHA256_Init(&state);
+    SHA256_Update(&state, block.data(), block.size());
+    return state;
+}
+
+} // namespace
+
+FlowTokenCodec::Key::Key(const TokenKey& key)
+    : inner(startWithPad(key, innerPad))
+    , outer(startWithPad(key, outerPad))
+{
+}
+
+std::uint32_t FlowTokenCodec::Key::tag(const core::FlowKey& flow, core::UpstreamId upstream) const
 {
     const std::uint64_t words[3] {
         (std::uint64_t { flow.caller.address } << 16) | flow.caller.port,
         (std::uint64_t { flow.service.address } << 16) | flow.service.port,
         upstream.value,
     };
-    std::array<unsigned char, EVP_MAX_MD_SIZE> digest {};
-    unsigned int digestSize = 0;
-    HMAC(EVP_sha256(), key.data(), static_cast<int>(key.size()), reinterpret_cast<const unsigned char*>(words),
-        sizeof words, digest.data(), &digestSize);
+    std::array<unsigned char, SHA256_DIGEST_LENGTH> digest {};
+    auto state = inner;
+    SHA256_Update(&state, words, sizeof words);
+    SHA256_Final(digest.data(), &state);
+    state = outer;
+    SHA256_Update(&state, digest.data(), digest.size());
+    SHA256_Final(digest.data(), &state);
     std::uint32_t tag = 0;
     std::memcpy(&tag, digest.data(), sizeof tag);
     return tag;
 }
 
-} // namespace
-
 FlowTokenCodec::FlowTokenCodec(const TokenKey& current, std::optional<TokenKey> previous)
     : m_current(current)
-    , m_previous(previous)
 {
+    if (previous)
+        m_previous.emplace(*previous);
 }
 
 packet::FlowToken FlowTokenCodec::issue(const core::FlowKey& flow, core::UpstreamId upstream) const
 {
-    return { upstream, computeTag(m_current, flow, upstream) };
+    return { upstream, m_current.tag(flow, upstream) };
 }
 
 bool FlowTokenCodec::verify(const core::FlowKey& flow, const packet::FlowToken& token) const
 {
     if (!token.isPresent())
         return false;
-    if (token.tag == computeTag(m_current, flow, token.upstream))
+    if (token.tag == m_current.tag(flow, token.upstream))
         return true;
-    return m_previous && token.tag == computeTag(*m_previous, flow, token.upstream);
+    return m_previous && token.tag == m_previous->tag(flow, token.upstream);
 }
 
 } // namespace ibisgw::flow
--- a/src/ibisgw/flow/FlowTokenCodec.h
+++ b/src/ibisgw/flow/FlowTokenCodec.h
@@ -3,6 +3,12 @@
 #include "ibisgw/core/FlowKey.h"
 #include "ibisgw/packet/Packet.h"
 
+// The one-shot HMAC functions of OpenSSL 3 allocate for each token; the hash functions below do not.
+#ifndef OPENSSL_SUPPRESS_DEPRECATED
+#define OPENSSL_SUPPRESS_DEPRECATED
+#endif
+#include <openssl/sha.h>
+
 #include <array>
 #include <cstddef>
 #include <optional>
@@ -23,8 +29,17 @@
     bool verify(const core::FlowKey&, const packet::FlowToken&) const;
 
 private:
-    TokenKey m_current;
-    std::optional<TokenKey> m_previous;
+    // HMAC (RFC 2104) with the padded keys hashed in advance.
+    struct Key {
+        explicit Key(const TokenKey&);
+        std::uint32_t tag(const core::FlowKey&, core::UpstreamId) const;
+
+        SHA256_CTX inner;
+        SHA256_CTX outer;
+    };
+
+    Key m_current;
+    std::optional<Key> m_previous;
 };
 
 } // namespace ibisgw::flow
--- a/src/ibisgw/flow/HomeRing.cpp
+++ b/src/ibisgw/flow/HomeRing.cpp
@@ -1,25 +1,79 @@
 #include "ibisgw/flow/HomeRing.h"
 
+#include "ibisgw/core/FlowKey.h"
+
+#include <algorithm>
+
 namespace ibisgw::flow {
 
-void HomeRing::setBalancers(std::vector<core::NodeId> balancers)
-{
-    m_balancers = std::move(balancers);
-}
+namespace {
 
-core::NodeId HomeRing::homeOf(const core::FlowKey& flow) const
+constexpr std::size_t maxPrevious = 8;
+
+core::NodeId winner(const std::vector<RingMember>& members, std::uint64_t flowHash, const core::ZoneName* zone)
 {
-    const auto flowHash = flow.hash();
     core::NodeId home;
     std::uint64_t bestWeight = 0;
-    for (const auto& it : m_balancers) {
-        const auto weight = core::rendezvousWeight(flowHash, it.value);
+    for (const auto& it : members) {
+        if (it.isLeaving || (zone && it.zone != *zone))
+            continue;
+        const auto weight = core::rendezvousWeight(flowHash, it.node.value);
         if (!home.isValid() || weight > bestWeight) {
-            home = it;
+            home = it.node;
             bestWeight = weight;
         }
     }
-    return home;
+    return !home.isValid() && zone ? winner(members, flowHash, nullptr) : home;
+}
+
+} // namespace
+
+void HomeRing::setMembers(std::vector<RingMember> members, core::TimePoint now)
+{
+    if (members == m_members)
+        return;
+    std::erase_if(m_previous, [&](const auto& it) { return it.until < now; });
+    if (!m_members.empty())
+        m_previous.push_back({ std::move(m_members), now + changeRetention });
+    if (m_previous.size() > maxPrevious)
+        m_previous.erase(m_previous.begin());
+    m_members = std::move(members);
+}
+
+core::NodeId HomeRing::homeOf(std::uint64_t flowHash, const core::ZoneName* zone) const
+{
+    return winner(m_members, flowHash, zone);
+}
+
+core::NodeId HomeRing::previousHomeOf(std::uint64_t flowHash, const core::ZoneName* zone, core::TimePoint now) const
+{
+    const auto home = homeOf(flowHash, zone);
+    for (auto it = m_previous.rbegin(); it != m_previous.rend(); ++it) {
+        if (it->until < now)
+            break;
+        const auto previous = winner(it->members, flowHash, zone);
+        if (previous != home && isRunning(previous))
+            return previous;
+    }
+    return {};
+}
+
+bool HomeRing::hasLostHome(std::uint64_t flowHash, const core::ZoneName* zone, core::TimePoint now) const
+{
+    return std::ranges::any_of(m_previous, [&](const auto& it) {
+        const auto previous = winner(it.members, flowHash, zone);
+        return it.until >= now && previous.isValid() && !isRunning(previous);
+    });
+}
+
+bool HomeRing::isRunning(core::NodeId node) const
+{
+    return std::ranges::any_of(m_members, [&](const auto& it) { return it.node == node; });
+}
+
+std::size_t HomeRing::homeCount() const
+{
+    return static_cast<std::size_t>(std::ranges::count(m_members, false, &RingMember::isLeaving));
 }
 
 } // namespace ibisgw::flow
--- /dev/null
+++ b/src/ibisgw/upstream/JoinIdleQueueSelector.cpp
@@ -0,0 +1,45 @@
+#include "ibisgw/upstream/JoinIdleQueueSelector.h"
+
+#include <algorithm>
+
+namespace ibisgw::upstream {
+
+namespace {
+
+// Other balancers fill a free slot within about the time of one request.
+constexpr core::Duration idleValidity = std::chrono::milliseconds(100);
+constexpr std::size_t maxIdle = 256;
+
+} // namespace
+
+JoinIdleQueueSelector::JoinIdleQueueSelector(const LoadEstimate& load, core::RandomSource& random)
+    : m_load(load)
+    , m_random(random)
+{
+}
+
+core::UpstreamId JoinIdleQueueSelector::select(const std::vector<SelectionCandidate>& candidates, core::TimePoint now)
+{
+    if (candidates.empty())
+        return {};
+    while (!m_idle.empty()) {
+        const auto idle = m_idle.front();
+        m_idle.pop_front();
+        const auto it = std::ranges::find(candidates, idle.upstream, &SelectionCandidate::upstream);
+        if (now - idle.since <= idleValidity && it != candidates.end() && m_random.chance(it->share))
+            return idle.upstream;
+    }
+    const auto& first = candidates[m_random.below(candidates.size())];
+    const auto& second = candidates[m_random.below(candidates.size())];
+    const auto cost = [&](const auto& it) { return (m_load.loadOf(it.upstream, now) + 1) / it.share; };
+    return (cost(second) < cost(first) ? second : first).upstream;
+}
+
+void JoinIdleQueueSelector::noteAnswer(core::UpstreamId upstream, core::TimePoint now)
+{
+    m_idle.push_back({ upstream, now });
+    if (m_idle.size() > maxIdle)
+        m_idle.pop_front();
+}
+
+} // namespace ibisgw::upstream
--- /dev/null
+++ b/src/ibisgw/upstream/JoinIdleQueueSelector.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include "ibisgw/core/RandomSource.h"
+#include "ibisgw/upstream/LoadEstimate.h"
+#include "ibisgw/upstream/UpstreamSelector.h"
+
+#include <deque>
+
+namespace ibisgw::upstream {
+
+// Join-Idle-Queue (Lu et al., 2011) from return traffic; without an idle upstream, the less loaded of
+// two random candidates (Mitzenmacher, 2001).
+class JoinIdleQueueSelector final : public UpstreamSelector {
+public:
+    JoinIdleQueueSelector(const LoadEstimate&, core::RandomSource&);
+
+    core::UpstreamId select(const std::vector<SelectionCandidate>&, core::TimePoint now) override;
+    void noteAnswer(core::UpstreamId, core::TimePoint now) override;
+
+private:
+    struct Idle {
+        core::UpstreamId upstream;
+        core::TimePoint since;
+    };
+
+    const LoadEstimate& m_load;
+    core::RandomSource& m_random;
+    std::deque<Idle> m_idle;
+};
+
+} // namespace ibisgw::upstream
--- a/tests/support/BalancerGroup.cpp
+++ b/tests/support/BalancerGroup.cpp
@@ -2,6 +2,8 @@
 
 #include "support/BalancerMember.h"
 
+#include <algorithm>
+
 namespace support {
 
 using namespace ibisgw;
@@ -10,6 +12,9 @@
 namespace {
 
 constexpr core::Duration tickPeriod = std::chrono::milliseconds(50);
+constexpr std::size_t maxRecordsPerDatagram = 80;
+// Version, sender, key number, sequence and authentication code, and UDP over IPv4.
+constexpr std::size_t datagramHeaderBytes = 40 + 28;
 
 } // namespace
 
@@ -151,27 +156,102 @@
             Output output(*this, it->node);
             if (it->member)
                 it->member->tick(now, output);
+            publishFlowRecords(*it);
         }
         const auto previous = now - tickPeriod;
         const auto period = m_options.announcementPeriod;
         if (now.time_since_epoch() / period != previous.time_since_epoch() / period) {
             for (auto& it : m_upstreams)
                 announce(*it);
+            compareFlowRecordHeads();
         }
         schedulePeriodicWork();
     });
 }
 
+void BalancerGroup::publishFlowRecords(Slot& slot)
+{
+    auto* balancer = slot.member ? slot.member->balancer() : nullptr;
+    if (!balancer || !m_options.tellFlowRecords)
+        return;
+    const auto records = balancer->takeFlowRecords(maxRecordsPerDatagram);
+    if (records.empty())
+        return;
+    for (auto& it : m_slots) {
+        if (it->index != slot.index && it->member)
+            sendFlowRecords(slot, *it, records);
+    }
+}
+
+void BalancerGroup::sendFlowRecords(Slot& from, Slot& to, const RecordList& records)
+{
+    const auto bytes = datagramHeaderBytes + flow::flowRecordHeaderBytes + records.size() * flow::flowRecordWireBytes;
+    from.recordBytes += bytes;
+    m_queue.send(from.node.value, to.node.value, [this, index = to.index, records, bytes](core::TimePoint now) {
+        auto* balancer = this->balancer(index);
+        m_slots[index]->recordBytes += bytes;
+        for (const auto& it : records) {
+            if (balancer)
+                balancer->applyFlowRecord(it, now);
+        }
+    });
+}
+
+void BalancerGroup::compareFlowRecordHeads()
+{
+    for (auto& from : m_slots) {
+        m_worstRecordBytes = std::max(m_worstRecordBytes, from->recordBytes);
+        from->recordBytes = 0;
+        auto* origin = balancer(from->index);
+        if (!origin || !m_options.tellFlowRecords)
+            continue;
+        for (auto& to : m_slots) {
+            if (to->index == from->index || !to->member)
+                continue;
+            from->recordBytes += flow::flowRecordHeaderBytes;
+            m_queue.send(from->node.value, to->node.value,
+                [this, node = from->node, first = from->index, second = to->index, head = origin->flowRecords().head()](
+                    core::TimePoint) {
+                    auto* receiver = balancer(second);
+                    auto* sender = balancer(first);
+                    m_slots[second]->recordBytes += flow::flowRecordHeaderBytes;
+                    const auto missing = receiver ? receiver->flowRecords().firstMissing(node, head) : std::nullopt;
+                    if (!missing || !sender)
+                        return;
+                    auto records = sender->flowRecords().since(*missing);
+                    if (records.size() > maxRecordsPerDatagram)
+                        records.resize(maxRecordsPerDatagram);
+                    sendFlowRecords(*m_slots[first], *m_slots[second], records);
+                });
+        }
+    }
+}
+
+void BalancerGroup::adoptFlowRecords(Slot& joining)
+{
+    for (auto& it : m_slots) {
+        auto* peer = balancer(it->index);
+        if (it->index == joining.index || !peer || !it->inFabric)
+            continue;
+        const auto records = peer->flowRecords().all();
+        joining.recordBytes += records.size() * flow::flowRecordWireBytes;
+        it->recordBytes += records.size() * flow::flowRecordWireBytes;
+        if (joining.member->balancer())
+            joining.member->balancer()->adoptFlowRecords(records, peer->flowRecords().heads());
+        return;
+    }
+}
+
 void BalancerGroup::tellPeers()
 {
-    std::vector<core::NodeId> running;
+    std::vector<flow::RingMember> members;
     for (const auto& it : m_slots) {
-        if (it->member && it->inFabric && !it->isLeaving)
-            running.push_back(it->node);
+        if (it->member && (it->inFabric || it->isLeaving))
+            members.push_back({ it->node, zoneOf(*it), it->isLeaving });
     }
     for (auto& it : m_slots) {
         if (it->member && it->member->balancer())
-            it->member->balancer()->setPeers(running, m_queue.now());
+            it->member->balancer()->setPeers(members, m_queue.now());
     }
 }
 
@@ -197,9 +277,13 @@
     slot.inFabric = false;
     slot.isLeaving = true;
     tellPeers();
+    if (auto* leaving = balancer(index))
+        leaving->handOver(m_queue.now());
     m_queue.after(grace, [this, index, starts = slot.starts](auto) {
-        if (m_slots[index]->starts == starts)
-            m_slots[index]->member.reset();
+        if (m_slots[index]->starts != starts)
+            return;
+        m_slots[index]->member.reset();
+        tellPeers();
     });
 }
 
@@ -211,15 +295,21 @@
         auto& joining = *m_slots[index];
         if (!joining.member || joining.starts != starts)
             return;
+        adoptFlowRecords(joining);
         joining.inFabric = true;
         tellPeers();
     });
 }
 
+core::ZoneName BalancerGroup::zoneOf(const Slot& slot) const
+{
+    return m_options.zones[slot.index % m_options.zones.size()];
+}
+
 void BalancerGroup::createMember(Slot& slot)
 {
-    const balancer::BalancerOptions options { slot.node, m_options.zones[slot.index % m_options.zones.size()],
-        m_options.flowCapacity };
+    balancer::BalancerOptions options { slot.node, zoneOf(slot), m_options.flowCapacity };
+    options.firstRecordSequence = static_cast<std::uint64_t>(m_queue.now().time_since_epoch().count());
     slot.member
         = m_options.makeMember ? m_options.makeMember(options) : std::make_unique<BalancerMember>(options, m_random);
     ++slot.starts;
--- a/tests/support/BalancerGroup.h
+++ b/tests/support/BalancerGroup.h
@@ -19,6 +19,8 @@
     ibisgw::core::Duration announcementPeriod { std::chrono::seconds(1) };
     // A started balancer listens this long before the fabric and its peers use it.
     ibisgw::core::Duration joinDelay { std::chrono::milliseconds(1500) };
+    // Flow records are sent to the peers; false shows what breaks without them.
+    bool tellFlowRecords { true };
     // Creates the balancers; those of ibisgw when empty.
     GroupMemberFactory makeMember;
 };
@@ -49,6 +51,8 @@
     ibisgw::balancer::Balancer* balancer(unsigned index);
     std::vector<std::unique_ptr<FakeUpstream>>& upstreams() { return m_upstreams; }
     ExecutionLog& executions() { return m_executions; }
+    // Bytes of flow records that the balancer sent or received in its worst second.
+    std::uint64_t worstFlowRecordBytesPerSecond() const { return m_worstRecordBytes; }
     MessageQueue& queue() { return m_queue; }
 
 private:
@@ -61,10 +65,17 @@
         unsigned starts { 0 };
         bool inFabric { false };
         bool isLeaving { false };
+        std::uint64_t recordBytes { 0 };
     };
 
     static constexpr MessageQueue::Machine callersMachine = 1;
 
+    using RecordList = std::vector<ibisgw::flow::FlowRecord>;
+    void publishFlowRecords(Slot&);
+    void compareFlowRecordHeads();
+    void sendFlowRecords(Slot& from, Slot& to, const RecordList&);
+    void adoptFlowRecords(Slot& joining);
+
     void deliverToBalancer(unsigned index, const std::function<void(Slot&)>& deliver);
     void sendFromUpstream(const ibisgw::packet::Packet&);
     std::optional<unsigned> pickFabricTarget();
@@ -72,6 +83,7 @@
     void schedulePeriodicWork();
     void tellPeers();
     void createMember(Slot&);
+    ibisgw::core::ZoneName zoneOf(const Slot&) const;
 
     BalancerGroupOptions m_options;
     std::shared_ptr<const ibisgw::configuration::Document> m_document;
@@ -81,6 +93,7 @@
     std::vector<std::unique_ptr<Slot>> m_slots;
     std::vector<std::unique_ptr<FakeUpstream>> m_upstreams;
     CallerHandler m_callerHandler;
+    std::uint64_t m_worstRecordBytes { 0 };
 };
 
 } // namespace support
