--- a/tests/support/BalancerGroup.h
+++ b/tests/support/BalancerGroup.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "ibisgw/balancer/Balancer.h"
 #include "support/FakeUpstream.h"
+#include "support/GroupMember.h"
 
 #include <memory>
 #include <vector>
@@ -17,6 +17,12 @@
     ibisgw::core::Duration detectionDelay { std::chrono::seconds(3) };
     ibisgw::core::Duration fabricDetectionDelay { std::chrono::seconds(1) };
     ibisgw::core::Duration announcementPeriod { std::chrono::seconds(1) };
+    // A started balancer listens this long before the fabric and its peers use it.
+    ibisgw::core::Duration joinDelay { std::chrono::milliseconds(1500) };
+    // Flow records are sent to the peers; false shows what breaks without them.
+    bool tellFlowRecords { true };
+    // Creates the balancers; those of ibisgw when empty.
+    GroupMemberFactory makeMember;
 };
 
 // A group of balancers behind a fabric, with fake upstreams, in virtual time. Membership and gossip
@@ -37,13 +43,16 @@
     void killBalancer(unsigned index);
     // Planned: the fabric and the peers are told, then the process ends after the given time.
     void stopBalancer(unsigned index, ibisgw::core::Duration grace);
+    // Joins: the fabric and the peers use it after the join delay.
     void startBalancer(unsigned index);
 
     unsigned balancerCount() const { return static_cast<unsigned>(m_slots.size()); }
     // Null while the balancer is not running.
-    ibisgw::balancer::Balancer* balancer(unsigned index) { return m_slots[index]->balancer.get(); }
+    ibisgw::balancer::Balancer* balancer(unsigned index);
     std::vector<std::unique_ptr<FakeUpstream>>& upstreams() { return m_upstreams; }
     ExecutionLog& executions() { return m_executions; }
+    // Bytes of flow records that the balancer sent or received in its worst second.
+    std::uint64_t worstFlowRecordBytesPerSecond() const { return m_worstRecordBytes; }
     MessageQueue& queue() { return m_queue; }
 
 private:
@@ -51,18 +60,30 @@
     struct Slot {
         unsigned index { 0 };
         ibisgw::core::NodeId node;
-        std::unique_ptr<ibisgw::balancer::Balancer> balancer;
+        std::unique_ptr<GroupMember> member;
+        // Grows with each start, so that timers of an earlier process do not act on a later one.
+        unsigned starts { 0 };
         bool inFabric { false };
+        bool isLeaving { false };
+        std::uint64_t recordBytes { 0 };
     };
 
     static constexpr MessageQueue::Machine callersMachine = 1;
 
+    using RecordList = std::vector<ibisgw::flow::FlowRecord>;
+    void publishFlowRecords(Slot&);
+    void compareFlowRecordHeads();
+    void sendFlowRecords(Slot& from, Slot& to, const RecordList&);
+    void adoptFlowRecords(Slot& joining);
+
     void deliverToBalancer(unsigned index, const std::function<void(Slot&)>& deliver);
     void sendFromUpstream(const ibisgw::packet::Packet&);
     std::optional<unsigned> pickFabricTarget();
     void announce(FakeUpstream&);
     void schedulePeriodicWork();
     void tellPeers();
+    void createMember(Slot&);
+    ibisgw::core::ZoneName zoneOf(const Slot&) const;
 
     BalancerGroupOptions m_options;
     std::shared_ptr<const ibisgw::configuration::Document> m_document;
@@ -72,6 +93,7 @@
     std::vector<std::unique_ptr<Slot>> m_slots;
     std::vector<std::unique_ptr<FakeUpstream>> m_upstreams;
     CallerHandler m_callerHandler;
+    std::uint64_t m_worstRecordBytes { 0 };
 };
 
 } // namespace support
