--- a/tests/adapters/AdminApiTests.cpp
+++ b/tests/adapters/AdminApiTests.cpp
@@ -5,7 +5,7 @@
 #include "ibisgw/configuration/DocumentWriter.h"
 #include "ibisgw/core/PcgRandomSource.h"
 #include "support/FakeApiBackend.h"
-#include "support/HttpProbe.h"
+#include "adapters/HttpProbe.h"
 #include "support/ProblemList.h"
 #include "support/TemporaryFile.h"
 #include "support/TwoOrganizations.h"
--- a/tests/support/HttpProbe.cpp
+++ b/tests/adapters/HttpProbe.cpp
@@ -1,4 +1,4 @@
-#include "support/HttpProbe.h"
+#include "adapters/HttpProbe.h"
 
 #include <doctest/doctest.h>
 
--- a/tests/cli/CommandsTests.cpp
+++ b/tests/cli/CommandsTests.cpp
@@ -5,7 +5,7 @@
 #include "ibisgw/configuration/DocumentReader.h"
 #include "ibisgw/configuration/DocumentWriter.h"
 #include "support/FakeApiBackend.h"
-#include "support/HttpProbe.h"
+#include "adapters/HttpProbe.h"
 #include "support/TemporaryFile.h"
 #include "support/TwoOrganizations.h"
 
