Tell flow records and the ring of homes through gossip in the daemon

Cause: 33 of 598 requests were still refused in the demo: opens waited for a home that was dead but not yet declared so. Change: members with zones form the ring; a suspect is no home, but is still asked about flows; flow records travel in gossip; a leaving balancer hands over first. Gossip and FlowRecordLog both number the records; one of the two sequences can go.

--- a/src/ibisgwd/BalancerRole.cpp
+++ b/src/ibisgwd/BalancerRole.cpp
@@ -16,6 +16,18 @@
 // Packets that were on their way when the fabric heard of the withdrawal arrive within this time.
 constexpr core::Duration quietPeriod = std::chrono::milliseconds(500);
 
+balancer::BalancerOptions makeOptions(const settings::DaemonSettings& settings, core::NodeId self)
+{
+    using namespace std::chrono;
+    balancer::BalancerOptions options;
+    options.self = self;
+    options.zone = settings.zone;
+    options.flowCapacity = settings.flowCapacity;
+    options.firstRecordSequence
+        = static_cast<std::uint64_t>(duration_cast<microseconds>(system_clock::now().time_since_epoch()).count());
+    return options;
+}
+
 } // namespace
 
 core::Result<std::unique_ptr<BalancerRole>> BalancerRole::create(const settings::DaemonSettings& settings,
@@ -36,7 +48,7 @@
     , m_announcementHandler(std::move(announcementHandler))
     , m_fabrics(settings.fabrics)
     , m_sockets(sockets)
-    , m_balancer({ network.self(), settings.zone, settings.flowCapacity }, tokens, random)
+    , m_balancer(makeOptions(settings, network.self()), tokens, random)
 {
 }
 
--- a/src/ibisgwd/Daemon.cpp
+++ b/src/ibisgwd/Daemon.cpp
@@ -1,11 +1,13 @@
 #include "ibisgwd/Daemon.h"
 
+#include "ibisgw/adapters/FlowRecordCodec.h"
 #include "ibisgw/adapters/GossipCodec.h"
 #include "ibisgw/adapters/KeyFile.h"
 #include "ibisgw/adapters/Log.h"
 #include "ibisgw/configuration/DocumentReader.h"
 #include "ibisgw/membership/GossipMessage.h"
 
+#include <algorithm>
 #include <fstream>
 #include <nlohmann/json.hpp>
 
@@ -22,6 +24,9 @@
 // A planned stop ends after this time even when packets still arrive.
 constexpr core::Duration shutdownLimit = std::chrono::seconds(10);
 
+// Flow records handed to gossip at a time; its budget carries fewer in a tick.
+constexpr std::size_t maxRecordsPerTick = 32;
+
 // How long a leaving daemon goes on gossiping, so that its peers learn of it.
 constexpr core::Duration leaveGossipTime = std::chrono::seconds(1);
 
@@ -106,8 +111,11 @@
     const auto now = m_loop.now();
     m_membership.tick(now, m_network);
     m_network.tick();
-    if (m_balancer)
+    if (m_balancer) {
+        updateRing();
         m_balancer->tick();
+        publishFlowRecords();
+    }
     if (!m_shutdownAt)
         return;
     const auto elapsed = now - *m_shutdownAt;
@@ -121,8 +129,10 @@
     adapters::log(LogLevel::Info, "shutdown requested; leaving the group");
     m_shutdownAt = m_loop.now();
     m_membership.leave(*m_shutdownAt);
-    if (m_balancer)
+    if (m_balancer) {
+        m_balancer->balancer().handOver(*m_shutdownAt);
         m_balancer->withdraw();
+    }
 }
 
 void Daemon::receive(core::NodeId sender, Channel channel, std::span<const std::byte> body)
@@ -141,7 +151,38 @@
         m_balancer->balancer().handleAnnouncement(announcement, m_loop.now());
 }
 
-void Daemon::flowRecordLearned(const membership::FlowRecordItem&) { }
+void Daemon::flowRecordLearned(const membership::FlowRecordItem& item)
+{
+    const auto record = adapters::decodeFlowRecord(item.record, item.origin);
+    if (record && m_balancer)
+        m_balancer->balancer().applyFlowRecord(*record, m_loop.now());
+}
+
+void Daemon::publishFlowRecords()
+{
+    for (const auto& it : m_balancer->balancer().takeFlowRecords(maxRecordsPerTick))
+        m_membership.publish(adapters::encodeFlowRecord(it), m_loop.now());
+}
+
+void Daemon::updateRing()
+{
+    std::vector<flow::RingMember> ring;
+    const auto& self = m_membership.self();
+    ring.push_back({ self.id, self.zone, m_shutdownAt.has_value() });
+    for (const auto& [id, record] : m_membership.members().records()) {
+        const auto& member = record.member;
+        const bool isRunning = member.state != membership::MemberState::Dead && member.isSynchronized;
+        // A suspect is no home, so that opens do not wait until its death is certain.
+        const bool isLeaving = member.state != membership::MemberState::Alive;
+        if (member.group == self.group && member.isBalancer() && isRunning)
+            ring.push_back({ id, member.zone, isLeaving });
+    }
+    std::ranges::sort(ring);
+    if (ring == m_ring)
+        return;
+    m_ring = ring;
+    m_balancer->balancer().setPeers(std::move(ring), m_loop.now());
+}
 
 void Daemon::revisionInForce(const configuration::AcceptedRevision& revision)
 {
@@ -158,12 +199,6 @@
     adapters::log(LogLevel::Info, "revision in force", { { "revision", revision.revision } });
 }
 
-void Daemon::groupChanged()
-{
-    if (m_balancer)
-        m_balancer->balancer().setPeers(m_membership.groupBalancers(), m_loop.now());
-}
-
 void Daemon::pauseDetected(core::Duration duration)
 {
     adapters::log(LogLevel::Warning, "the process was paused; rejoining as a new incarnation",
--- a/src/ibisgwd/Daemon.h
+++ b/src/ibisgwd/Daemon.h
@@ -23,11 +23,13 @@
     void announcementLearned(const ibisgw::upstream::Announcement&) override;
     void flowRecordLearned(const ibisgw::membership::FlowRecordItem&) override;
     void revisionInForce(const ibisgw::configuration::AcceptedRevision&) override;
-    void groupChanged() override;
+    void groupChanged() override { }
     void pauseDetected(ibisgw::core::Duration) override;
 
     void receive(ibisgw::core::NodeId sender, ibisgw::adapters::Channel, std::span<const std::byte> body);
     void tick();
+    void updateRing();
+    void publishFlowRecords();
     void beginShutdown();
     void publishInitialDocument();
 
@@ -37,6 +39,7 @@
     PeerNetwork m_network;
     ibisgw::membership::MembershipNode m_membership;
     std::unique_ptr<BalancerRole> m_balancer;
+    std::vector<ibisgw::flow::RingMember> m_ring;
     std::optional<ibisgw::core::TimePoint> m_shutdownAt;
 };
 
