Add the administration API on the event loop of the daemon

Cause: operators have no way to submit documents or to see the system.

Change: HttpServer runs h2o on the shared loop with one request for each connection, which turns the limits of connections into limits of requests. AdminApi checks tokens, documents and permissions and asks an ApiBackend for everything else; completions may come later. A token of an organization sees and changes only that organization's services: the submitted document is compared with its base and merged into it. Its submission identifiers get the prefix "<organization>/", so that organizations cannot take each other's. Problems no longer name the other entry at fault, because it may belong to another organization. KeyFile and ApiTokens share readPrivateFile.

A body over 1 MiB gets 413 with the text of h2o, not a JSON error.

--- a/src/ibisgw/adapters/KeyFile.cpp
+++ b/src/ibisgw/adapters/KeyFile.cpp
@@ -1,9 +1,9 @@
 #include "ibisgw/adapters/KeyFile.h"
 
+#include "ibisgw/adapters/PrivateFile.h"
+
 #include <charconv>
-#include <fstream>
 #include <nlohmann/json.hpp>
-#include <sys/stat.h>
 
 namespace ibisgw::adapters {
 
@@ -60,14 +60,8 @@
 
 core::Result<KeyRing> readKeyFile(const std::string& file)
 {
-    struct stat status { };
-    if (::stat(file.c_str(), &status) != 0)
-        return core::fail(core::ErrorKind::NotFound, "key file '" + file + "' is missing; set key_file");
-    if (status.st_mode & (S_IRWXG | S_IRWXO))
-        return core::fail(core::ErrorKind::PermissionDenied,
-            "key file '" + file + "' is accessible to other users; run chmod 600 on it");
-    std::ifstream in(file);
-    const auto json = nlohmann::json::parse(in, nullptr, false);
+    BOOST_LEAF_AUTO(text, readPrivateFile(file, "key file"));
+    const auto json = nlohmann::json::parse(text, nullptr, false);
     if (auto ring = parseKeyRing(json))
         return std::move(*ring);
     return core::fail(core::ErrorKind::InvalidInput,
--- a/src/ibisgw/configuration/detail/ReferenceCheck.cpp
+++ b/src/ibisgw/configuration/detail/ReferenceCheck.cpp
@@ -1,6 +1,5 @@
 #include "ibisgw/configuration/detail/ReferenceCheck.h"
 
-#include <map>
 #include <set>
 #include <string>
 #include <unordered_map>
@@ -11,6 +10,9 @@
 
 using core::Problem;
 
+// Messages do not name the other entry at fault: it may belong to an organization that the reader of
+// the message may not see.
+
 std::string itemPath(const std::string& list, std::size_t index)
 {
     return list + "/" + std::to_string(index);
@@ -33,18 +35,13 @@
 // Kind numbers travel in packets without the service name, so they are unique within the document.
 void checkKindIds(const Document& document, std::vector<Problem>& problems)
 {
-    std::map<core::KindId, std::string> owners;
+    std::set<core::KindId> ids;
     for (std::size_t n = 0; n < document.services.size(); ++n) {
         const auto& kinds = document.services[n].kinds;
         for (std::size_t k = 0; k < kinds.size(); ++k) {
-            if (kinds[k].id == 0)
-                continue;
-            const auto path = itemPath(itemPath("/services", n) + "/kinds", k) + "/id";
-            const auto [owner, isNew] = owners.try_emplace(kinds[k].id, path);
-            if (!isNew)
-                problems.push_back({ path,
-                    std::to_string(kinds[k].id) + " is already the number at " + owner->second
-                        + "; choose another number" });
+            if (kinds[k].id != 0 && !ids.insert(kinds[k].id).second)
+                problems.push_back({ itemPath(itemPath("/services", n) + "/kinds", k) + "/id",
+                    std::to_string(kinds[k].id) + " is already the number of another kind; choose another number" });
         }
     }
 }
@@ -60,8 +57,7 @@
             const auto [owner, isNew] = owners.try_emplace(addresses[k], n);
             if (!isNew && owner->second != n)
                 problems.push_back({ itemPath(itemPath("/services", n) + "/addresses", k),
-                    addresses[k].toString() + " already belongs to " + itemPath("/services", owner->second)
-                        + "; give each service its own addresses" });
+                    addresses[k].toString() + " belongs to another service; give each service its own addresses" });
         }
     }
 }
--- /dev/null
+++ b/tests/support/FakeApiBackend.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "ibisgw/adapters/ApiBackend.h"
+
+#include <vector>
+
+namespace support {
+
+// Keeps revisions in memory and answers at once, unless `holdSubmissions` is set.
+class FakeApiBackend final : public ibisgw::adapters::ApiBackend {
+public:
+    std::vector<ibisgw::configuration::AcceptedRevision> revisions;
+    std::vector<ibisgw::adapters::ApiSubmission> submissions;
+    std::vector<ibisgw::adapters::Completion<ibisgw::adapters::SubmissionAnswer>> heldSubmissions;
+    std::vector<ibisgw::adapters::UpstreamStatus> knownUpstreams;
+    std::vector<ibisgw::adapters::Span> spans;
+    ibisgw::adapters::SystemStatus systemStatus;
+    std::vector<std::string> drained;
+    std::string metricsText { "ibisgw_flows_open 3\n" };
+    bool holdSubmissions { false };
+
+    // Puts a document in force as if it had been accepted.
+    void accept(const std::string& document, const std::string& submission);
+
+    void submit(const ibisgw::adapters::ApiSubmission&,
+        ibisgw::adapters::Completion<ibisgw::adapters::SubmissionAnswer>) override;
+    void findSubmission(const std::string&, ibisgw::adapters::Completion<ibisgw::adapters::SubmissionAnswer>) override;
+    void documentInForce(ibisgw::adapters::Completion<ibisgw::configuration::AcceptedRevision>) override;
+    void documentAt(
+        ibisgw::core::Revision, ibisgw::adapters::Completion<ibisgw::configuration::AcceptedRevision>) override;
+    void history(std::size_t limit, ibisgw::adapters::Completion<std::vector<ibisgw::adapters::HistoryEntry>>) override;
+    void status(ibisgw::adapters::Completion<ibisgw::adapters::SystemStatus>) override;
+    void upstreams(ibisgw::adapters::Completion<std::vector<ibisgw::adapters::UpstreamStatus>>) override;
+    void flowCounts(ibisgw::adapters::Completion<std::vector<ibisgw::adapters::FlowCount>>) override;
+    void findFlow(ibisgw::core::Endpoint caller, ibisgw::core::Endpoint service,
+        ibisgw::adapters::Completion<ibisgw::adapters::FlowLocation>) override;
+    void drainUpstream(ibisgw::core::Endpoint, ibisgw::adapters::Completion<std::monostate>) override;
+    void drainBalancer(const std::string&, ibisgw::adapters::Completion<std::monostate>) override;
+    void findSpans(const std::string&, ibisgw::adapters::Completion<std::vector<ibisgw::adapters::Span>>) override;
+    std::string metrics() override;
+    std::string unhealthyReason() override;
+};
+
+} // namespace support
