Add the command-line tool

Cause: operators and scripts need the administration API without HTTP tools.

Change: ibisgw checks documents off line, submits, shows, compares and lists them, shows status, upstreams, flows and traces, and drains upstreams and balancers, as tables or JSON. A submission prints its identifier before it sends; without an answer it ends with status 4 and says how to ask again. `config outcome ID` asks for the outcome of a submission. `state verify` and `state dump` wait for the log store of the controllers.

--- /dev/null
+++ b/src/ibisgw_cli/ApiClient.cpp
@@ -0,0 +1,137 @@
+#include "ibisgw_cli/ApiClient.h"
+
+#include <curl/curl.h>
+
+#include <memory>
+
+namespace ibisgw_cli {
+
+namespace {
+
+constexpr long connectTimeoutMs = 5'000;
+// Longer than the daemon's own limit for an answer, so that its explanation arrives.
+constexpr long totalTimeoutMs = 30'000;
+constexpr std::size_t maxReplyBytes = 64UL * 1024 * 1024;
+
+std::size_t appendReply(char* data, std::size_t size, std::size_t count, void* target)
+{
+    auto& text = *static_cast<std::string*>(target);
+    if (text.size() + size * count > maxReplyBytes)
+        return 0;
+    text.append(data, size * count);
+    return size * count;
+}
+
+nlohmann::json errorBody(const std::string& kind, const std::string& message)
+{
+    return { { "error", kind }, { "message", message }, { "problems", nlohmann::json::array() } };
+}
+
+struct CurlDeleter {
+    void operator()(CURL* handle) const { curl_easy_cleanup(handle); }
+    void operator()(curl_slist* list) const { curl_slist_free_all(list); }
+};
+
+} // namespace
+
+ApiClient::ApiClient(std::string url, std::string token)
+    : m_url(std::move(url))
+    , m_token(std::move(token))
+{
+    while (m_url.ends_with('/'))
+        m_url.pop_back();
+}
+
+ApiReply ApiClient::get(const std::string& path) const
+{
+    return perform(path, nullptr);
+}
+
+ApiReply ApiClient::post(const std::string& path, const nlohmann::json& body) const
+{
+    const auto text = body.dump();
+    return perform(path, &text);
+}
+
+std::string ApiClient::encode(const std::string& segment)
+{
+    const std::unique_ptr<char, decltype(&curl_free)> text(
+        curl_easy_escape(nullptr, segment.data(), static_cast<int>(segment.size())), curl_free);
+    return text ? text.get() : "";
+}
+
+ApiReply ApiClient::perform(const std::string& path, const std::string* body) const
+{
+    const std::unique_ptr<CURL, CurlDeleter> handle(curl_easy_init());
+    std::string reply;
+    auto* headers = curl_slist_append(nullptr, "Content-Type: application/json");
+    // No pause before the body; the daemon does not answer "Expect: 100-continue" faster than it reads.
+    headers = curl_slist_append(headers, "Expect:");
+    if (!m_token.empty())
+        headers = curl_slist_append(headers, ("Authorization: Bearer " + m_token).c_str());
+    const std::unique_ptr<curl_slist, CurlDeleter> headersOwner(headers);
+    const auto url = m_url + path;
+    curl_easy_setopt(handle.get(), CURLOPT_URL, url.c_str());
+    curl_easy_setopt(handle.get(), CURLOPT_PROTOCOLS_STR, "http,https");
+    // A proxy of the environment would see the token.
+    curl_easy_setopt(handle.get(), CURLOPT_PROXY, "");
+    curl_easy_setopt(handle.get(), CURLOPT_HTTPHEADER, headers);
+    curl_easy_setopt(handle.get(), CURLOPT_CONNECTTIMEOUT_MS, connectTimeoutMs);
+    curl_easy_setopt(handle.get(), CURLOPT_TIMEOUT_MS, totalTimeoutMs);
+    curl_easy_setopt(handle.get(), CURLOPT_NOSIGNAL, 1L);
+    curl_easy_setopt(handle.get(), CURLOPT_WRITEFUNCTION, appendReply);
+    curl_easy_setopt(handle.get(), CURLOPT_WRITEDATA, &reply);
+    if (body) {
+        curl_easy_setopt(handle.get(), CURLOPT_POSTFIELDS, body->data());
+        curl_easy_setopt(handle.get(), CURLOPT_POSTFIELDSIZE_LARGE, static_cast<curl_off_t>(body->size()));
+    }
+    ApiReply result;
+    const auto code = curl_easy_perform(handle.get());
+    if (code != CURLE_OK) {
+        result.mayHaveArrived = code != CURLE_COULDNT_CONNECT && code != CURLE_COULDNT_RESOLVE_HOST
+            && code != CURLE_URL_MALFORMAT && code != CURLE_UNSUPPORTED_PROTOCOL;
+        result.body = errorBody("unavailable",
+            "no answer from " + m_url + ": " + curl_easy_strerror(code) + "; check --api or ask another daemon");
+        return result;
+    }
+    long status = 0;
+    curl_easy_getinfo(handle.get(), CURLINFO_RESPONSE_CODE, &status);
+    result.status = static_cast<int>(status);
+    result.body = nlohmann::json::parse(reply, nullptr, false);
+    if (!result.body.is_object())
+        result.body = errorBody("protocol_violation",
+            "HTTP status " + std::to_string(status)
+                + (status == 413 ? ": the document exceeds 1 MiB; shorten it" : ""));
+    return result;
+}
+
+ExitStatus exitStatusOf(const ApiReply& reply)
+{
+    switch (reply.status) {
+    case 200:
+        return reply.body.contains("error") ? ExitStatus::Failed : ExitStatus::Ok;
+    case 202:
+        return ExitStatus::UnknownOutcome;
+    case 400:
+    case 413:
+    case 422:
+        return ExitStatus::InvalidInput;
+    case 401:
+    case 403:
+        return ExitStatus::PermissionDenied;
+    case 409:
+        return ExitStatus::Conflict;
+    default:
+        return ExitStatus::Failed;
+    }
+}
+
+ExitStatus exitStatusOfSubmission(const ApiReply& reply)
+{
+    if (reply.status == 0)
+        return reply.mayHaveArrived ? ExitStatus::UnknownOutcome : ExitStatus::Failed;
+    const bool hasOutcome = reply.status != 200 || reply.body.contains("outcome");
+    return reply.status >= 500 || !hasOutcome ? ExitStatus::UnknownOutcome : exitStatusOf(reply);
+}
+
+} // namespace ibisgw_cli
--- /dev/null
+++ b/src/ibisgw_cli/ConfigCommands.cpp
@@ -0,0 +1,157 @@
+#include "ibisgw_cli/ConfigCommands.h"
+
+#include "ibisgw/configuration/DocumentReader.h"
+#include "ibisgw/core/JsonText.h"
+
+#include <fstream>
+#include <iterator>
+#include <openssl/rand.h>
+#include <ostream>
+
+namespace ibisgw_cli {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr std::size_t identifierBytes = 16;
+
+// Identifiers must not repeat across operators and machines.
+std::string makeIdentifier()
+{
+    unsigned char bytes[identifierBytes];
+    if (RAND_bytes(bytes, sizeof bytes) != 1)
+        return {};
+    constexpr std::string_view digits = "0123456789abcdef";
+    std::string text;
+    for (const auto it : bytes) {
+        text += digits[it >> 4];
+        text += digits[it & 15];
+    }
+    return text;
+}
+
+// Reads and checks a document; after an error has been printed, `status` holds it.
+std::optional<json> loadDocument(const Invocation& invocation, const std::string& file, ExitStatus& status)
+{
+    status = ExitStatus::InvalidInput;
+    std::ifstream in(file, std::ios::binary);
+    if (!in) {
+        invocation.fail(status, "not_found", "cannot read '" + file + "'; check its name");
+        return std::nullopt;
+    }
+    const std::string text(std::istreambuf_iterator<char>(in), {});
+    std::vector<ibisgw::core::Problem> problems;
+    auto document = ibisgw::core::parseJson(text, problems);
+    if (document)
+        problems = ibisgw::configuration::readDocument(*document).problems;
+    if (!problems.empty()) {
+        json error { { "error", "invalid_input" }, { "message", file + " has problems; correct them" },
+            { "problems", json::array() } };
+        for (const auto& it : problems)
+            error["problems"].push_back({ { "path", it.path }, { "message", it.message } });
+        printError(invocation.err, invocation.form, error);
+        return std::nullopt;
+    }
+    status = ExitStatus::Ok;
+    return document;
+}
+
+ExitStatus reportOutcome(const Invocation& invocation, const ApiReply& reply, const std::string& identifier)
+{
+    const auto status = exitStatusOfSubmission(reply);
+    if (status == ExitStatus::Ok) {
+        if (invocation.form == OutputForm::Json)
+            invocation.printJson(reply.body);
+        else
+            invocation.out << "accepted as revision " << reply.body.value("revision", json()) << "\n";
+        return status;
+    }
+    printError(invocation.err, invocation.form, reply.body);
+    if (status == ExitStatus::UnknownOutcome)
+        invocation.err << "the outcome is unknown; ask again with: ibisgw config outcome " << identifier
+                       << "\nor repeat the same command with: --submission " << identifier << "\n";
+    return status;
+}
+
+} // namespace
+
+ExitStatus runConfigCheck(const Invocation& invocation)
+{
+    auto status = ExitStatus::Ok;
+    if (!loadDocument(invocation, invocation.words[0], status))
+        return status;
+    if (invocation.form == OutputForm::Json)
+        invocation.printJson({ { "valid", true } });
+    else
+        invocation.out << invocation.words[0] << " is valid\n";
+    return status;
+}
+
+ExitStatus runConfigSubmit(const Invocation& invocation)
+{
+    if (!invocation.base)
+        return invocation.fail(ExitStatus::InvalidInput, "invalid_input",
+            "--base is missing; give the revision that the document was made from, see: ibisgw config show");
+    auto status = ExitStatus::Ok;
+    const auto document = loadDocument(invocation, invocation.words[0], status);
+    const auto client = document ? invocation.connect(status) : std::nullopt;
+    if (!client)
+        return status;
+    const auto identifier = invocation.submission.empty() ? makeIdentifier() : invocation.submission;
+    if (identifier.empty())
+        return invocation.fail(ExitStatus::Failed, "unavailable",
+            "the system has no random numbers; give an identifier with --submission");
+    // Printed before anything is sent, so that it is known even when this process ends now.
+    (invocation.form == OutputForm::Json ? invocation.err : invocation.out) << "submission " << identifier << std::endl;
+    const auto reply = client->post("/api/v1/submissions",
+        { { "base", *invocation.base }, { "submission", identifier }, { "document", *document } });
+    return reportOutcome(invocation, reply, identifier);
+}
+
+ExitStatus runConfigOutcome(const Invocation& invocation)
+{
+    auto status = ExitStatus::Ok;
+    const auto client = invocation.connect(status);
+    if (!client)
+        return status;
+    const auto reply = client->get("/api/v1/submissions/" + ApiClient::encode(invocation.words[0]));
+    return reportOutcome(invocation, reply, invocation.words[0]);
+}
+
+ExitStatus runConfigShow(const Invocation& invocation)
+{
+    auto status = ExitStatus::Ok;
+    const auto client = invocation.connect(status);
+    if (!client)
+        return status;
+    const auto reply = client->get(
+        invocation.words.empty() ? "/api/v1/document" : "/api/v1/revisions/" + ApiClient::encode(invocation.words[0]));
+    status = exitStatusOf(reply);
+    if (status != ExitStatus::Ok)
+        return invocation.reportFailure(reply, status);
+    if (invocation.form == OutputForm::Json) {
+        invocation.printJson(reply.body);
+        return status;
+    }
+    // The document alone on standard output, so that it can be saved, edited and submitted.
+    invocation.err << "revision " << reply.body.value("revision", json()) << "\n";
+    invocation.printJson(reply.body.value("document", json()));
+    return status;
+}
+
+ExitStatus runConfigHistory(const Invocation& invocation)
+{
+    return invocation.showList("/api/v1/revisions?limit=" + std::to_string(invocation.limit), "revisions",
+        { "revision", "author", "submission", "hash" });
+}
+
+ExitStatus runConfigDiff(const Invocation& invocation)
+{
+    const auto& words = invocation.words;
+    return invocation.showList(
+        "/api/v1/revisions/" + ApiClient::encode(words[0]) + "/diff/" + ApiClient::encode(words[1]), "patch",
+        { "op", "path", "value" });
+}
+
+} // namespace ibisgw_cli
--- /dev/null
+++ b/src/ibisgw_cli/ConfigCommands.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include "ibisgw_cli/Invocation.h"
+
+namespace ibisgw_cli {
+
+// Works off line.
+ExitStatus runConfigCheck(const Invocation&);
+ExitStatus runConfigSubmit(const Invocation&);
+ExitStatus runConfigOutcome(const Invocation&);
+ExitStatus runConfigShow(const Invocation&);
+ExitStatus runConfigHistory(const Invocation&);
+ExitStatus runConfigDiff(const Invocation&);
+
+} // namespace ibisgw_cli
--- /dev/null
+++ b/src/ibisgw_cli/ExitStatus.h
@@ -0,0 +1,16 @@
+#pragma once
+
+namespace ibisgw_cli {
+
+// Exit statuses for scripts; `ibisgw --help` and docs/operating.md list them.
+enum class ExitStatus {
+    Ok = 0,
+    Failed = 1,
+    InvalidInput = 2,
+    Conflict = 3,
+    // The change may or may not take effect; asking again with the same identifier tells.
+    UnknownOutcome = 4,
+    PermissionDenied = 5,
+};
+
+} // namespace ibisgw_cli
--- /dev/null
+++ b/src/ibisgw_cli/Invocation.cpp
@@ -0,0 +1,78 @@
+#include "ibisgw_cli/Invocation.h"
+
+#include "ibisgw/adapters/PrivateFile.h"
+
+#include <ostream>
+
+namespace ibisgw_cli {
+
+namespace {
+
+std::string trimmed(std::string text)
+{
+    while (!text.empty() && (text.back() == '\n' || text.back() == '\r' || text.back() == ' '))
+        text.pop_back();
+    return text;
+}
+
+} // namespace
+
+ExitStatus Invocation::fail(ExitStatus status, const std::string& kind, const std::string& message) const
+{
+    printError(err, form, { { "error", kind }, { "message", message }, { "problems", nlohmann::json::array() } });
+    return status;
+}
+
+std::optional<ApiClient> Invocation::connect(ExitStatus& status) const
+{
+    if (tokenFile.empty())
+        return ApiClient(api, "");
+    return boost::leaf::try_handle_all(
+        [&]() -> ibisgw::core::Result<std::optional<ApiClient>> {
+            BOOST_LEAF_AUTO(text, ibisgw::adapters::readPrivateFile(tokenFile, "token file"));
+            const auto token = trimmed(text);
+            if (token.find_first_of("\r\n") != std::string::npos)
+                return ibisgw::core::fail(ibisgw::core::ErrorKind::InvalidInput,
+                    "token file '" + tokenFile + "' has several lines; it must hold one token only");
+            return std::optional(ApiClient(api, token));
+        },
+        [&](const ibisgw::core::Error& error) -> std::optional<ApiClient> {
+            status = fail(ExitStatus::InvalidInput, std::string(nameOf(error.kind)), error.message);
+            return std::nullopt;
+        },
+        [&]() -> std::optional<ApiClient> {
+            status = ExitStatus::Failed;
+            return std::nullopt;
+        });
+}
+
+ExitStatus Invocation::showList(
+    const std::string& path, const std::string& list, const std::vector<std::string>& columns) const
+{
+    auto status = ExitStatus::Ok;
+    const auto client = connect(status);
+    if (!client)
+        return status;
+    const auto reply = client->get(path);
+    status = exitStatusOf(reply);
+    if (status != ExitStatus::Ok)
+        return reportFailure(reply, status);
+    if (form == OutputForm::Json)
+        printJson(reply.body);
+    else
+        printTable(out, reply.body.value(list, nlohmann::json::array()), columns);
+    return status;
+}
+
+ExitStatus Invocation::reportFailure(const ApiReply& reply, ExitStatus status) const
+{
+    printError(err, form, reply.body);
+    return status;
+}
+
+void Invocation::printJson(const nlohmann::json& json) const
+{
+    out << json.dump(2, ' ', false, nlohmann::json::error_handler_t::replace) << "\n";
+}
+
+} // namespace ibisgw_cli
--- /dev/null
+++ b/src/ibisgw_cli/OperationCommands.cpp
@@ -0,0 +1,103 @@
+#include "ibisgw_cli/OperationCommands.h"
+
+#include <ostream>
+
+namespace ibisgw_cli {
+
+namespace {
+
+using nlohmann::json;
+
+ExitStatus drain(const Invocation& invocation, const std::string& kind)
+{
+    auto status = ExitStatus::Ok;
+    const auto client = invocation.connect(status);
+    if (!client)
+        return status;
+    const auto& name = invocation.words[0];
+    const auto reply = client->post("/api/v1/" + kind + "/" + ApiClient::encode(name) + "/drain", json::object());
+    // A drain can be repeated, but without an answer it may or may not have started.
+    status = exitStatusOfSubmission(reply);
+    if (reply.status == 200 && reply.body.contains("draining"))
+        status = ExitStatus::Ok;
+    if (status != ExitStatus::Ok)
+        return invocation.reportFailure(reply, status);
+    if (invocation.form == OutputForm::Json)
+        invocation.printJson(reply.body);
+    else
+        invocation.out << "draining " << name << "\n";
+    return status;
+}
+
+} // namespace
+
+ExitStatus runStatus(const Invocation& invocation)
+{
+    auto status = ExitStatus::Ok;
+    const auto client = invocation.connect(status);
+    if (!client)
+        return status;
+    const auto reply = client->get("/api/v1/status");
+    status = exitStatusOf(reply);
+    if (status != ExitStatus::Ok)
+        return invocation.reportFailure(reply, status);
+    const auto& body = reply.body;
+    if (invocation.form == OutputForm::Json) {
+        invocation.printJson(body);
+        return status;
+    }
+    invocation.out << "revision " << body.value("newest_revision", json()) << " is in force on "
+                   << body.value("daemons_in_force", json()) << " of " << body.value("daemons", json()) << " daemons\n";
+    if (body.contains("members")) {
+        printTable(invocation.out, json::array({ { { "leader", body.value("leader", json("")) } } }), { "leader" });
+        printTable(invocation.out, body["members"],
+            { "name", "control", "zone", "balancer", "controller", "state", "revision" });
+    }
+    return status;
+}
+
+ExitStatus runUpstreams(const Invocation& invocation)
+{
+    return invocation.showList(
+        "/api/v1/upstreams", "upstreams", { "address", "service", "zone", "state", "slots", "load", "open_flows" });
+}
+
+ExitStatus runFlows(const Invocation& invocation)
+{
+    if (invocation.caller.empty() && invocation.service.empty())
+        return invocation.showList("/api/v1/flows", "flows", { "service", "upstream", "open_flows" });
+    if (invocation.caller.empty() || invocation.service.empty())
+        return invocation.fail(ExitStatus::InvalidInput, "invalid_input", "give both --caller and --service");
+    auto status = ExitStatus::Ok;
+    const auto client = invocation.connect(status);
+    if (!client)
+        return status;
+    const auto reply = client->get("/api/v1/flows?caller=" + ApiClient::encode(invocation.caller)
+        + "&service=" + ApiClient::encode(invocation.service));
+    status = exitStatusOf(reply);
+    if (status != ExitStatus::Ok)
+        return invocation.reportFailure(reply, status);
+    if (invocation.form == OutputForm::Json)
+        invocation.printJson(reply.body);
+    else
+        printTable(invocation.out, json::array({ reply.body }), { "service", "upstream", "source" });
+    return status;
+}
+
+ExitStatus runDrainUpstream(const Invocation& invocation)
+{
+    return drain(invocation, "upstreams");
+}
+
+ExitStatus runDrainBalancer(const Invocation& invocation)
+{
+    return drain(invocation, "balancers");
+}
+
+ExitStatus runTrace(const Invocation& invocation)
+{
+    return invocation.showList("/api/v1/traces/" + ApiClient::encode(invocation.words[0]), "spans",
+        { "span", "parent", "hop", "service", "start_us", "duration_us" });
+}
+
+} // namespace ibisgw_cli
