--- a/src/ibisgw/adapters/LatencyQuantiles.cpp
+++ b/src/ibisgw/adapters/LatencyQuantiles.cpp
@@ -22,7 +22,7 @@
 double LatencyQuantiles::quantile(std::size_t index) const
 {
     if (m_count > markerCount)
-        return boost::accumulators::extended_p_square(m_accumulator)[index];
+        return boost::accumulators::extended_p_square(m_accumulator)[static_cast<std::ptrdiff_t>(index)];
     if (m_count == 0)
         return 0.0;
     auto samples = m_firstSamples;
--- a/tests/adapters/TraceTests.cpp
+++ b/tests/adapters/TraceTests.cpp
@@ -80,7 +80,7 @@
             CHECK(adapters::isSampled(hash, 1.0));
             sampled += adapters::isSampled(hash, 0.1) ? 1 : 0;
         }
-        CHECK(sampled == doctest::Approx(flows / 10).epsilon(0.05));
+        CHECK(sampled == doctest::Approx(0.1 * flows).epsilon(0.05));
         CHECK(traces.size() == flows);
         CHECK(traces.begin()->size() == 32);
     }
