Serve a console for operators at /console

Cause: operators without the command-line tool have to write JSON by hand.

Change: static page, style and two scripts, kept as raw strings and served without a build step. Forms produce the one document; problems of the check appear beside their fields and in a list that moves the focus; the check now also answers with the difference to the document in force; after a submission the page shows on how many daemons the revision is in force. A content security policy allows only the page's own scripts. Values are set as text, never as HTML.

The scripts have no automated test in this repository.

--- a/src/ibisgw/adapters/AdminApi.cpp
+++ b/src/ibisgw/adapters/AdminApi.cpp
@@ -3,6 +3,7 @@
 #include "ibisgw/adapters/detail/ApiCall.h"
 #include "ibisgw/adapters/detail/ConfigurationRoutes.h"
 #include "ibisgw/adapters/detail/OperationRoutes.h"
+#include "ibisgw/console/ConsoleFiles.h"
 
 namespace ibisgw::adapters {
 
@@ -112,6 +113,25 @@
     respondUnknownPath(*call);
 }
 
+// Static files need no token: they hold no data, and the page asks for the token.
+std::optional<HttpResponse> consoleFile(const HttpRequest& request)
+{
+    const auto file = [](std::string_view type, std::string_view text) {
+        return HttpResponse { 200, std::string(type), std::string(text) };
+    };
+    if (request.method != "GET")
+        return std::nullopt;
+    if (request.path == "/console" || request.path == "/console/")
+        return file("text/html; charset=utf-8", console::page);
+    if (request.path == "/console/style.css")
+        return file("text/css; charset=utf-8", console::style);
+    if (request.path == "/console/forms.js")
+        return file("text/javascript; charset=utf-8", console::formScript);
+    if (request.path == "/console/calls.js")
+        return file("text/javascript; charset=utf-8", console::callScript);
+    return std::nullopt;
+}
+
 HttpResponse healthResponse(const std::string& reason)
 {
     if (reason.empty())
@@ -170,6 +190,10 @@
         respond(healthResponse(m_backend.unhealthyReason()));
         return;
     }
+    if (auto file = consoleFile(request)) {
+        respond(std::move(*file));
+        return;
+    }
     const auto caller = identify(request);
     if (!caller) {
         respond(detail::errorResponse(401, core::ErrorKind::PermissionDenied,
--- a/src/ibisgw/adapters/HttpServer.cpp
+++ b/src/ibisgw/adapters/HttpServer.cpp
@@ -41,6 +41,17 @@
     return index < 0 ? std::string() : toString(req.headers.entries[index].value);
 }
 
+// The console needs no content from elsewhere; a page of another origin must not frame or guess it.
+constexpr std::string_view contentSecurityPolicy = "default-src 'none'; script-src 'self'; style-src 'self'; "
+                                                   "connect-src 'self'; form-action 'self'; frame-ancestors 'none'; "
+                                                   "base-uri 'none'";
+
+void addHeader(h2o_req_t& req, std::string_view name, std::string_view value)
+{
+    h2o_add_header_by_str(
+        &req.pool, &req.res.headers, name.data(), name.size(), 0, nullptr, value.data(), value.size());
+}
+
 const char* reasonPhrase(int status)
 {
     if (status < 300)
@@ -123,6 +134,8 @@
         const auto type = h2o_strdup(&target->pool, response.contentType.data(), response.contentType.size());
         h2o_add_header(&target->pool, &target->res.headers, H2O_TOKEN_CONTENT_TYPE, nullptr, type.base, type.len);
         h2o_add_header(&target->pool, &target->res.headers, H2O_TOKEN_CACHE_CONTROL, nullptr, H2O_STRLIT("no-store"));
+        addHeader(*target, "content-security-policy", contentSecurityPolicy);
+        addHeader(*target, "x-content-type-options", "nosniff");
         h2o_send_inline(target, response.body.data(), response.body.size());
     }
 
--- a/src/ibisgw/adapters/detail/ConfigurationRoutes.cpp
+++ b/src/ibisgw/adapters/detail/ConfigurationRoutes.cpp
@@ -206,10 +206,21 @@
     std::vector<core::Problem> problems;
     const auto document = takeDocument(*body, problems);
     core::ObjectReader(*body, "", problems).finish();
-    if (!document || !problems.empty())
+    if (!document || !problems.empty()) {
         respondInvalid(*call, problems);
-    else
-        call->respond(jsonResponse({ { "valid", true }, { "document", configuration::writeDocument(*document) } }));
+        return;
+    }
+    call->backend.documentInForce(onSuccess<AcceptedRevision>(
+        call, [call, checked = configuration::writeDocument(*document)](const AcceptedRevision& accepted) {
+            const auto inForce = visibleDocument(*call, accepted);
+            if (!inForce) {
+                respondDamaged(*call, accepted.revision);
+                return;
+            }
+            auto patch = nlohmann::json::diff(configuration::writeDocument(*inForce), checked);
+            call->respond(
+                jsonResponse({ { "valid", true }, { "revision", accepted.revision }, { "patch", std::move(patch) } }));
+        }));
 }
 
 void submitDocument(const ApiCallPtr& call)
--- a/src/ibisgw/adapters/detail/ConfigurationRoutes.h
+++ b/src/ibisgw/adapters/detail/ConfigurationRoutes.h
@@ -9,6 +9,7 @@
 void showDocumentAt(const ApiCallPtr&, core::Revision);
 void showHistory(const ApiCallPtr&);
 void showDifference(const ApiCallPtr&, core::Revision from, core::Revision to);
+// Answers with all problems, or with the difference to the document in force (RFC 6902).
 void checkDocument(const ApiCallPtr&);
 void submitDocument(const ApiCallPtr&);
 void showSubmission(const ApiCallPtr&, const std::string& identifier);
--- a/tests/adapters/AdminApiTests.cpp
+++ b/tests/adapters/AdminApiTests.cpp
@@ -338,6 +338,30 @@
         }
     }
 
+    TEST_CASE("the console is served with the difference that it shows")
+    {
+        Fixture fixture(true);
+        SUBCASE("its files need no token, and name each other by paths that exist")
+        {
+            const auto page = fixture.get("/console");
+            CHECK(page.status == 200);
+            for (const auto* it : { "/console/style.css", "/console/forms.js", "/console/calls.js" }) {
+                CHECK(page.body.find(it) != std::string::npos);
+                CHECK(fixture.get(it).status == 200);
+            }
+        }
+        SUBCASE("a check answers with the changes, so that an operator sees what a submission would do")
+        {
+            auto document = fixture.get("/api/v1/document", peachtreeToken).json()["document"];
+            const auto check = [&] {
+                return fixture.post("/api/v1/check", json { { "document", document } }.dump(), peachtreeToken).json();
+            };
+            CHECK(check()["patch"] == json::array());
+            document["services"][0]["cross_zone"] = false;
+            CHECK(check()["patch"][0]["path"] == "/services/0/cross_zone");
+        }
+    }
+
     TEST_CASE("the status tells how many daemons have the newest revision and who is behind")
     {
         Fixture fixture;
