--- a/tests/adapters/HttpProbe.cpp
+++ b/tests/adapters/HttpProbe.cpp
@@ -1,10 +1,9 @@
 #include "adapters/HttpProbe.h"
 
-#include <doctest/doctest.h>
-
 #include <arpa/inet.h>
 #include <cerrno>
 #include <h2o.h>
+#include <stdexcept>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -26,7 +25,8 @@
     address.sin_port = htons(server.port);
     address.sin_addr.s_addr = htonl(server.address);
     // The kernel completes the connection before the server accepts it.
-    REQUIRE(::connect(m_fd, reinterpret_cast<const sockaddr*>(&address), sizeof address) == 0);
+    if (::connect(m_fd, reinterpret_cast<const sockaddr*>(&address), sizeof address) != 0)
+        throw std::runtime_error("cannot connect to the server of the test");
 }
 
 HttpProbe::~HttpProbe()
@@ -98,7 +98,7 @@
             return;
         h2o_evloop_run(loop.nativeLoop(), roundMs);
     }
-    FAIL("the condition did not come true");
+    throw std::runtime_error("the condition did not come true");
 }
 
 } // namespace support
--- a/tests/adapters/HttpProbe.h
+++ b/tests/adapters/HttpProbe.h
@@ -42,7 +42,7 @@
 HttpAnswer request(ibisgw::adapters::EventLoop&, ibisgw::core::Endpoint server, const std::string& method,
     const std::string& path, const std::string& body = "", const std::string& token = "");
 
-// Runs the loop until the condition holds; fails the test after a number of rounds that only a hang reaches.
+// Runs the loop until the condition holds; throws after a number of rounds that only a hang reaches.
 void runUntil(ibisgw::adapters::EventLoop&, const std::function<bool()>& condition);
 
 } // namespace support
