Let operators drain an upstream through the document

Cause: ibisgw drain upstream had nothing durable to act on; an announcement of the upstream itself would undo it. Change: services list drained_upstreams; the registry gives these no new work.

--- a/src/ibisgw/balancer/Balancer.cpp
+++ b/src/ibisgw/balancer/Balancer.cpp
@@ -42,6 +42,12 @@
 void Balancer::applyDocument(std::shared_ptr<const configuration::Document> document, core::TimePoint now)
 {
     m_document = std::move(document);
+    std::set<core::UpstreamId> drained;
+    for (const auto& service : m_document->services) {
+        for (const auto& it : service.drainedUpstreams)
+            drained.insert(core::UpstreamId::fromEndpoint(it));
+    }
+    m_upstreams.setDrained(std::move(drained));
     for (const auto& it : m_document->services)
         placementOf(it).update(now);
 }
--- a/src/ibisgw/configuration/Document.h
+++ b/src/ibisgw/configuration/Document.h
@@ -53,6 +53,8 @@
     bool crossZone { true };
     // Flows that are still open on a draining upstream after this time are reset.
     std::uint32_t drainLimitMs { 3'600'000 };
+    // Upstreams that get no new work whatever they announce, until an operator removes them here.
+    std::vector<core::Endpoint> drainedUpstreams;
     std::vector<RequestKind> kinds;
 
     const RequestKind* findKind(core::KindId) const;
--- a/src/ibisgw/configuration/DocumentReader.cpp
+++ b/src/ibisgw/configuration/DocumentReader.cpp
@@ -44,6 +44,7 @@
     reader.readNames("zones", service.zones, Presence::Optional);
     reader.readBoolean("cross_zone", service.crossZone);
     reader.readInteger("drain_limit_ms", service.drainLimitMs, 0, maxDrainLimitMs, Presence::Optional);
+    reader.readEndpoints("drained_upstreams", service.drainedUpstreams, Presence::Optional);
     reader.readObjects("kinds", Presence::Required,
         [&](ObjectReader& kindReader) { readKind(kindReader, service.kinds.emplace_back()); });
     requireEntry("kinds", service.kinds.empty());
--- a/src/ibisgw/configuration/DocumentWriter.cpp
+++ b/src/ibisgw/configuration/DocumentWriter.cpp
@@ -28,6 +28,9 @@
     auto addresses = json::array();
     for (const auto& it : service.addresses)
         addresses.push_back(it.toString());
+    auto drainedUpstreams = json::array();
+    for (const auto& it : service.drainedUpstreams)
+        drainedUpstreams.push_back(it.toString());
     auto kinds = json::array();
     for (const auto& it : service.kinds)
         kinds.push_back(writeKind(it));
@@ -38,6 +41,7 @@
         { "zones", service.zones },
         { "cross_zone", service.crossZone },
         { "drain_limit_ms", service.drainLimitMs },
+        { "drained_upstreams", std::move(drainedUpstreams) },
         { "kinds", std::move(kinds) },
     };
 }
--- a/src/ibisgw/upstream/UpstreamRegistry.cpp
+++ b/src/ibisgw/upstream/UpstreamRegistry.cpp
@@ -18,11 +18,6 @@
     return candidate.sequence <= held.sequence;
 }
 
-bool takesNewWork(UpstreamState state)
-{
-    return state == UpstreamState::Ready || state == UpstreamState::Warming;
-}
-
 bool isPlannedEnd(UpstreamState state)
 {
     return state == UpstreamState::Draining || state == UpstreamState::Stopped;
@@ -56,6 +51,19 @@
     return true;
 }
 
+void UpstreamRegistry::setDrained(std::set<core::UpstreamId> drained)
+{
+    m_changeCount += drained != m_drained;
+    m_drained = std::move(drained);
+}
+
+bool UpstreamRegistry::takesNewWork(const Record& record) const
+{
+    const auto& announcement = record.announcement;
+    const bool isOpen = announcement.state == UpstreamState::Ready || announcement.state == UpstreamState::Warming;
+    return isOpen && !m_drained.contains(announcement.upstream);
+}
+
 void UpstreamRegistry::admit(Record& record, const Record* held, core::TimePoint now)
 {
     if (held && held->announcement.incarnation == record.announcement.incarnation) {
@@ -116,7 +124,7 @@
 {
     std::vector<core::UpstreamId> upstreams;
     for (const auto& [id, record] : m_records) {
-        if (record.announcement.service == service && takesNewWork(record.announcement.state))
+        if (record.announcement.service == service && takesNewWork(record))
             upstreams.push_back(id);
     }
     return upstreams;
@@ -125,7 +133,7 @@
 double UpstreamRegistry::newWorkShare(core::UpstreamId upstream, core::TimePoint now) const
 {
     const auto* record = find(upstream);
-    if (!record || !takesNewWork(record->announcement.state) || now < record->readmittedAt)
+    if (!record || !takesNewWork(*record) || now < record->readmittedAt)
         return 0;
     const auto warm = core::toSeconds(now - record->warmUpSince) / core::toSeconds(warmUpDuration);
     if (record->announcement.state == UpstreamState::Ready && warm >= 1)
--- a/src/ibisgw/upstream/UpstreamRegistry.h
+++ b/src/ibisgw/upstream/UpstreamRegistry.h
@@ -4,6 +4,7 @@
 #include "ibisgw/upstream/Announcement.h"
 
 #include <map>
+#include <set>
 #include <vector>
 
 namespace ibisgw::upstream {
@@ -37,6 +38,8 @@
 
     // False for an announcement that is older than the one already held.
     bool apply(const Announcement&, core::TimePoint now);
+    // Upstreams that operators drain: they get no new work whatever they announce.
+    void setDrained(std::set<core::UpstreamId>);
     // Keeps the upstreams of a zone of which nothing is heard any more, see silenceLimit.
     void removeExpired(core::TimePoint now);
     const Record* find(core::UpstreamId) const;
@@ -59,10 +62,12 @@
     core::TimePoint noteFlap(core::UpstreamId, core::TimePoint now);
     bool isZoneSilent(const core::ZoneName&, core::TimePoint now) const;
     bool hasContact(core::TimePoint now) const;
+    bool takesNewWork(const Record&) const;
     void admit(Record&, const Record* held, core::TimePoint now);
 
     std::map<core::UpstreamId, Record> m_records;
     std::map<core::UpstreamId, Flaps> m_flaps;
+    std::set<core::UpstreamId> m_drained;
     std::map<core::ZoneName, core::TimePoint> m_lastHeard;
     // Upstreams that are there from the start are warm already; only this balancer is new.
     core::TimePoint m_firstHeard;
--- a/tests/adapters/AdminApiTests.cpp
+++ b/tests/adapters/AdminApiTests.cpp
@@ -1,11 +1,11 @@
 #include "ibisgw/adapters/AdminApi.h"
 
+#include "adapters/HttpProbe.h"
 #include "ibisgw/adapters/EventLoop.h"
 #include "ibisgw/configuration/DocumentReader.h"
 #include "ibisgw/configuration/DocumentWriter.h"
 #include "ibisgw/core/PcgRandomSource.h"
 #include "support/FakeApiBackend.h"
-#include "adapters/HttpProbe.h"
 #include "support/ProblemList.h"
 #include "support/TemporaryFile.h"
 #include "support/TwoOrganizations.h"
--- a/tests/cli/CommandsTests.cpp
+++ b/tests/cli/CommandsTests.cpp
@@ -1,11 +1,11 @@
 #include "ibisgw_cli/Commands.h"
 
+#include "adapters/HttpProbe.h"
 #include "ibisgw/adapters/AdminApi.h"
 #include "ibisgw/adapters/EventLoop.h"
 #include "ibisgw/configuration/DocumentReader.h"
 #include "ibisgw/configuration/DocumentWriter.h"
 #include "support/FakeApiBackend.h"
-#include "adapters/HttpProbe.h"
 #include "support/TemporaryFile.h"
 #include "support/TwoOrganizations.h"
 
