Add agreement on the configuration: Raft node, submissions and schedules

Cause: nothing decided which configuration is accepted.

Each safety rule has a switch that only tests set.

--- /dev/null
+++ b/src/ibisgw/configuration/ConfigurationService.cpp
@@ -0,0 +1,120 @@
+#include "ibisgw/configuration/ConfigurationService.h"
+
+#include <nlohmann/json.hpp>
+
+namespace ibisgw::configuration {
+
+namespace {
+
+// Discarded when the text is malformed, or nested so deeply that writing it could exhaust the stack.
+nlohmann::json parseDocument(const std::string& text)
+{
+    constexpr int maxDepth = 64;
+    bool isTooDeep = false;
+    const auto document = nlohmann::json::parse(
+        text,
+        [&isTooDeep](int depth, nlohmann::json::parse_event_t, nlohmann::json&) {
+            isTooDeep = isTooDeep || depth > maxDepth;
+            return !isTooDeep;
+        },
+        false);
+    return isTooDeep ? nlohmann::json(nlohmann::json::value_t::discarded) : document;
+}
+
+} // namespace
+
+ConfigurationService::ConfigurationService(RaftOptions options, LogStore& store, core::RandomSource& random)
+    : m_state(!options.disabledRules.submissionIdentity)
+    , m_raft(std::move(options), store, m_state, random)
+{
+}
+
+core::Result<void> ConfigurationService::start(core::TimePoint now)
+{
+    return m_raft.start(now);
+}
+
+void ConfigurationService::handleMessage(
+    core::NodeId from, const RaftMessage& message, core::TimePoint now, RaftOutput& output)
+{
+    m_raft.handleMessage(from, message, now, output);
+}
+
+void ConfigurationService::tick(core::TimePoint now, RaftOutput& output)
+{
+    m_raft.tick(now, output);
+    std::erase_if(m_pending, [this](const std::string& id) { return m_state.submissions().find(id) != nullptr; });
+}
+
+SubmissionOutcome ConfigurationService::submit(const Submission& submission, core::TimePoint now, RaftOutput& output)
+{
+    const auto* known = m_state.submissions().find(submission.id);
+    if (known && m_state.keepsFirstAnswer())
+        return *known;
+    if (!m_raft.isAccepting())
+        return notLeader();
+    const auto document = parseDocument(submission.document);
+    if (document.is_discarded() || submission.id.empty())
+        return { OutcomeKind::Invalid, 0, {}, {}, "the submission needs an identifier and a JSON document" };
+    if (m_pendingTerm != m_raft.term()) {
+        m_pending.clear();
+        m_pendingTerm = m_raft.term();
+    }
+    if (m_pending.insert(submission.id).second) {
+        auto canonical = submission;
+        canonical.document = document.dump();
+        m_raft.propose(m_state.encode(canonical), now, output);
+    }
+    return outcomeOf(submission.id);
+}
+
+SubmissionOutcome ConfigurationService::outcomeOf(const std::string& id) const
+{
+    if (const auto* outcome = m_state.submissions().find(id))
+        return *outcome;
+    return { OutcomeKind::Unknown, 0, {}, m_raft.leader(),
+        "not decided yet; ask again with the identifier, and submit again with it if this lasts" };
+}
+
+std::vector<AcceptedRevision> ConfigurationService::revisionsSince(core::Revision revision) const
+{
+    return m_state.history().since(revision);
+}
+
+std::optional<AcceptedRevision> ConfigurationService::findRevision(core::Revision revision) const
+{
+    return m_state.history().find(revision);
+}
+
+std::optional<ReadTicket> ConfigurationService::beginRead(core::TimePoint now, RaftOutput& output)
+{
+    return m_raft.beginRead(now, output);
+}
+
+ReadState ConfigurationService::readState(const ReadTicket& ticket) const
+{
+    return m_raft.readState(ticket);
+}
+
+ConfigurationStatus ConfigurationService::status() const
+{
+    ConfigurationStatus status { m_raft.role(), m_raft.term(), m_raft.leader(), {}, {}, m_raft.commitIndex(),
+        m_raft.log().lastIndex(), newestKnown().revision, m_raft.isAccepting(), m_raft.problem() };
+    for (const auto& it : m_raft.log().membership().members)
+        (it.voter ? status.voters : status.learners).push_back(it.node);
+    return status;
+}
+
+SubmissionOutcome ConfigurationService::notLeader() const
+{
+    const auto leader = m_raft.leader();
+    if (m_raft.role() == RaftRole::Leader)
+        return { OutcomeKind::NotLeader, 0, {}, leader,
+            "too few controllers have a vote; start the other controllers and submit again" };
+    return { OutcomeKind::NotLeader, 0, {}, leader,
+        !m_raft.problem().empty() ? m_raft.problem()
+            : leader.isValid()    ? "submit to the leader " + leader.endpoint().toString()
+                                  : "no leader is known; submit again in a few seconds" };
+}
+
+} // namespace ibisgw::configuration
--- /dev/null
+++ b/src/ibisgw/configuration/LogStore.cpp
@@ -0,0 +1,7 @@
+#include "ibisgw/configuration/LogStore.h"
+
+namespace ibisgw::configuration {
+
+LogStore::~LogStore() = default;
+
+} // namespace ibisgw::configuration
--- /dev/null
+++ b/src/ibisgw/configuration/RaftNode.cpp
@@ -0,0 +1,224 @@
+#include "ibisgw/configuration/RaftNode.h"
+
+namespace ibisgw::configuration {
+
+RaftNode::RaftNode(RaftOptions options, LogStore& store, StateMachine& stateMachine, core::RandomSource& random)
+    : m_options(std::move(options))
+    , m_store(store)
+    , m_stateMachine(stateMachine)
+    , m_random(random)
+{
+}
+
+core::Result<void> RaftNode::start(core::TimePoint now)
+{
+    BOOST_LEAF_AUTO(stored, m_store.load());
+    BOOST_LEAF_CHECK(m_stateMachine.restore(stored.snapshot.state));
+    adopt(std::move(stored), now);
+    return {};
+}
+
+void RaftNode::adopt(StoredState stored, core::TimePoint now)
+{
+    m_disk = stored.disk;
+    m_generation = stored.generation;
+    m_startNonce = stored.startNonce;
+    m_vote = stored.vote;
+    m_commitIndex = m_appliedIndex = stored.snapshot.index;
+    m_log.reset(std::move(stored.snapshot), std::move(stored.entries));
+    m_durableIndex = m_log.lastIndex();
+    m_role = RaftRole::CheckingDisk;
+    m_leader = {};
+    m_diskAnswers.clear();
+    // A disk without a group has nothing that it could have forgotten.
+    m_diskConfirmed = m_log.membership().group == 0;
+    m_progress.clear();
+    m_startedAt = m_nextDiskCheck = now;
+    resetElectionTimer(now);
+}
+
+void RaftNode::handleMessage(core::NodeId from, const RaftMessage& message, core::TimePoint now, RaftOutput& output)
+{
+    if (m_role == RaftRole::Halted || !acceptsFrom(from, message))
+        return;
+    remember(from, message);
+    std::visit([&](const auto& body) { handle(from, message, body, now); }, message.body);
+    finish(output);
+}
+
+void RaftNode::tick(core::TimePoint now, RaftOutput& output)
+{
+    if (m_role == RaftRole::Halted)
+        return;
+    sendDiskChecks(now);
+    concludeDiskCheck(now);
+    if (m_role == RaftRole::Leader) {
+        checkQuorum(now);
+        if (m_role == RaftRole::Leader) {
+            promoteLearners(now);
+            if (now >= m_nextHeartbeat)
+                broadcastEntries(now, true);
+        }
+    } else if (m_role != RaftRole::CheckingDisk && isSelfVoter() && now >= m_electionDeadline) {
+        startElection(true, now);
+    }
+    finish(output);
+}
+
+std::optional<LogIndex> RaftNode::propose(std::string command, core::TimePoint now, RaftOutput& output)
+{
+    if (!isAccepting())
+        return std::nullopt;
+    if (!appendToLog({ LogEntry { m_vote.term, EntryKind::Command, std::move(command), {} } }))
+        return std::nullopt;
+    const auto index = m_log.lastIndex();
+    broadcastEntries(now, false);
+    finish(output);
+    if (m_role != RaftRole::Leader)
+        return std::nullopt;
+    return index;
+}
+
+bool RaftNode::isAccepting() const
+{
+    // With fewer voters than a majority of the controllers in the settings an accepted revision
+    // would be on too few disks.
+    return m_role == RaftRole::Leader && m_log.membership().voterCount() >= m_options.controllers.size() / 2 + 1;
+}
+
+std::optional<ReadTicket> RaftNode::beginRead(core::TimePoint now, RaftOutput& output)
+{
+    if (m_role != RaftRole::Leader || m_commitIndex < m_firstOwnIndex)
+        return std::nullopt;
+    const ReadTicket ticket { m_vote.term, ++m_readSequence, m_commitIndex };
+    broadcastEntries(now, true);
+    finish(output);
+    return ticket;
+}
+
+ReadState RaftNode::readState(const ReadTicket& ticket) const
+{
+    if (m_role != RaftRole::Leader || m_vote.term != ticket.term)
+        return ReadState::Lost;
+    if (m_options.disabledRules.readConfirmation)
+        return ReadState::Ready;
+    std::size_t confirmations = isSelfVoter() ? 1 : 0;
+    for (const auto& [node, progress] : m_progress) {
+        const auto* member = m_log.membership().find(node);
+        if (member && member->voter && progress.readSequence >= ticket.sequence)
+            ++confirmations;
+    }
+    return confirmations >= m_log.membership().majority() && m_appliedIndex >= ticket.index ? ReadState::Ready
+                                                                                            : ReadState::Pending;
+}
+
+void RaftNode::finish(RaftOutput& output)
+{
+    const auto& disabled = m_options.disabledRules;
+    const bool syncNeeded = (m_voteUnsynced && !disabled.voteSync) || (m_entriesUnsynced && !disabled.entrySync);
+    m_voteUnsynced = m_entriesUnsynced = false;
+    if (m_role != RaftRole::Halted && (!syncNeeded || store([&] { return m_store.sync(); }))) {
+        m_durableIndex = m_log.lastIndex();
+        if (m_role == RaftRole::Leader)
+            advanceCommit();
+        applyCommitted();
+        compactIfLong();
+    }
+    auto messages = std::exchange(m_outbox, {});
+    // Nothing leaves a controller whose store failed: the messages may promise what is not stored.
+    if (m_role == RaftRole::Halted)
+        return;
+    for (auto& [to, message] : messages)
+        output.send(to, message);
+}
+
+void RaftNode::halt(const core::Error& error)
+{
+    m_role = RaftRole::Halted;
+    m_leader = {};
+    m_problem = error.message;
+}
+
+bool RaftNode::saveVote(VoteState vote)
+{
+    if (vote == m_vote)
+        return true;
+    if (!store([&] { return m_store.saveVote(vote); }))
+        return false;
+    m_vote = vote;
+    m_voteUnsynced = true;
+    return true;
+}
+
+bool RaftNode::appendToLog(std::vector<LogEntry> entries)
+{
+    if (!store([&] { return m_store.appendEntries(m_log.lastIndex() + 1, entries); }))
+        return false;
+    m_entriesUnsynced = true;
+    for (auto& it : entries)
+        m_log.append(std::move(it));
+    return true;
+}
+
+void RaftNode::applyCommitted()
+{
+    while (m_appliedIndex < m_commitIndex) {
+        const auto& entry = m_log.at(++m_appliedIndex);
+        if (entry.kind == EntryKind::Command)
+            m_stateMachine.apply(entry.command);
+    }
+}
+
+void RaftNode::compactIfLong()
+{
+    if (m_appliedIndex - m_log.snapshot().index < m_options.snapshotEntries
+        && m_log.bytesAfter(m_log.snapshot().index) < m_options.snapshotBytes)
+        return;
+    if (m_appliedIndex == m_log.snapshot().index)
+        return;
+    Snapshot snapshot { m_appliedIndex, m_log.termAt(m_appliedIndex).value_or(0), m_log.snapshot().membership, {} };
+    for (LogIndex index = m_appliedIndex; index > m_log.snapshot().index; --index) {
+        if (m_log.at(index).kind == EntryKind::Membership) {
+            snapshot.membership = m_log.at(index).membership;
+            break;
+        }
+    }
+    snapshot.state = m_stateMachine.takeSnapshot();
+    if (store([&] { return m_store.saveSnapshot(snapshot); }))
+        m_log.compact(std::move(snapshot), m_options.trailingEntries);
+}
+
+void RaftNode::post(core::NodeId to, decltype(RaftMessage::body) body)
+{
+    m_outbox.emplace_back(
+        to, RaftMessage { m_vote.term, m_log.membership().group, m_disk, m_generation, std::move(body) });
+}
+
+bool RaftNode::isSelfVoter() const
+{
+    const auto* member = m_log.membership().find(m_options.self);
+    if (!member)
+        return false;
+    return m_options.disabledRules.diskIdentity || m_options.disabledRules.learnerRestriction
+        || (member->voter && member->disk == m_disk);
+}
+
+bool RaftNode::acceptsFrom(core::NodeId from, const RaftMessage& message) const
+{
+    const bool isDiskCheck = std::holds_alternative<DiskCheckRequest>(message.body)
+        || std::holds_alternative<DiskCheckReply>(message.body);
+    if (isDiskCheck)
+        return from != m_options.self;
+    const auto group = m_log.membership().group;
+    if (group != 0 && message.group != group)
+        return false;
+    if (group == 0) {
+        // A controller without a group joins the one whose leader sends it the log.
+        return message.group != 0
+            && (std::holds_alternative<AppendRequest>(message.body)
+                || std::holds_alternative<SnapshotRequest>(message.body));
+    }
+    return m_diskConfirmed;
+}
+
+} // namespace ibisgw::configuration
--- /dev/null
+++ b/src/ibisgw/configuration/RaftNode.h
@@ -0,0 +1,190 @@
+#pragma once
+
+#include "ibisgw/configuration/RaftLog.h"
+#include "ibisgw/configuration/RaftOptions.h"
+#include "ibisgw/configuration/RaftOutput.h"
+#include "ibisgw/configuration/RaftRole.h"
+#include "ibisgw/configuration/StateMachine.h"
+#include "ibisgw/core/RandomSource.h"
+
+#include <map>
+#include <optional>
+#include <set>
+#include <utility>
+
+namespace ibisgw::configuration {
+
+// A read that is answered once the leadership is confirmed (Ongaro, dissertation, 6.4).
+struct ReadTicket {
+    Term term { 0 };
+    std::uint64_t sequence { 0 };
+    LogIndex index { 0 };
+};
+
+enum class ReadState : std::uint8_t {
+    Pending,
+    Ready,
+    Lost, // this controller is no longer the leader of that term
+};
+
+// One controller of the Raft group (Ongaro and Ousterhout, "In Search of an Understandable
+// Consensus Algorithm", ATC 2014; Ongaro, "Consensus: Bridging Theory and Practice", 2014, cited
+// as dissertation). Every public function writes to the store first, syncs it, and only then
+// sends messages (ATC 2014, figure 2: persistent state is updated before responding to RPCs).
+class RaftNode {
+public:
+    RaftNode(RaftOptions, LogStore&, StateMachine&, core::RandomSource&);
+
+    // Loads the store. Must succeed before any other call.
+    core::Result<void> start(core::TimePoint now);
+    void handleMessage(core::NodeId from, const RaftMessage&, core::TimePoint now, RaftOutput&);
+    // Call at least ten times a second.
+    void tick(core::TimePoint now, RaftOutput&);
+
+    // Appends a command. Empty when this is not a leader that accepts commands, or the store failed.
+    std::optional<LogIndex> propose(std::string command, core::TimePoint now, RaftOutput&);
+    // Empty when this is not a leader that has committed an entry of its term (dissertation, 6.4).
+    std::optional<ReadTicket> beginRead(core::TimePoint now, RaftOutput&);
+    ReadState readState(const ReadTicket&) const;
+
+    RaftRole role() const { return m_role; }
+    Term term() const { return m_vote.term; }
+    core::NodeId leader() const { return m_leader; }
+    LogIndex commitIndex() const { return m_commitIndex; }
+    LogIndex appliedIndex() const { return m_appliedIndex; }
+    DiskIdentity disk() const { return m_disk; }
+    const RaftLog& log() const { return m_log; }
+    // Why this controller accepts nothing; empty when it does or another one may.
+    const std::string& problem() const { return m_problem; }
+    // True on a leader that accepts commands.
+    bool isAccepting() const;
+
+private:
+    // What the leader knows of a member.
+    struct Progress {
+        DiskIdentity disk { 0 };
+        LogIndex matchIndex { 0 };
+        LogIndex nextIndex { 1 };
+        LogIndex lastSentMatch { 0 };
+        std::uint64_t readSequence { 0 };
+        std::uint64_t generation { 0 };
+        core::TimePoint lastContact;
+        core::TimePoint snapshotSent;
+    };
+    // Latest state that a peer is known to have reached with one disk.
+    struct PeerRecord {
+        std::uint64_t generation { 0 };
+        std::uint64_t startNonce { 0 };
+        Term term { 0 };
+        LogIndex lastIndex { 0 };
+    };
+    struct DiskAnswer {
+        bool hasGroup { false };
+        bool hasSameGroup { false };
+        bool isVoter { false };
+    };
+
+    // RaftNode.cpp
+    void adopt(StoredState, core::TimePoint now);
+    void finish(RaftOutput&);
+    void halt(const core::Error&);
+    // Performs a write; halts the node if it fails.
+    template <typename Write> bool store(Write);
+    bool saveVote(VoteState);
+    bool appendToLog(std::vector<LogEntry>);
+    void applyCommitted();
+    void compactIfLong();
+    void post(core::NodeId, decltype(RaftMessage::body));
+    bool isSelfVoter() const;
+    void remember(core::NodeId, const RaftMessage&);
+    bool acceptsFrom(core::NodeId, const RaftMessage&) const;
+
+    // RaftElection.cpp
+    void resetElectionTimer(core::TimePoint now);
+    void becomeFollower(Term, core::NodeId leader, core::TimePoint now);
+    void startElection(bool preVote, core::TimePoint now);
+    void countVotes(core::TimePoint now);
+    void becomeLeader(core::TimePoint now);
+    void checkQuorum(core::TimePoint now);
+    bool hearsLeader(core::TimePoint now) const;
+    void handle(core::NodeId from, const RaftMessage&, const VoteRequest&, core::TimePoint now);
+    void handle(core::NodeId from, const RaftMessage&, const VoteReply&, core::TimePoint now);
+
+    // RaftReplication.cpp
+    void sendEntries(core::NodeId, core::TimePoint now);
+    void broadcastEntries(core::TimePoint now, bool heartbeat);
+    void advanceCommit();
+    void handle(core::NodeId from, const RaftMessage&, const AppendRequest&, core::TimePoint now);
+    void handle(core::NodeId from, const RaftMessage&, const AppendReply&, core::TimePoint now);
+    void handle(core::NodeId from, const RaftMessage&, const SnapshotRequest&, core::TimePoint now);
+    bool storeEntries(const AppendRequest&);
+
+    // RaftMembership.cpp
+    void sendDiskChecks(core::TimePoint now);
+    void concludeDiskCheck(core::TimePoint now);
+    void foundGroup(core::TimePoint now);
+    void rejoinWithNewDisk(core::TimePoint now);
+    void admit(core::NodeId, const RaftMessage&, const DiskCheckRequest&, core::TimePoint now);
+    void recordStart(const Member&, core::TimePoint now);
+    void promoteLearners(core::TimePoint now);
+    bool canChangeMembership() const;
+    void changeMembership(Membership, core::TimePoint now);
+    void syncProgress(core::TimePoint now);
+    void handle(core::NodeId from, const RaftMessage&, const DiskCheckRequest&, core::TimePoint now);
+    void handle(core::NodeId from, const RaftMessage&, const DiskCheckReply&, core::TimePoint now);
+
+    RaftOptions m_options;
+    LogStore& m_store;
+    StateMachine& m_stateMachine;
+    core::RandomSource& m_random;
+
+    RaftRole m_role { RaftRole::CheckingDisk };
+    std::string m_problem;
+    DiskIdentity m_disk { 0 };
+    std::uint64_t m_generation { 0 };
+    std::uint64_t m_startNonce { 0 };
+    VoteState m_vote;
+    RaftLog m_log;
+    LogIndex m_durableIndex { 0 };
+    LogIndex m_commitIndex { 0 };
+    LogIndex m_appliedIndex { 0 };
+
+    bool m_voteUnsynced { false };
+    bool m_entriesUnsynced { false };
+    std::vector<std::pair<core::NodeId, RaftMessage>> m_outbox;
+
+    core::NodeId m_leader;
+    core::TimePoint m_lastLeaderContact;
+    core::TimePoint m_electionDeadline;
+    core::TimePoint m_nextHeartbeat;
+    std::set<core::NodeId> m_votes;
+
+    std::map<core::NodeId, Progress> m_progress;
+    LogIndex m_firstOwnIndex { 0 };
+    std::uint64_t m_readSequence { 0 };
+
+    std::map<std::pair<core::NodeId, DiskIdentity>, PeerRecord> m_peerRecords;
+    std::map<core::NodeId, DiskAnswer> m_diskAnswers;
+    bool m_diskConfirmed { false };
+    core::TimePoint m_startedAt;
+    core::TimePoint m_nextDiskCheck;
+};
+
+template <typename Write> bool RaftNode::store(Write write)
+{
+    return boost::leaf::try_handle_all(
+        [&]() -> core::Result<bool> {
+            BOOST_LEAF_CHECK(write());
+            return true;
+        },
+        [this](const core::Error& error) {
+            halt(error);
+            return false;
+        },
+        [this] {
+            halt({ core::ErrorKind::IoFailed, "the store failed; replace the disk and restart the controller" });
+            return false;
+        });
+}
+
+} // namespace ibisgw::configuration
--- /dev/null
+++ b/src/ibisgw/configuration/RaftReplication.cpp
@@ -0,0 +1,192 @@
+#include "ibisgw/configuration/RaftNode.h"
+
+#include <algorithm>
+#include <functional>
+
+namespace ibisgw::configuration {
+
+void RaftNode::sendEntries(core::NodeId to, core::TimePoint now)
+{
+    // A whole snapshot is sent again only after this time without an acknowledgement.
+    constexpr core::Duration snapshotRetryInterval = std::chrono::seconds(2);
+    auto& progress = m_progress.at(to);
+    const auto previous = progress.nextIndex - 1;
+    const auto previousTerm = m_log.termAt(previous);
+    if (!previousTerm || progress.nextIndex < m_log.firstIndex()) {
+        if (now - progress.snapshotSent >= snapshotRetryInterval) {
+            progress.snapshotSent = now;
+            post(to, SnapshotRequest { m_log.snapshot() });
+        } else {
+            // Keeps the follower from starting an election while it receives the snapshot.
+            post(to, AppendRequest { m_log.snapshot().index, m_log.snapshot().term, 0, m_readSequence, {} });
+        }
+        return;
+    }
+    AppendRequest request { previous, *previousTerm, m_commitIndex, m_readSequence,
+        m_log.copyFrom(progress.nextIndex, m_options.maxAppendBytes) };
+    progress.nextIndex += request.entries.size();
+    post(to, std::move(request));
+}
+
+void RaftNode::broadcastEntries(core::TimePoint now, bool heartbeat)
+{
+    if (heartbeat)
+        m_nextHeartbeat = now + m_options.heartbeatInterval;
+    for (auto& [node, progress] : m_progress) {
+        if (heartbeat) {
+            // No acknowledgement since the last heartbeat: the entries may be lost.
+            if (progress.lastSentMatch == progress.matchIndex)
+                progress.nextIndex = std::min(progress.nextIndex, progress.matchIndex + 1);
+            progress.lastSentMatch = progress.matchIndex;
+        }
+        if (heartbeat || progress.nextIndex <= m_log.lastIndex())
+            sendEntries(node, now);
+    }
+}
+
+// Only an entry of the leader's own term is committed by counting copies; earlier entries are
+// committed with it. An entry of an earlier term on a majority can still be replaced (ATC 2014,
+// section 5.4.2 and figure 8).
+void RaftNode::advanceCommit()
+{
+    std::vector<LogIndex> durable;
+    for (const auto& it : m_log.membership().members) {
+        if (!it.voter && !m_options.disabledRules.learnerRestriction)
+            continue;
+        if (it.node == m_options.self) {
+            durable.push_back(m_durableIndex);
+            continue;
+        }
+        const auto progress = m_progress.find(it.node);
+        durable.push_back(progress == m_progress.end() ? 0 : progress->second.matchIndex);
+    }
+    const auto majority = m_log.membership().majority();
+    if (durable.size() < majority)
+        return;
+    std::ranges::sort(durable, std::greater<> {});
+    const auto candidate = durable[majority - 1];
+    if (candidate <= m_commitIndex)
+        return;
+    if (m_log.termAt(candidate) == m_vote.term || m_options.disabledRules.ownTermCommit)
+        m_commitIndex = candidate;
+}
+
+void RaftNode::handle(core::NodeId from, const RaftMessage& message, const AppendRequest& request, core::TimePoint now)
+{
+    if (message.term < m_vote.term) {
+        post(from, AppendReply { false, m_commitIndex, 0 });
+        return;
+    }
+    becomeFollower(message.term, from, now);
+    m_lastLeaderContact = now;
+    if (m_role == RaftRole::Halted)
+        return;
+    const auto previousTerm = m_log.termAt(request.previousIndex);
+    if (request.previousIndex > m_log.lastIndex()) {
+        post(from, AppendReply { false, m_log.lastIndex(), request.readSequence });
+        return;
+    }
+    if (!previousTerm) {
+        // The entry is part of the snapshot, and committed entries equal those of every later leader.
+        post(from, AppendReply { true, m_commitIndex, request.readSequence });
+        return;
+    }
+    if (*previousTerm != request.previousTerm) {
+        post(from, AppendReply { false, std::max(m_commitIndex, request.previousIndex - 1), request.readSequence });
+        return;
+    }
+    if (!storeEntries(request))
+        return;
+    const auto match = request.previousIndex + request.entries.size();
+    m_commitIndex = std::max(m_commitIndex, std::min(request.commitIndex, match));
+    // The membership may have changed with the entries.
+    m_role = isSelfVoter() ? RaftRole::Follower : RaftRole::Learner;
+    post(from, AppendReply { true, match, request.readSequence });
+}
+
+// Removes entries only from the first one that conflicts: a late request must not remove entries
+// that were acknowledged after it (ATC 2014, section 5.3).
+bool RaftNode::storeEntries(const AppendRequest& request)
+{
+    auto index = request.previousIndex + 1;
+    auto entry = request.entries.begin();
+    while (entry != request.entries.end() && index <= m_log.lastIndex()
+        && (index <= m_log.snapshot().index || m_log.termAt(index) == entry->term)) {
+        ++entry;
+        ++index;
+    }
+    if (entry == request.entries.end())
+        return true;
+    if (index <= m_log.lastIndex()) {
+        if (index <= m_commitIndex) {
+            halt({ core::ErrorKind::DataCorrupted,
+                "the leader's log differs from a committed entry; empty the data folder of the controller with the "
+                "older log and restart it" });
+            return false;
+        }
+        if (!store([&] { return m_store.truncateFrom(index); }))
+            return false;
+        m_log.truncateFrom(index);
+        m_entriesUnsynced = true;
+    }
+    return appendToLog({ entry, request.entries.end() });
+}
+
+void RaftNode::handle(core::NodeId from, const RaftMessage& message, const AppendReply& reply, core::TimePoint now)
+{
+    if (message.term > m_vote.term) {
+        becomeFollower(message.term, {}, now);
+        return;
+    }
+    const auto it = m_progress.find(from);
+    if (m_role != RaftRole::Leader || message.term != m_vote.term || it == m_progress.end())
+        return;
+    auto& progress = it->second;
+    if (progress.disk != message.disk && !m_options.disabledRules.diskIdentity)
+        return;
+    progress.lastContact = now;
+    progress.readSequence = std::max(progress.readSequence, reply.readSequence);
+    if (reply.success) {
+        progress.matchIndex = std::max(progress.matchIndex, std::min(reply.matchIndex, m_log.lastIndex()));
+        progress.nextIndex = std::max(progress.nextIndex, progress.matchIndex + 1);
+        if (progress.nextIndex <= m_log.lastIndex())
+            sendEntries(from, now);
+        return;
+    }
+    const auto next = std::max(progress.matchIndex, std::min(progress.nextIndex - 1, reply.matchIndex + 1));
+    const auto isProgress = next < progress.nextIndex;
+    progress.nextIndex = std::max(next, progress.matchIndex + 1);
+    if (isProgress)
+        sendEntries(from, now);
+}
+
+// ATC 2014, section 7. A snapshot holds committed entries only, so it never replaces later ones.
+void RaftNode::handle(
+    core::NodeId from, const RaftMessage& message, const SnapshotRequest& request, core::TimePoint now)
+{
+    if (message.term < m_vote.term) {
+        post(from, AppendReply { false, m_commitIndex, 0 });
+        return;
+    }
+    becomeFollower(message.term, from, now);
+    m_lastLeaderContact = now;
+    if (m_role == RaftRole::Halted)
+        return;
+    const auto& snapshot = request.snapshot;
+    if (snapshot.index > m_commitIndex) {
+        if (m_log.lastIndex() > snapshot.index && m_log.termAt(snapshot.index) != snapshot.term
+            && !store([&] { return m_store.truncateFrom(snapshot.index + 1); }))
+            return;
+        if (!store([&] { return m_store.saveSnapshot(snapshot); }))
+            return;
+        if (!store([&] { return m_stateMachine.restore(snapshot.state); }))
+            return;
+        m_log.compact(snapshot, m_options.trailingEntries);
+        m_commitIndex = m_appliedIndex = snapshot.index;
+        m_entriesUnsynced = true;
+        m_role = isSelfVoter() ? RaftRole::Follower : RaftRole::Learner;
+    }
+    post(from, AppendReply { true, m_commitIndex, 0 });
+}
+
+} // namespace ibisgw::configuration
--- /dev/null
+++ b/src/ibisgw/configuration/RevisionHistory.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include "ibisgw/configuration/AcceptedRevision.h"
+
+#include <nlohmann/json_fwd.hpp>
+
+#include <deque>
+#include <optional>
+#include <vector>
+
+namespace ibisgw::configuration {
+
+// The newest accepted revision and those before it. Older documents are kept as the JSON patch
+// (RFC 6902) that leads back from the next one, if that is shorter than the text.
+class RevisionHistory {
+public:
+    static constexpr std::size_t capacity = 128;
+
+    // Revision 0 with an empty document before the first acceptance.
+    const AcceptedRevision& current() const { return m_current; }
+    void add(AcceptedRevision);
+    // Empty when the revision is newer than the current one or no longer kept.
+    std::optional<AcceptedRevision> find(core::Revision) const;
+    // Revisions after the given one, oldest first, as far as they are kept.
+    std::vector<AcceptedRevision> since(core::Revision) const;
+    // Author of a kept revision without restoring its document; null when it is not kept.
+    const std::string* authorOf(core::Revision) const;
+
+    nlohmann::json toJson() const;
+    // False for malformed input.
+    bool restore(const nlohmann::json&);
+
+private:
+    struct Older {
+        // Without the document.
+        AcceptedRevision header;
+        bool isPatch { false };
+        std::string text;
+    };
+    // Restores the kept revisions from the current one back to the given one.
+    std::vector<AcceptedRevision> newestFirstDownTo(core::Revision) const;
+
+    AcceptedRevision m_current;
+    // Oldest first.
+    std::deque<Older> m_older;
+};
+
+// Patch between two documents, or empty when it is not shorter than the target or would not
+// reproduce it exactly.
+std::optional<std::string> makePatch(const std::string& from, const std::string& to);
+std::optional<std::string> applyPatch(const std::string& document, const std::string& patch);
+
+} // namespace ibisgw::configuration
--- /dev/null
+++ b/src/ibisgw/configuration/Snapshot.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include "ibisgw/configuration/LogEntry.h"
+
+namespace ibisgw::configuration {
+
+// State of the state machine after the entry `index`, which replaces the log up to there
+// (Ongaro and Ousterhout 2014, section 7).
+struct Snapshot {
+    LogIndex index { 0 };
+    Term term { 0 };
+    Membership membership;
+    std::string state;
+
+    bool operator==(const Snapshot&) const = default;
+};
+
+} // namespace ibisgw::configuration
--- /dev/null
+++ b/src/ibisgw/configuration/StateMachine.cpp
@@ -0,0 +1,7 @@
+#include "ibisgw/configuration/StateMachine.h"
+
+namespace ibisgw::configuration {
+
+StateMachine::~StateMachine() = default;
+
+} // namespace ibisgw::configuration
--- /dev/null
+++ b/tests/configuration/ScheduleTests.cpp
@@ -0,0 +1,31 @@
+#include "support/ConfigurationSchedule.h"
+
+#include <doctest/doctest.h>
+
+using namespace support;
+
+TEST_SUITE("configuration")
+{
+    TEST_CASE("nothing accepted is lost in 1,000 schedules of faults")
+    {
+        std::size_t accepted = 0;
+        std::size_t conflicts = 0;
+        std::size_t lostDisks = 0;
+        std::size_t stuck = 0;
+        for (std::uint64_t seed = 1; seed <= 1000; ++seed) {
+            const auto result = runConfigurationSchedule(seed);
+            CAPTURE(seed);
+            CHECK_MESSAGE(result.violations.empty(), result.firstViolation);
+            CHECK(result.recovered);
+            accepted += result.accepted;
+            conflicts += result.conflicts;
+            lostDisks += result.lostDisks;
+            stuck += !result.recovered;
+        }
+        // The schedules must exercise what they are meant to check.
+        MESSAGE("accepted ", accepted, ", conflicts ", conflicts, ", lost disks ", lostDisks, ", stuck ", stuck);
+        CHECK(accepted > 10'000);
+        CHECK(conflicts > 1'000);
+        CHECK(lostDisks > 200);
+    }
+}
--- /dev/null
+++ b/tests/support/ControllerGroup.cpp
@@ -0,0 +1,224 @@
+#include "support/ControllerGroup.h"
+
+#include <algorithm>
+
+namespace support {
+
+using namespace ibisgw;
+using namespace ibisgw::configuration;
+
+namespace {
+
+constexpr core::Duration tickInterval = std::chrono::milliseconds(100);
+
+} // namespace
+
+class ControllerGroup::Output final : public RaftOutput {
+public:
+    Output(ControllerGroup& group, Machine self)
+        : m_group(group)
+        , m_self(self)
+    {
+    }
+
+    void send(core::NodeId to, const RaftMessage& message) override
+    {
+        m_group.m_queue.send(m_self, to.value, [&group = m_group, from = m_self, to, message](core::TimePoint) {
+            group.deliver(from, to.value, message);
+        });
+    }
+
+private:
+    ControllerGroup& m_group;
+    Machine m_self;
+};
+
+ControllerGroup::ControllerGroup(
+    std::size_t count, RaftOptions options, MessageQueue& queue, core::RandomSource& random)
+    : m_options(std::move(options))
+    , m_queue(queue)
+    , m_random(random)
+{
+    for (Machine machine = 1; machine <= count; ++machine) {
+        m_options.controllers.push_back(nodeOf(machine));
+        m_controllers[machine].store = std::make_unique<MemoryLogStore>(random);
+    }
+}
+
+bool ControllerGroup::isRunning(Machine machine) const
+{
+    return m_controllers.at(machine).service != nullptr;
+}
+
+bool ControllerGroup::isPaused(Machine machine) const
+{
+    return m_controllers.at(machine).paused;
+}
+
+ConfigurationService& ControllerGroup::service(Machine machine)
+{
+    return *m_controllers.at(machine).service;
+}
+
+MemoryLogStore& ControllerGroup::store(Machine machine)
+{
+    return *m_controllers.at(machine).store;
+}
+
+void ControllerGroup::start(Machine machine)
+{
+    auto& controller = m_controllers.at(machine);
+    if (controller.service)
+        return;
+    auto options = m_options;
+    options.self = nodeOf(machine);
+    controller.service = std::make_unique<ConfigurationService>(options, *controller.store, m_random);
+    controller.paused = false;
+    controller.inbox.clear();
+    m_checks.controllerStarted(machine);
+    if (!controller.service->start(m_queue.now()))
+        controller.service.reset();
+    scheduleTick(machine, ++controller.process);
+}
+
+void ControllerGroup::startAll()
+{
+    for (const auto& [machine, controller] : m_controllers)
+        start(machine);
+}
+
+void ControllerGroup::kill(Machine machine, bool losesUnsynced)
+{
+    auto& controller = m_controllers.at(machine);
+    controller.service.reset();
+    controller.store->crash(losesUnsynced);
+}
+
+void ControllerGroup::pause(Machine machine)
+{
+    m_controllers.at(machine).paused = true;
+}
+
+void ControllerGroup::resume(Machine machine)
+{
+    auto& controller = m_controllers.at(machine);
+    if (!controller.paused)
+        return;
+    controller.paused = false;
+    for (const auto& [from, message] : std::exchange(controller.inbox, {}))
+        deliver(from, machine, message);
+}
+
+void ControllerGroup::isolate(Machine machine)
+{
+    for (const auto& [other, controller] : m_controllers) {
+        if (other != machine)
+            m_queue.cutBoth(machine, other);
+    }
+}
+
+ControllerGroup::Machine ControllerGroup::acceptingLeader() const
+{
+    Machine leader = 0;
+    Term term = 0;
+    for (const auto& [machine, controller] : m_controllers) {
+        if (!controller.service || controller.paused)
+            continue;
+        const auto& raft = controller.service->raft();
+        if (raft.isAccepting() && raft.term() > term) {
+            leader = machine;
+            term = raft.term();
+        }
+    }
+    return leader;
+}
+
+bool ControllerGroup::hasIntactMajority(const Membership& membership, Machine without) const
+{
+    std::size_t intact = 0;
+    for (const auto& it : membership.members) {
+        if (it.voter && it.node != nodeOf(without) && m_controllers.at(it.node.value).store->disk() == it.disk)
+            ++intact;
+    }
+    return intact >= membership.majority();
+}
+
+bool ControllerGroup::mayLoseDisk(Machine machine) const
+{
+    const auto majorityOfAll = m_controllers.size() / 2 + 1;
+    if (m_checks.committedMembership().voterCount() < majorityOfAll
+        || !hasIntactMajority(m_checks.committedMembership(), machine))
+        return false;
+    return std::ranges::all_of(m_controllers, [&](const auto& it) {
+        return !it.second.service || it.second.service->raft().log().membership().voterCount() == 0
+            || hasIntactMajority(it.second.service->raft().log().membership(), machine);
+    });
+}
+
+bool ControllerGroup::runUntilComplete(core::Duration limit)
+{
+    return runUntil(
+        [this] {
+            const auto leader = acceptingLeader();
+            return leader != 0 && service(leader).status().voters.size() == size()
+                && service(leader).raft().commitIndex() == service(leader).raft().log().lastIndex();
+        },
+        limit);
+}
+
+bool ControllerGroup::runUntil(const std::function<bool()>& condition, core::Duration limit)
+{
+    const auto end = m_queue.now() + limit;
+    while (!condition()) {
+        if (m_queue.now() >= end)
+            return false;
+        m_queue.step();
+    }
+    return true;
+}
+
+SubmissionOutcome ControllerGroup::submit(Machine machine, const Submission& submission)
+{
+    Output output(*this, machine);
+    auto outcome = service(machine).submit(submission, m_queue.now(), output);
+    m_checks.check(machine, service(machine));
+    m_checks.answered(submission, outcome);
+    return outcome;
+}
+
+std::optional<ReadTicket> ControllerGroup::beginRead(Machine machine)
+{
+    Output output(*this, machine);
+    return service(machine).beginRead(m_queue.now(), output);
+}
+
+void ControllerGroup::deliver(Machine from, Machine to, const RaftMessage& message)
+{
+    auto& controller = m_controllers.at(to);
+    if (!controller.service)
+        return;
+    if (controller.paused) {
+        controller.inbox.emplace_back(from, message);
+        return;
+    }
+    Output output(*this, to);
+    controller.service->handleMessage(nodeOf(from), message, m_queue.now(), output);
+    m_checks.check(to, *controller.service);
+}
+
+void ControllerGroup::scheduleTick(Machine machine, std::uint64_t process)
+{
+    m_queue.after(tickInterval, [this, machine, process](core::TimePoint now) {
+        auto& controller = m_controllers.at(machine);
+        if (!controller.service || controller.process != process)
+            return;
+        if (!controller.paused) {
+            Output output(*this, machine);
+            controller.service->tick(now, output);
+            m_checks.check(machine, *controller.service);
+        }
+        scheduleTick(machine, process);
+    });
+}
+
+} // namespace support
