Add the CBOR encoding of Raft messages

Cause: controllers need a wire format for Raft. A first pass bounds the nesting, because nlohmann's reader calls itself for each level. After: every truncation and trailing byte of each message is rejected, and so are one million nested arrays. Conclusion: messages survive encoding; what decodes encodes to the same message.

--- /dev/null
+++ b/src/ibisgw/adapters/detail/RaftJson.cpp
@@ -0,0 +1,115 @@
+#include "ibisgw/adapters/detail/RaftJson.h"
+
+#include "ibisgw/adapters/detail/DepthChecker.h"
+#include "ibisgw/adapters/detail/JsonArrayReader.h"
+
+namespace ibisgw::adapters::detail {
+
+using configuration::EntryKind;
+using configuration::LogEntry;
+using configuration::Member;
+using configuration::Membership;
+using configuration::Snapshot;
+
+nlohmann::json binaryJson(std::string_view bytes)
+{
+    return nlohmann::json::binary({ bytes.begin(), bytes.end() });
+}
+
+nlohmann::json toJson(const Membership& membership)
+{
+    auto members = nlohmann::json::array();
+    for (const auto& it : membership.members)
+        members.push_back({ it.node.value, it.disk, it.voter, it.generation, it.startNonce });
+    return { membership.group, std::move(members) };
+}
+
+nlohmann::json toJson(const LogEntry& entry)
+{
+    auto json = nlohmann::json::array({ entry.term, static_cast<std::uint64_t>(entry.kind) });
+    if (entry.kind == EntryKind::Command)
+        json.push_back(binaryJson(entry.command));
+    else if (entry.kind == EntryKind::Membership)
+        json.push_back(toJson(entry.membership));
+    return json;
+}
+
+nlohmann::json toJson(const Snapshot& snapshot)
+{
+    return { snapshot.index, snapshot.term, toJson(snapshot.membership), binaryJson(snapshot.state) };
+}
+
+std::optional<Membership> readMembership(const nlohmann::json& json)
+{
+    JsonArrayReader reader(json);
+    Membership membership;
+    membership.group = reader.number();
+    for (const auto& it : reader.array()) {
+        JsonArrayReader item(it);
+        Member member;
+        member.node.value = item.number();
+        member.disk = item.number();
+        member.voter = item.boolean();
+        member.generation = item.number();
+        member.startNonce = item.number();
+        // Members are unique and in order; anything else is not written by this program.
+        if (!item.finished() || (!membership.members.empty() && membership.members.back().node >= member.node))
+            return std::nullopt;
+        membership.members.push_back(member);
+    }
+    if (!reader.finished())
+        return std::nullopt;
+    return membership;
+}
+
+std::optional<LogEntry> readLogEntry(const nlohmann::json& json)
+{
+    JsonArrayReader reader(json);
+    LogEntry entry;
+    entry.term = reader.number();
+    entry.kind = static_cast<EntryKind>(reader.number(static_cast<std::uint64_t>(EntryKind::Membership)));
+    if (entry.kind == EntryKind::Command)
+        entry.command = reader.bytes();
+    if (entry.kind == EntryKind::Membership) {
+        auto membership = readMembership(reader.array());
+        if (!membership)
+            return std::nullopt;
+        entry.membership = std::move(*membership);
+    }
+    if (!reader.finished())
+        return std::nullopt;
+    return entry;
+}
+
+std::optional<Snapshot> readSnapshot(const nlohmann::json& json)
+{
+    JsonArrayReader reader(json);
+    Snapshot snapshot;
+    snapshot.index = reader.number();
+    snapshot.term = reader.number();
+    auto membership = readMembership(reader.array());
+    snapshot.state = reader.bytes();
+    if (!reader.finished() || !membership)
+        return std::nullopt;
+    snapshot.membership = std::move(*membership);
+    return snapshot;
+}
+
+nlohmann::json parseCbor(std::string_view bytes)
+{
+    // A message, its entries, an entry, a membership, its members and a member are nested.
+    constexpr int maxDepth = 8;
+    DepthChecker checker(maxDepth);
+    if (!nlohmann::json::sax_parse(bytes.begin(), bytes.end(), &checker, nlohmann::json::input_format_t::cbor))
+        return nlohmann::json(nlohmann::json::value_t::discarded);
+    return nlohmann::json::from_cbor(bytes.begin(), bytes.end(), true, false);
+}
+
+std::string writeCbor(const nlohmann::json& json)
+{
+    std::string bytes;
+    nlohmann::json::to_cbor(json, nlohmann::detail::output_adapter<char>(bytes));
+    return bytes;
+}
+
+} // namespace ibisgw::adapters::detail
