Add the data folder of a controller

Cause: accepted revisions must survive restarts. A torn tail is cut off, other damage is refused with the remedy. A failed write or sync stops the store until it is loaded again. Conclusion: the last record has no successor that proves it was synced, so damage to it alone is taken for a torn tail.

--- /dev/null
+++ b/src/ibisgw/adapters/FileLogStore.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "ibisgw/configuration/LogStore.h"
+#include "ibisgw/core/RandomSource.h"
+
+#include <deque>
+#include <memory>
+#include <string>
+
+namespace ibisgw::adapters {
+
+// Keeps the state of a controller in one data folder: the file `log` with the identity of the disk,
+// votes and entries, and the file `snapshot`. Files are replaced by writing a temporary file,
+// syncing it, renaming it and syncing the folder, so that one of the two is always complete.
+class FileLogStore final : public configuration::LogStore {
+public:
+    // Creates the folder if it is missing and locks it against a second process. The random
+    // source draws the identity of the disk and must differ between controllers and starts.
+    static core::Result<std::unique_ptr<FileLogStore>> open(const std::string& folder, core::RandomSource&);
+
+    ~FileLogStore() override;
+    FileLogStore(const FileLogStore&) = delete;
+    FileLogStore& operator=(const FileLogStore&) = delete;
+
+    core::Result<void> appendEntries(configuration::LogIndex first, std::span<const configuration::LogEntry>) override;
+    core::Result<void> truncateFrom(configuration::LogIndex) override;
+    core::Result<void> saveVote(const configuration::VoteState&) override;
+    core::Result<void> saveSnapshot(const configuration::Snapshot&) override;
+    core::Result<void> sync() override;
+    core::Result<configuration::StoredState> load() override;
+    core::Result<void> discard() override;
+
+private:
+    FileLogStore(std::string folder, int lock, core::RandomSource&);
+
+    core::Result<void> refuseAfterFailure() const;
+    core::Result<void> replaceFile(const std::string& name, const std::string& bytes);
+    core::Result<void> replaceLog();
+    core::Result<void> writePending();
+
+    std::string m_folder;
+    int m_lock;
+    core::RandomSource& m_random;
+    int m_log { -1 };
+    // Set before each group of writes and cleared when it has succeeded.
+    bool m_failed { true };
+    configuration::DiskIdentity m_disk { 0 };
+    std::uint64_t m_generation { 0 };
+    std::uint64_t m_startNonce { 0 };
+    configuration::VoteState m_vote;
+    // Records of the entries after the snapshot, to write the log anew.
+    configuration::LogIndex m_firstIndex { 1 };
+    std::deque<std::string> m_entries;
+    // Records that are not written to the file yet.
+    std::string m_pending;
+};
+
+} // namespace ibisgw::adapters
--- /dev/null
+++ b/src/ibisgw/adapters/detail/LogRecord.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace ibisgw::adapters::detail {
+
+enum class RecordType : std::uint32_t {
+    Identity = 1,
+    Vote = 2,
+    Entry = 3,
+    Truncation = 4,
+    Snapshot = 5,
+};
+
+// One record of a file: magic, type, length, checksum of the payload and checksum of the header.
+// The header has a checksum of its own, because a damaged length would otherwise make the rest of
+// the file look like a torn tail.
+struct LogRecord {
+    RecordType type { RecordType::Identity };
+    std::string_view payload;
+};
+
+inline constexpr std::size_t recordHeaderBytes = 28;
+
+std::string encodeRecord(RecordType, std::string_view payload);
+
+enum class RecordStatus : std::uint8_t {
+    Valid,
+    End,
+    // The rest of the file holds no further complete record: an interrupted write.
+    TornTail,
+    // Complete records follow the damage.
+    Damaged,
+};
+
+// Reads the records of a file that is in memory.
+class LogRecordReader {
+public:
+    explicit LogRecordReader(std::string_view file);
+
+    RecordStatus next(LogRecord&);
+    std::size_t position() const { return m_position; }
+
+private:
+    bool parseAt(std::size_t, LogRecord&) const;
+
+    std::string_view m_file;
+    std::size_t m_position { 0 };
+};
+
+} // namespace ibisgw::adapters::detail
