Keep probes and repairs alive when a whole zone starts at once

Cause: with 88 daemons starting together, rumors, member lists and slices used up the budget, probes waited and false suspicions kept the budget busy. Change: rumors and lists leave a fifth of the budget to probes, join retries back off, a member that still sends and hears others is slow, not dead; documents travel compressed; new upstreams are less urgent than changes of state; expired upstreams stay listed in slices for a while, so that ranges keep matching.

--- a/src/ibisgw/adapters/GossipCodec.cpp
+++ b/src/ibisgw/adapters/GossipCodec.cpp
@@ -38,6 +38,7 @@
         message.probe = m_reader.number();
         message.subject = node();
         message.incarnation = m_reader.number();
+        message.isIsolated = flag();
         read(message.head);
         message.flowEpoch = m_reader.number();
         message.flowSequence = m_reader.number();
--- a/src/ibisgw/membership/AnnouncementExchange.cpp
+++ b/src/ibisgw/membership/AnnouncementExchange.cpp
@@ -11,20 +11,25 @@
 constexpr core::Duration spreadInterval = std::chrono::milliseconds(100);
 constexpr std::size_t spreadFanout = 3;
 constexpr std::size_t maxChangesPerMessage = 12;
-// When more upstreams change at once, as when a zone starts, each is sent less often and the slices find
-// what is missing: 683 announcements of 55 bytes sent eight times would take 100 s of the budget.
-constexpr std::size_t maxPendingChanges = 32;
+constexpr std::size_t minRepairRoom = 400;
+// When more upstreams appear at once, as when a zone starts, only the daemon that heard one passes it on, and
+// the slices find what is missing: 683 announcements of 55 bytes sent eight times would take 100 s of the budget.
+constexpr std::size_t maxArrivals = 32;
 constexpr std::size_t sendLimitWhenMany = 2;
 
 constexpr core::Duration loadInterval = std::chrono::milliseconds(400);
 // Room for the message header and the fields of a slice beside its loads.
 constexpr std::size_t loadHeaderBytes = 60;
 constexpr std::size_t sliceBytes = 2 * AnnouncementTable::sliceEntries + 32;
-constexpr std::size_t maxLoadMessageBytes = 1200;
+constexpr std::size_t maxLoadMessageBytes = 800;
+constexpr core::Duration differenceDuration = std::chrono::seconds(1);
+constexpr std::size_t maxLoadBytesWhenDifferent = 300;
 
 // Differences right after a change are resolved by its rumor; one repair at a time keeps their cost low.
-constexpr core::Duration repairInterval = std::chrono::milliseconds(300);
-constexpr std::size_t maxRepairBytes = 900;
+constexpr core::Duration repairInterval = std::chrono::milliseconds(150);
+constexpr std::size_t maxRepairBytes = 1000;
+constexpr std::size_t repairSliceBytes = 2 * AnnouncementTable::repairEntries + 28;
+constexpr std::size_t rangeBytes = 20;
 
 std::size_t announcementBytes(const upstream::Announcement& announcement)
 {
@@ -41,24 +46,35 @@
 
 void AnnouncementExchange::publish(const upstream::Announcement& announcement, core::TimePoint now)
 {
-    if (m_table.apply(announcement, now) == AnnouncementTable::Change::Changed) {
+    const auto change = m_table.apply(announcement, now);
+    if (change == AnnouncementTable::Change::Added)
+        m_arrivals.add(announcement.upstream, announcement);
+    if (change == AnnouncementTable::Change::Changed) {
         m_changes.add(announcement.upstream, announcement);
         m_nextSpreadAt = now;
     }
 }
 
-void AnnouncementExchange::handle(
-    core::NodeId from, const GossipMessage& message, core::TimePoint now, MessageSink& sink, MembershipEvents& events)
+void AnnouncementExchange::handle(core::NodeId from, const GossipMessage& message, std::size_t loadRoom,
+    core::TimePoint now, MessageSink& sink, MembershipEvents& events)
 {
     for (const auto& it : message.announcements)
         learn(it, now, events);
+    std::vector<LoadSlice> different;
     for (const auto& slice : message.loads) {
         std::vector<upstream::Announcement> renewed;
         if (!m_table.applySlice(slice, now, renewed))
-            repair(from, slice, now, sink);
+            different.push_back(slice);
         for (const auto& it : renewed)
             events.announcementLearned(it);
     }
+    if (different.empty())
+        return;
+    m_differedAt = now;
+    if (now >= m_nextRepairAt && loadRoom >= minRepairRoom) {
+        m_nextRepairAt = now + repairInterval;
+        repair(from, different, std::min(maxRepairBytes, loadRoom - loadHeaderBytes), sink);
+    }
     for (const auto& range : message.ranges) {
         if (!range.wantsReply)
             continue;
@@ -84,13 +100,15 @@
 {
     if (peers.empty())
         return;
-    if (!m_changes.isEmpty() && now >= m_nextSpreadAt) {
+    if (now >= m_nextSpreadAt && !(m_changes.isEmpty() && m_arrivals.isEmpty())) {
         m_nextSpreadAt = now + spreadInterval;
-        spreadChanges(peers, sink);
+        spread(peers, loadRoom, sink);
     }
     if (now >= m_nextLoadAt && loadRoom >= loadHeaderBytes + sliceBytes) {
         m_nextLoadAt = now + loadInterval;
-        sendLoads(peers, std::min(loadRoom, maxLoadMessageBytes), sink);
+        // Slices that differ renew nothing; the budget then goes to announcements.
+        const auto maxBytes = now - m_differedAt < differenceDuration ? maxLoadBytesWhenDifferent : maxLoadMessageBytes;
+        sendLoads(peers, std::min(loadRoom, maxBytes), sink);
     }
 }
 
@@ -102,18 +120,27 @@
         return;
     if (change == AnnouncementTable::Change::Changed)
         m_changes.add(announcement.upstream, announcement);
+    else if (change == AnnouncementTable::Change::Added && m_arrivals.size() < maxArrivals)
+        m_arrivals.add(announcement.upstream, announcement);
     events.announcementLearned(announcement);
 }
 
-void AnnouncementExchange::spreadChanges(const std::vector<core::NodeId>& peers, MessageSink& sink)
+void AnnouncementExchange::spread(const std::vector<core::NodeId>& peers, std::size_t loadRoom, MessageSink& sink)
 {
-    const auto isMany = m_changes.size() > maxPendingChanges;
     const auto targets = choosePeers(peers, spreadFanout, m_random);
+    const auto sendLimit = rumorSendLimit(peers.size());
+    if (!m_changes.isEmpty()) {
+        GossipMessage message;
+        message.announcements = m_changes.take(maxChangesPerMessage, targets.size(), sendLimit);
+        for (const auto& it : targets)
+            sink.post(Priority::Configuration, it, message);
+    }
+    if (m_arrivals.isEmpty() || loadRoom < minRepairRoom)
+        return;
+    const auto isMany = m_arrivals.size() >= maxArrivals;
     GossipMessage message;
-    message.announcements = m_changes.take(
-        maxChangesPerMessage, targets.size(), isMany ? sendLimitWhenMany : rumorSendLimit(peers.size()));
-    for (const auto& it : targets)
-        sink.post(Priority::Configuration, it, message);
+    message.announcements = m_arrivals.take(maxChangesPerMessage, 1, isMany ? sendLimitWhenMany : sendLimit);
+    sink.post(Priority::Load, targets.front(), std::move(message));
 }
 
 void AnnouncementExchange::sendLoads(const std::vector<core::NodeId>& peers, std::size_t room, MessageSink& sink)
@@ -131,33 +158,35 @@
     sink.post(Priority::Load, choosePeers(peers, 1, m_random).front(), std::move(message));
 }
 
-void AnnouncementExchange::repair(core::NodeId peer, const LoadSlice& slice, core::TimePoint now, MessageSink& sink)
+void AnnouncementExchange::repair(
+    core::NodeId peer, const std::vector<LoadSlice>& different, std::size_t maxBytes, MessageSink& sink)
 {
-    if (now < m_nextRepairAt)
-        return;
-    m_nextRepairAt = now + repairInterval;
     GossipMessage message;
-    const auto own = m_table.inRange(slice.first, slice.last);
-    if (std::min(own.size(), slice.loads.size() / 2) <= AnnouncementTable::repairEntries) {
+    std::size_t bytes = 0;
+    for (const auto& slice : different) {
+        if (bytes > maxBytes)
+            break;
+        const auto own = m_table.inRange(slice.first, slice.last);
+        if (std::min(own.size(), slice.loads.size() / 2) > AnnouncementTable::repairEntries) {
+            for (auto first = slice.first; first <= slice.last && bytes <= maxBytes;) {
+                message.loads.push_back(m_table.sliceFrom(first, slice.last, AnnouncementTable::repairEntries));
+                bytes += repairSliceBytes;
+                first.value = message.loads.back().last.value + 1;
+            }
+            continue;
+        }
         AnnouncementRange range { slice.first, slice.last, true };
-        std::size_t bytes = 0;
         for (const auto& it : own) {
             bytes += announcementBytes(it);
-            if (bytes > maxRepairBytes)
+            if (bytes > maxBytes) {
+                range.last.value = it.upstream.value - 1;
                 break;
-            range.last = it.upstream;
+            }
             message.announcements.push_back(it);
         }
-        // All of them fitted: the range keeps its end, so that the peer adds what lies behind the last one.
-        if (message.announcements.size() == own.size())
-            range.last = slice.last;
-        message.ranges.push_back(range);
-    } else {
-        auto first = slice.first;
-        while (first <= slice.last && message.loads.size() < AnnouncementTable::sliceEntries / 4) {
-            message.loads.push_back(m_table.sliceFrom(first, slice.last, AnnouncementTable::repairEntries));
-            first.value = message.loads.back().last.value + 1;
-        }
+        bytes += rangeBytes;
+        if (range.first <= range.last)
+            message.ranges.push_back(range);
     }
     sink.post(Priority::Load, peer, std::move(message));
 }
--- a/src/ibisgw/membership/AnnouncementTable.cpp
+++ b/src/ibisgw/membership/AnnouncementTable.cpp
@@ -23,15 +23,15 @@
 {
     const auto found = m_entries.find(update.upstream);
     if (found == m_entries.end()) {
-        m_entries[update.upstream] = { update, now, false };
-        return Change::Changed;
+        m_entries[update.upstream] = { update, now };
+        return Change::Added;
     }
     auto& entry = found->second;
     const auto& known = entry.announcement;
     if (std::pair { update.incarnation, update.sequence } <= std::pair { known.incarnation, known.sequence })
         return Change::None;
-    const bool isChanged = update.incarnation != known.incarnation || update.state != known.state || entry.isExpired;
-    entry = { update, now, false };
+    const bool isChanged = update.incarnation != known.incarnation || update.state != known.state;
+    entry = { update, now };
     return isChanged ? Change::Changed : Change::Renewed;
 }
 
@@ -41,7 +41,7 @@
     std::vector<Entry*> entries;
     std::uint32_t hash = 0;
     for (auto it = m_entries.lower_bound(slice.first); it != m_entries.end() && it->first <= slice.last; ++it) {
-        if (it->second.isExpired)
+        if (!it->second.isListed)
             continue;
         entries.push_back(&it->second);
         hash = addToHash(hash, it->second.announcement);
@@ -57,6 +57,7 @@
         known.sequence += static_cast<std::uint64_t>(ahead);
         known.busySlots = slice.loads[2 * n + 1];
         entries[n]->renewedAt = now;
+        entries[n]->isExpired = false;
         renewed.push_back(known);
     }
     return true;
@@ -67,6 +68,7 @@
     for (auto it = m_entries.begin(); it != m_entries.end();) {
         auto& entry = it->second;
         entry.isExpired = now - entry.renewedAt > leaseDuration;
+        entry.isListed = now - entry.renewedAt <= listedDuration;
         it = now - entry.renewedAt > tombstoneDuration ? m_entries.erase(it) : std::next(it);
     }
 }
@@ -75,7 +77,7 @@
 {
     LoadSlice slice { first, last, 0, {} };
     for (auto it = m_entries.lower_bound(first); it != m_entries.end() && it->first <= last; ++it) {
-        if (it->second.isExpired)
+        if (!it->second.isListed)
             continue;
         if (slice.loads.size() == 2 * entries) {
             slice.last.value = it->first.value - 1;
@@ -94,7 +96,7 @@
 {
     std::vector<upstream::Announcement> announcements;
     for (auto it = m_entries.lower_bound(first); it != m_entries.end() && it->first <= last; ++it) {
-        if (!it->second.isExpired)
+        if (it->second.isListed)
             announcements.push_back(it->second.announcement);
     }
     return announcements;
--- a/src/ibisgw/membership/AnnouncementTable.h
+++ b/src/ibisgw/membership/AnnouncementTable.h
@@ -13,21 +13,26 @@
 class AnnouncementTable {
 public:
     static constexpr core::Duration leaseDuration = std::chrono::seconds(10);
-    // An expired entry is remembered so that a peer that still holds it does not bring it back.
-    static constexpr core::Duration tombstoneDuration = std::chrono::seconds(60);
-    static constexpr std::size_t sliceEntries = 64;
+    // Slices name an upstream for this time after its lease has expired: leases of one upstream expire within
+    // seconds of each other, and a range whose sets differ meanwhile would renew no lease.
+    static constexpr core::Duration listedDuration = std::chrono::seconds(60);
+    // Entries are remembered for longer, so that a peer that still lists one does not bring it back.
+    static constexpr core::Duration tombstoneDuration = std::chrono::seconds(180);
+    static constexpr std::size_t sliceEntries = 32;
     // Ranges of at most this many upstreams are repaired with whole announcements, larger ones are split.
     static constexpr std::size_t repairEntries = 8;
 
     enum class Change {
         None,
         Renewed, // same incarnation and state, newer sequence
-        Changed,
+        Added,
+        Changed, // another state or incarnation
     };
     struct Entry {
         upstream::Announcement announcement;
         core::TimePoint renewedAt;
         bool isExpired { false };
+        bool isListed { true };
     };
 
     Change apply(const upstream::Announcement&, core::TimePoint now);
--- a/src/ibisgw/membership/ControlBudget.cpp
+++ b/src/ibisgw/membership/ControlBudget.cpp
@@ -8,11 +8,12 @@
 
 } // namespace
 
-// Configuration leaves a quarter to membership, so that a long transfer of a document cannot delay probes
-// and refutations until peers declare this daemon dead. Lower priorities leave room for the higher ones.
+// Configuration leaves a fifth to membership (about six bare probes a second), so that a long transfer of a
+// document cannot delay probes and refutations until peers declare this daemon dead. Lower priorities leave
+// room for the higher ones.
 ControlBudget::ControlBudget(std::size_t bytesPerSecond, bool reserveForMembership)
-    : m_limits { reserveForMembership ? bytesPerSecond * 3 / 4 : bytesPerSecond, bytesPerSecond,
-        bytesPerSecond * 7 / 10, bytesPerSecond * 6 / 10 }
+    : m_limits { reserveForMembership ? bytesPerSecond * 4 / 5 : bytesPerSecond, bytesPerSecond, bytesPerSecond * 3 / 4,
+        bytesPerSecond * 7 / 10 }
 {
 }
 
--- a/src/ibisgw/membership/FailureDetector.cpp
+++ b/src/ibisgw/membership/FailureDetector.cpp
@@ -12,6 +12,7 @@
 // Timeouts grow to at most five times their base, which keeps detection bounded on an overloaded daemon.
 constexpr int maxLocalHealth = 4;
 constexpr core::Duration suspectPingInterval = std::chrono::milliseconds(400);
+constexpr std::size_t suspectPings = 6;
 // Independent accusers after which the shorter suspicion timeout applies.
 constexpr std::size_t confirmationsForMinimum = 2;
 
@@ -93,9 +94,13 @@
         auto& nextPing = m_nextSuspectPing.try_emplace(id, now).first->second;
         if (now >= nextPing) {
             nextPing = now + suspectPingInterval;
-            actions.sendPing(id, nextProbeNumber());
+            // All members together send about suspectPings, which the suspect can answer within its budget.
+            if (m_random.below(m_members.records().size()) < suspectPings)
+                actions.sendPing(id, nextProbeNumber());
         }
-        if (!holdBackDeaths && now - record.changedAt >= suspicionTimeout(record))
+        // A member that still sends and hears others is slow: it misses probes or answers them too late.
+        const bool isSlow = record.heardAt > record.changedAt && now - record.heardAt < maxSuspicion;
+        if (!holdBackDeaths && !isSlow && now - record.changedAt >= suspicionTimeout(record))
             dead.push_back(id);
     }
     for (const auto& it : dead)
@@ -131,9 +136,6 @@
 
 core::Duration FailureDetector::suspicionTimeout(const MemberTable::Record& record) const
 {
-    // A member that still sends, but misses or answers probes late, is slow and gets the full time.
-    if (record.heardAt > record.changedAt)
-        return maxSuspicion;
     const auto others = m_members.reachableCount();
     const auto needed = std::min(confirmationsForMinimum, others > 2 ? others - 2 : 0);
     const auto confirmations = record.accusers.empty() ? 0 : std::min(record.accusers.size() - 1, needed);
--- a/src/ibisgw/membership/GossipMessage.h
+++ b/src/ibisgw/membership/GossipMessage.h
@@ -119,6 +119,8 @@
     // Target of a ping request and of its ack; in a join and its reply, the member after which the list goes on.
     core::NodeId subject;
     core::Incarnation incarnation { 0 };
+    // The sender has received nothing for a while, so its messages do not show that it can be reached.
+    bool isIsolated { false };
     RevisionHead head;
     // Epoch and sequence of the newest flow record of the sender.
     std::uint64_t flowEpoch { 0 };
--- a/src/ibisgw/membership/JoinProcess.cpp
+++ b/src/ibisgw/membership/JoinProcess.cpp
@@ -6,8 +6,13 @@
 
 namespace {
 
-constexpr core::Duration retryInterval = std::chrono::milliseconds(500);
+// Doubles with each attempt: when a zone starts, all daemons ask the same few seeds.
+constexpr core::Duration firstRetryInterval = std::chrono::milliseconds(500);
+constexpr core::Duration maxRetryInterval = std::chrono::seconds(4);
 constexpr core::Duration refreshInterval = std::chrono::seconds(5);
+// While a zone starts, the seeds themselves know few members yet.
+constexpr core::Duration earlyRefreshInterval = std::chrono::seconds(1);
+constexpr core::Duration earlyDuration = std::chrono::seconds(20);
 constexpr core::Duration reconnectInterval = std::chrono::seconds(2);
 // A daemon whose seeds do not answer serves alone after this time: all daemons may be starting.
 constexpr core::Duration aloneAfter = std::chrono::seconds(5);
@@ -19,6 +24,7 @@
     : m_self(self)
     , m_seeds(std::move(seeds))
     , m_random(random)
+    , m_retryInterval(firstRetryInterval)
 {
     std::erase(m_seeds, self);
 }
@@ -29,6 +35,7 @@
     m_cursor = {};
     m_startedAt = now;
     m_nextRequestAt = now;
+    m_retryInterval = firstRetryInterval;
 }
 
 std::vector<JoinProcess::Request> JoinProcess::takeDueRequests(const MemberTable& members, core::TimePoint now)
@@ -41,7 +48,12 @@
     if (!m_isJoined && now - *m_startedAt >= aloneAfter)
         m_isJoined = true;
     if (now >= m_nextRequestAt) {
-        m_nextRequestAt = now + (m_isJoined ? refreshInterval : retryInterval);
+        const bool isEarly = members.records().size() >= smallGroup && now - *m_startedAt < earlyDuration;
+        m_nextRequestAt = now
+            + (!m_isJoined    ? m_retryInterval + randomPart(m_retryInterval)
+                    : isEarly ? earlyRefreshInterval
+                              : refreshInterval);
+        m_retryInterval = std::min(2 * m_retryInterval, maxRetryInterval);
         auto targets = members.reachable();
         if (targets.empty() || (!m_isJoined && !m_cursor.isValid()))
             targets.insert(targets.end(), m_seeds.begin(), m_seeds.end());
@@ -49,7 +61,7 @@
             requests.push_back({ it, m_cursor });
     }
     if (now >= m_nextReconnectAt) {
-        m_nextReconnectAt = now + reconnectInterval;
+        m_nextReconnectAt = now + reconnectInterval + randomPart(reconnectInterval);
         if (const auto target = chooseReconnect(members))
             requests.push_back({ *target, {} });
     }
@@ -65,6 +77,11 @@
         m_nextRequestAt = now;
 }
 
+core::Duration JoinProcess::randomPart(core::Duration duration)
+{
+    return core::Duration(static_cast<std::int64_t>(m_random.below(static_cast<std::uint64_t>(duration.count()))));
+}
+
 std::optional<core::NodeId> JoinProcess::chooseReconnect(const MemberTable& members)
 {
     std::vector<core::NodeId> candidates;
--- a/src/ibisgw/membership/JoinProcess.h
+++ b/src/ibisgw/membership/JoinProcess.h
@@ -30,6 +30,7 @@
     bool isJoined() const { return m_isJoined; }
 
 private:
+    core::Duration randomPart(core::Duration);
     std::optional<core::NodeId> chooseReconnect(const MemberTable&);
 
     core::NodeId m_self;
@@ -38,6 +39,7 @@
     bool m_isJoined { false };
     core::NodeId m_cursor;
     std::optional<core::TimePoint> m_startedAt;
+    core::Duration m_retryInterval;
     core::TimePoint m_nextRequestAt;
     core::TimePoint m_nextReconnectAt;
 };
--- a/src/ibisgw/membership/MembershipNode.cpp
+++ b/src/ibisgw/membership/MembershipNode.cpp
@@ -15,6 +15,9 @@
 constexpr std::size_t maxRumorsPerMessage = 5;
 constexpr std::size_t maxRumorMessageBytes = 500;
 constexpr std::size_t maxPiggybackedRumors = 2;
+// When a zone starts, all members change at once; member lists find what fewer copies miss.
+constexpr std::size_t manyRumors = 16;
+constexpr std::size_t rumorLimitWhenMany = 3;
 // For this time after a change probes carry the own entry, so that its news does not depend on rumors alone.
 constexpr core::Duration selfEntryDuration = std::chrono::seconds(3);
 constexpr core::Duration greetingInterval = std::chrono::milliseconds(500);
@@ -40,12 +43,14 @@
         auto& node = m_node;
         const auto& self = node.m_settings.self;
         message.incarnation = self.incarnation;
+        message.isIsolated = node.m_isIsolated;
         message.head = node.m_revisions.head();
         message.flowEpoch = node.m_flowRecords.epoch();
         message.flowSequence = node.m_flowRecords.newestSequence();
-        if (message.type == MessageType::Ping || message.type == MessageType::Ack) {
-            const auto rumors
-                = node.m_rumors.take(maxPiggybackedRumors, 1, rumorSendLimit(node.m_members.reachableCount()));
+        const bool isProbe = message.type == MessageType::Ping || message.type == MessageType::Ack;
+        // Short of budget, bare probes matter more than rumors.
+        if (isProbe && node.m_budget.room(Priority::Configuration, m_now) >= maxRumorMessageBytes) {
+            const auto rumors = node.m_rumors.take(maxPiggybackedRumors, 1, node.rumorLimit());
             message.members.insert(message.members.end(), rumors.begin(), rumors.end());
             if (m_now - node.m_selfChangedAt < selfEntryDuration)
                 message.members.push_back(self);
@@ -122,13 +127,14 @@
     Context context(*this, now, output);
     m_lastReceivedAt = now;
     updateIsolation(now);
-    m_members.noteHeard(from, message.head.revision, now);
+    if (!message.isIsolated)
+        m_members.noteHeard(from, message.head.revision, now);
     for (const auto& it : message.members)
         learn(it, now);
     m_zones.handle(message, now);
     greetSender(from, message, now, context);
     handleByType(from, message, now, context);
-    m_announcements.handle(from, message, now, context, m_events);
+    m_announcements.handle(from, message, m_budget.room(Priority::Load, now), now, context, m_events);
     m_flowRecords.handle(from, message, now, context, m_events);
     if (m_revisions.handle(from, message, now, context)) {
         m_events.revisionInForce(m_revisions.applier().inForce());
@@ -370,6 +376,11 @@
     }
 }
 
+std::size_t MembershipNode::rumorLimit() const
+{
+    return m_rumors.size() > manyRumors ? rumorLimitWhenMany : rumorSendLimit(m_members.reachableCount());
+}
+
 void MembershipNode::spreadRumors(core::TimePoint now, Context& context)
 {
     // Rumors leave the last quarter of the budget to probes: when many members change at once, probes that wait
@@ -382,7 +393,7 @@
     if (targets.empty())
         return;
     GossipMessage message;
-    message.members = m_rumors.take(maxRumorsPerMessage, targets.size(), rumorSendLimit(m_members.reachableCount()));
+    message.members = m_rumors.take(maxRumorsPerMessage, targets.size(), rumorLimit());
     for (const auto& it : targets)
         context.post(Priority::Membership, it, message);
 }
--- a/src/ibisgw/membership/MembershipNode.h
+++ b/src/ibisgw/membership/MembershipNode.h
@@ -76,6 +76,7 @@
     void greetSender(core::NodeId from, const GossipMessage&, core::TimePoint now, Context&);
     void handleByType(core::NodeId from, const GossipMessage&, core::TimePoint now, Context&);
     void answerJoin(core::NodeId from, const GossipMessage&, Context&);
+    std::size_t rumorLimit() const;
     void spreadRumors(core::TimePoint now, Context&);
     void spreadRevision(bool isOrigin, Context&);
 
--- a/src/ibisgw/membership/MembershipSettings.h
+++ b/src/ibisgw/membership/MembershipSettings.h
@@ -39,7 +39,7 @@
 // A suspect that several members report is declared dead after the shorter time (Lifeguard, section IV-B).
 // 1.5 s hold seven gossip rounds and three probes of the suspect, which all must be lost for a false death.
 inline constexpr core::Duration minSuspicion = std::chrono::milliseconds(1500);
-inline constexpr core::Duration maxSuspicion = std::chrono::milliseconds(3000);
+inline constexpr core::Duration maxSuspicion = std::chrono::milliseconds(2400);
 
 // A process that did not run for longer may have been declared dead meanwhile.
 inline constexpr core::Duration pauseLimit = minSuspicion;
--- a/src/ibisgw/membership/RevisionExchange.cpp
+++ b/src/ibisgw/membership/RevisionExchange.cpp
@@ -1,5 +1,7 @@
 #include "ibisgw/membership/RevisionExchange.h"
 
+#include "ibisgw/configuration/DocumentCompression.h"
+
 #include <algorithm>
 
 namespace ibisgw::membership {
@@ -11,7 +13,7 @@
 // A peer whose budget is used up answers late; asking others meanwhile is cheap.
 constexpr core::Duration requestTimeout = std::chrono::milliseconds(300);
 constexpr core::Duration pieceTimeout = std::chrono::milliseconds(800);
-// Pieces under way at once. Four peers with 3 KB/s each deliver 96 KB in about 8 s.
+// Pieces under way at once. A compressed document of 480 addresses has about as many.
 constexpr std::size_t maxPiecesUnderWay = 4;
 // Patch bytes of all deltas of one message, so that header and names fit too.
 constexpr std::size_t maxDeltaBytes = 1100;
@@ -50,7 +52,7 @@
     for (const auto& it : message.deltas)
         isNewer = applyDelta(it) || isNewer;
     if (message.piece)
-        isNewer = addPiece(*message.piece) || isNewer;
+        isNewer = addPiece(from, *message.piece) || isNewer;
     // The answer has arrived, so the next request need not wait.
     if (!message.deltas.empty() || message.piece)
         requestNext(now, sink);
@@ -89,7 +91,7 @@
     return toItem(*delta);
 }
 
-void RevisionExchange::answer(core::NodeId from, const RevisionRequest& request, MessageSink& sink) const
+void RevisionExchange::answer(core::NodeId from, const RevisionRequest& request, MessageSink& sink)
 {
     const auto& inForce = m_applier.inForce();
     if (inForce.revision <= request.base.revision)
@@ -103,15 +105,25 @@
         delta = m_applier.deltaFrom(delta->revision, delta->hash);
     }
     if (reply.deltas.empty()) {
+        const auto& document = compressedDocument();
         const auto isSame = request.wanted == head();
-        const auto offset = isSame ? std::min<std::size_t>(request.offset, inForce.document.size()) : 0;
-        reply.piece = DocumentPiece { head(), static_cast<std::uint32_t>(inForce.document.size()),
-            static_cast<std::uint32_t>(offset), inForce.document.substr(offset, pieceBytes), inForce.author,
-            inForce.submission };
+        const auto offset = isSame ? std::min<std::size_t>(request.offset, document.size()) : 0;
+        reply.piece
+            = DocumentPiece { head(), static_cast<std::uint32_t>(document.size()), static_cast<std::uint32_t>(offset),
+                  document.substr(offset, pieceBytes), inForce.author, inForce.submission };
     }
     sink.post(Priority::Configuration, from, std::move(reply));
 }
 
+const std::string& RevisionExchange::compressedDocument()
+{
+    if (m_compressedHead != head()) {
+        m_compressedHead = head();
+        m_compressed = configuration::compressDocument(m_applier.inForce().document);
+    }
+    return m_compressed;
+}
+
 bool RevisionExchange::applyDelta(const DeltaItem& delta)
 {
     const auto outcome = m_applier.applyDelta({ delta.base.revision, delta.base.hash, delta.target.revision,
@@ -122,12 +134,13 @@
     return outcome == ApplyOutcome::Applied;
 }
 
-bool RevisionExchange::addPiece(const DocumentPiece& piece)
+bool RevisionExchange::addPiece(core::NodeId from, const DocumentPiece& piece)
 {
     if (piece.head.revision <= m_applier.inForce().revision)
         return false;
     if (!m_transfer || m_transfer->head.revision < piece.head.revision) {
-        m_transfer = Transfer { piece.head, std::string(piece.size, '\0'), piece.author, piece.submission, {}, {} };
+        m_transfer
+            = Transfer { piece.head, from, std::string(piece.size, '\0'), piece.author, piece.submission, {}, {} };
         for (std::size_t offset = 0; offset < piece.size; offset += pieceBytes)
             m_transfer->missing.insert(offset);
     }
@@ -141,8 +154,11 @@
         return false;
     const auto done = std::move(*m_transfer);
     m_transfer.reset();
-    const auto outcome
-        = m_applier.applyDocument({ done.head.revision, done.buffer, done.head.hash, done.author, done.submission });
+    const auto document = configuration::decompressDocument(done.buffer);
+    const auto outcome = document
+        ? m_applier.applyDocument({ done.head.revision, *document, done.head.hash, done.author, done.submission })
+        : ApplyOutcome::Malformed;
+    m_usesSinglePeer = outcome == ApplyOutcome::WrongHash || outcome == ApplyOutcome::Malformed;
     m_needsDocument = m_needsDocument && outcome != ApplyOutcome::Applied;
     return outcome == ApplyOutcome::Applied;
 }
@@ -171,7 +187,9 @@
 
 void RevisionExchange::requestPieces(core::TimePoint now, MessageSink& sink)
 {
-    const auto candidates = peersWith(m_transfer->head);
+    auto candidates = peersWith(m_transfer->head);
+    if (m_usesSinglePeer)
+        std::erase_if(candidates, [this](core::NodeId it) { return it != m_transfer->firstPeer; });
     if (candidates.empty()) {
         // All peers have moved on; the document starts over with the newer revision.
         m_transfer.reset();
--- a/src/ibisgw/membership/RevisionExchange.h
+++ b/src/ibisgw/membership/RevisionExchange.h
@@ -13,7 +13,7 @@
 namespace ibisgw::membership {
 
 // Brings the newest accepted revision that any peer holds into force: deltas where a peer still has them,
-// otherwise the whole document in pieces from several peers at once.
+// otherwise the whole document, compressed, in pieces from several peers at once.
 class RevisionExchange {
 public:
     // Pieces start at multiples of this, so that pieces of several peers fit together.
@@ -38,6 +38,7 @@
 private:
     struct Transfer {
         RevisionHead head;
+        core::NodeId firstPeer;
         std::string buffer;
         std::string author;
         std::string submission;
@@ -45,9 +46,10 @@
         std::map<std::size_t, core::TimePoint> requestedUntil;
     };
 
-    void answer(core::NodeId from, const RevisionRequest&, MessageSink&) const;
+    void answer(core::NodeId from, const RevisionRequest&, MessageSink&);
+    const std::string& compressedDocument();
     bool applyDelta(const DeltaItem&);
-    bool addPiece(const DocumentPiece&);
+    bool addPiece(core::NodeId from, const DocumentPiece&);
     void requestNext(core::TimePoint now, MessageSink&);
     void requestPieces(core::TimePoint now, MessageSink&);
     std::vector<core::NodeId> peersWith(RevisionHead) const;
@@ -58,6 +60,10 @@
     std::optional<Transfer> m_transfer;
     // A delta led to a document with another hash; only a whole document helps.
     bool m_needsDocument { false };
+    // Pieces of peers with another release of zlib may not fit together; then one peer sends all.
+    bool m_usesSinglePeer { false };
+    RevisionHead m_compressedHead;
+    std::string m_compressed;
     core::TimePoint m_nextRequestAt;
 };
 
--- a/src/ibisgw/membership/detail/MessageFields.h
+++ b/src/ibisgw/membership/detail/MessageFields.h
@@ -9,7 +9,7 @@
 
 inline constexpr std::uint64_t gossipVersion = 1;
 // Number of array elements of each part.
-inline constexpr std::size_t messageFields = 20;
+inline constexpr std::size_t messageFields = 21;
 inline constexpr std::size_t memberFields = 11;
 inline constexpr std::size_t announcementFields = 9;
 inline constexpr std::size_t rangeFields = 3;
@@ -35,7 +35,7 @@
     {
         m_writer.arrayOf(messageFields);
         numbers(gossipVersion, static_cast<std::uint64_t>(message.type), message.probe, message.subject.value,
-            message.incarnation);
+            message.incarnation, std::uint64_t { message.isIsolated });
         write(message.head);
         numbers(message.flowEpoch, message.flowSequence);
         list(message.members);
