--- a/src/ibisgw/membership/GossipMessage.h
+++ b/src/ibisgw/membership/GossipMessage.h
@@ -56,11 +56,12 @@
     bool operator==(const FlowRecordItem&) const = default;
 };
 
-// Newest flow record of an origin that the sender knows of.
+// Flow records of an origin that the sender holds.
 struct FlowRecordHead {
     core::NodeId origin;
     std::uint64_t epoch { 0 };
-    std::uint64_t sequence { 0 };
+    std::uint64_t oldest { 0 };
+    std::uint64_t newest { 0 };
 };
 
 // Asks for the flow records of an origin with sequences in [from, to].
@@ -119,6 +120,8 @@
     // Target of a ping request and of its ack; in a join and its reply, the member after which the list goes on.
     core::NodeId subject;
     core::Incarnation incarnation { 0 };
+    // The sender has received nothing for a while, so its messages do not show that it can be reached.
+    bool isIsolated { false };
     RevisionHead head;
     // Epoch and sequence of the newest flow record of the sender.
     std::uint64_t flowEpoch { 0 };
