Run controllers, the administration API and the console in the daemon

Cause: documents came from a file on each balancer; nothing agreed on them. One pair of patch functions serves dissemination and the history, where each had its own.

--- a/scripts/local_system.py
+++ b/scripts/local_system.py
@@ -166,8 +166,16 @@
         except (urllib.error.URLError, TimeoutError, ConnectionError):
             return None
 
+    def leader(self, daemon):
+        status = self.api(daemon, "/api/v1/status")
+        return status and status["leader"]
+
+    def upstream_count(self, balancer):
+        answer = self.api(balancer, "/api/v1/upstreams")
+        return len(answer["upstreams"]) if answer else 0
+
     def cli(self, daemon, *arguments):
         """Runs the command-line tool; returns its exit status and its output."""
-        command = [str(self.binaries / "ibisgw"), "--api", f"http://{self.admin_address(daemon)}"]
-        result = subprocess.run([*command, *map(str, arguments)], capture_output=True, text=True, check=False)
+        command = [str(self.binaries / "ibisgw"), *map(str, arguments), "--api", f"http://{self.admin_address(daemon)}"]
+        result = subprocess.run(command, capture_output=True, text=True, check=False)
         return result.returncode, result.stdout + result.stderr
--- a/src/ibisgw/balancer/Balancer.h
+++ b/src/ibisgw/balancer/Balancer.h
@@ -35,6 +35,14 @@
     SelectorFactory makeSelector;
 };
 
+// Answer to an operator's question about a flow.
+struct FlowLocation {
+    core::ServiceName service;
+    core::UpstreamId upstream;
+    // "table" or "record".
+    std::string source;
+};
+
 // State machine of one balancer: selects the upstream of each new flow and forwards the packets of
 // existing flows to the upstream that they already have.
 class Balancer {
@@ -65,6 +73,10 @@
     const BalancerCounters& counters() const { return m_counters; }
     const upstream::UpstreamRegistry& upstreams() const { return m_upstreams; }
     std::size_t flowCount() const { return m_flows.size(); }
+    // Flows in the flow table by service and upstream. Walks the whole table: for operators, not for packets.
+    std::map<std::pair<core::ServiceName, core::UpstreamId>, std::uint64_t> flowCounts() const;
+    // Where a packet of the flow would go without a token; empty when only another balancer may know.
+    std::optional<FlowLocation> locate(const core::FlowKey&, core::TimePoint now);
 
 private:
     void placeFlow(const packet::Packet&, const configuration::Service&, core::TimePoint now, BalancerOutput&);
--- a/src/ibisgw/configuration/DocumentPatch.cpp
+++ b/src/ibisgw/configuration/DocumentPatch.cpp
@@ -85,6 +85,14 @@
     return patch.dump();
 }
 
+std::optional<std::string> makeExactPatch(const std::string& base, const std::string& target)
+{
+    auto patch = makePatch(base, target);
+    if (!patch || patch->size() >= target.size() || applyPatch(base, *patch) != target)
+        return std::nullopt;
+    return patch;
+}
+
 std::optional<std::string> applyPatch(const std::string& base, const std::string& patch)
 {
     const auto document = Json::parse(base, nullptr, false);
--- a/src/ibisgw/configuration/ReplicatedConfiguration.cpp
+++ b/src/ibisgw/configuration/ReplicatedConfiguration.cpp
@@ -1,5 +1,7 @@
 #include "ibisgw/configuration/ReplicatedConfiguration.h"
 
+#include "ibisgw/configuration/DocumentPatch.h"
+
 #include <nlohmann/json.hpp>
 
 namespace ibisgw::configuration {
@@ -29,7 +31,7 @@
     const auto& current = m_history.current();
     std::optional<std::string> patch;
     if (current.revision > 0 && submission.base == current.revision)
-        patch = makePatch(current.document, submission.document);
+        patch = makeExactPatch(current.document, submission.document);
     return writeCbor(
         { submission.id, submission.author, submission.base, patch.has_value(), patch ? *patch : submission.document });
 }
--- a/src/ibisgw/configuration/RevisionHistory.cpp
+++ b/src/ibisgw/configuration/RevisionHistory.cpp
@@ -1,5 +1,7 @@
 #include "ibisgw/configuration/RevisionHistory.h"
 
+#include "ibisgw/configuration/DocumentPatch.h"
+
 #include <algorithm>
 #include <nlohmann/json.hpp>
 
@@ -27,31 +29,10 @@
 
 } // namespace
 
-std::optional<std::string> applyPatch(const std::string& document, const std::string& patch)
-{
-    try {
-        return json::parse(document).patch(json::parse(patch)).dump();
-    } catch (const json::exception&) {
-        return std::nullopt;
-    }
-}
-
-std::optional<std::string> makePatch(const std::string& from, const std::string& to)
-{
-    const auto source = json::parse(from, nullptr, false);
-    const auto target = json::parse(to, nullptr, false);
-    if (source.is_discarded() || target.is_discarded())
-        return std::nullopt;
-    auto patch = json::diff(source, target).dump();
-    if (patch.size() >= to.size() || applyPatch(from, patch) != to)
-        return std::nullopt;
-    return patch;
-}
-
 void RevisionHistory::add(AcceptedRevision revision)
 {
     if (m_current.revision > 0) {
-        auto patch = makePatch(revision.document, m_current.document);
+        auto patch = makeExactPatch(revision.document, m_current.document);
         Older older { m_current, patch.has_value(), patch ? std::move(*patch) : m_current.document };
         older.header.document.clear();
         m_older.push_back(std::move(older));
--- a/src/ibisgw/configuration/RevisionHistory.h
+++ b/src/ibisgw/configuration/RevisionHistory.h
@@ -45,9 +45,4 @@
     std::deque<Older> m_older;
 };
 
-// Patch between two documents, or empty when it is not shorter than the target or would not
-// reproduce it exactly.
-std::optional<std::string> makePatch(const std::string& from, const std::string& to);
-std::optional<std::string> applyPatch(const std::string& document, const std::string& patch);
-
 } // namespace ibisgw::configuration
--- a/src/ibisgw/settings/DaemonSettings.cpp
+++ b/src/ibisgw/settings/DaemonSettings.cpp
@@ -40,7 +40,6 @@
     reader.readText("token_file", settings.tokenFile, Presence::Optional);
     reader.readText("trace_file", settings.traceFile, Presence::Optional);
     reader.readText("log_file", settings.logFile, Presence::Optional);
-    reader.readText("initial_document", settings.initialDocument, Presence::Optional);
 }
 
 void checkRoles(ObjectReader& reader, const DaemonSettings& settings)
--- a/src/ibisgw/settings/DaemonSettings.h
+++ b/src/ibisgw/settings/DaemonSettings.h
@@ -42,8 +42,6 @@
     double traceSamplingRate { 0.0 };
     std::string traceFile;
     std::string logFile;
-    // Document that a daemon uses until it has received an accepted one.
-    std::string initialDocument;
 };
 
 struct SettingsReading {
--- /dev/null
+++ b/src/ibisgwd/ControlClient.cpp
@@ -0,0 +1,127 @@
+#include "ibisgwd/ControlClient.h"
+
+#include "ibisgwd/PeerNetwork.h"
+
+namespace ibisgwd {
+
+using namespace ibisgw;
+using adapters::ControlCall;
+using adapters::ControlReply;
+using adapters::ControlRequest;
+using configuration::OutcomeKind;
+
+namespace {
+
+// An election takes up to 3 s; a controller that is merely busy answers sooner.
+constexpr core::Duration attemptTimeout = std::chrono::milliseconds(1500);
+
+// Longer than an election and one more attempt.
+constexpr core::Duration overallTimeout = std::chrono::seconds(8);
+
+// Wait before a request is repeated that found no leader.
+constexpr core::Duration noLeaderDelay = std::chrono::milliseconds(200);
+
+constexpr std::size_t maxPendingRequests = 256;
+
+} // namespace
+
+ControlClient::ControlClient(PeerNetwork& network, std::vector<core::NodeId> controllers)
+    : m_network(network)
+    , m_controllers(std::move(controllers))
+{
+}
+
+void ControlClient::ask(ControlRequest request, core::TimePoint now, Completion completion)
+{
+    if (m_controllers.empty()) {
+        completion(core::Error { core::ErrorKind::Unavailable, "no controllers are known; set controllers" });
+        return;
+    }
+    auto* pending = add(std::move(request), now, std::move(completion));
+    if (!pending)
+        return;
+    pending->controllerIndex = static_cast<std::size_t>(pending->request.number) % m_controllers.size();
+    send(*pending, m_leader.isValid() ? m_leader : m_controllers[pending->controllerIndex], now);
+}
+
+void ControlClient::askDaemon(core::NodeId daemon, ControlRequest request, core::TimePoint now, Completion completion)
+{
+    auto* pending = add(std::move(request), now, std::move(completion));
+    if (!pending)
+        return;
+    pending->isForOneDaemon = true;
+    send(*pending, daemon, now);
+}
+
+ControlClient::PendingRequest* ControlClient::add(ControlRequest request, core::TimePoint now, Completion completion)
+{
+    if (m_pending.size() >= maxPendingRequests) {
+        completion(
+            core::Error { core::ErrorKind::ResourceExhausted, "too many requests are waiting; try again later" });
+        return nullptr;
+    }
+    request.number = m_nextNumber++;
+    auto& pending = m_pending[request.number];
+    pending.request = std::move(request);
+    pending.completion = std::move(completion);
+    pending.startedAt = now;
+    return &pending;
+}
+
+void ControlClient::send(PendingRequest& pending, core::NodeId target, core::TimePoint now)
+{
+    pending.sentAt = now;
+    const auto body = adapters::encodeControlRequest(pending.request);
+    m_network.sendStream(target, adapters::Channel::Stream, std::as_bytes(std::span(body)));
+}
+
+void ControlClient::sendToNext(PendingRequest& pending, core::TimePoint now)
+{
+    pending.controllerIndex = (pending.controllerIndex + 1) % m_controllers.size();
+    send(pending, m_controllers[pending.controllerIndex], now);
+}
+
+void ControlClient::handleReply(const ControlReply& reply, core::TimePoint now)
+{
+    const auto it = m_pending.find(reply.number);
+    if (it == m_pending.end())
+        return;
+    auto& pending = it->second;
+    if (reply.outcome.kind == OutcomeKind::NotLeader) {
+        m_leader = reply.outcome.leader;
+        if (m_leader.isValid())
+            send(pending, m_leader, now);
+        else
+            // The next attempt of tick() comes after a short wait.
+            pending.sentAt = now - attemptTimeout + noLeaderDelay;
+        return;
+    }
+    complete(reply.number, reply);
+}
+
+void ControlClient::tick(core::TimePoint now)
+{
+    std::vector<std::uint64_t> expired;
+    for (auto& [number, pending] : m_pending) {
+        const auto limit = pending.isForOneDaemon ? attemptTimeout : overallTimeout;
+        if (now - pending.startedAt > limit) {
+            expired.push_back(number);
+        } else if (!pending.isForOneDaemon && now - pending.sentAt > attemptTimeout) {
+            m_leader = {};
+            sendToNext(pending, now);
+        }
+    }
+    for (const auto number : expired) {
+        complete(number,
+            core::Error { core::ErrorKind::Unavailable,
+                "no answer in time; check that the daemon, or a majority of the controllers, runs, and ask again" });
+    }
+}
+
+void ControlClient::complete(std::uint64_t number, Result result)
+{
+    auto node = m_pending.extract(number);
+    node.mapped().completion(std::move(result));
+}
+
+} // namespace ibisgwd
--- /dev/null
+++ b/src/ibisgwd/ControllerRole.cpp
@@ -0,0 +1,164 @@
+#include "ibisgwd/ControllerRole.h"
+
+#include "ibisgw/adapters/EventLoop.h"
+#include "ibisgw/adapters/Log.h"
+#include "ibisgw/adapters/RaftCodec.h"
+#include "ibisgwd/PeerNetwork.h"
+
+#include <algorithm>
+
+namespace ibisgwd {
+
+using namespace ibisgw;
+using adapters::ControlCall;
+using adapters::ControlReply;
+using adapters::ControlRequest;
+using configuration::OutcomeKind;
+
+namespace {
+
+// A submission that is not decided by then is answered as unknown; its sender asks again.
+constexpr core::Duration decisionTimeout = std::chrono::seconds(5);
+
+constexpr std::size_t maxWaitingSenders = 256;
+
+configuration::RaftOptions makeOptions(const settings::DaemonSettings& settings, core::NodeId self)
+{
+    configuration::RaftOptions options;
+    options.self = self;
+    for (const auto& it : settings.controllers)
+        options.controllers.push_back(core::NodeId::fromEndpoint(it));
+    return options;
+}
+
+} // namespace
+
+core::Result<std::unique_ptr<ControllerRole>> ControllerRole::create(const settings::DaemonSettings& settings,
+    core::RandomSource& random, adapters::EventLoop& loop, PeerNetwork& network, RevisionHandler revisionHandler)
+{
+    BOOST_LEAF_AUTO(store, adapters::FileLogStore::open(settings.dataFolder, random));
+    std::unique_ptr<ControllerRole> role(
+        new ControllerRole(settings, std::move(store), random, loop, network, std::move(revisionHandler)));
+    BOOST_LEAF_CHECK(role->m_service.start(loop.now()));
+    return role;
+}
+
+ControllerRole::ControllerRole(const settings::DaemonSettings& settings, std::unique_ptr<adapters::FileLogStore> store,
+    core::RandomSource& random, adapters::EventLoop& loop, PeerNetwork& network, RevisionHandler revisionHandler)
+    : m_loop(loop)
+    , m_network(network)
+    , m_store(std::move(store))
+    , m_service(makeOptions(settings, network.self()), *m_store, random)
+    , m_revisionHandler(std::move(revisionHandler))
+{
+}
+
+ControllerRole::~ControllerRole() = default;
+
+void ControllerRole::tick()
+{
+    m_service.tick(m_loop.now(), *this);
+    publishCommitted();
+    answerWaitingSenders();
+}
+
+void ControllerRole::handleConsensus(core::NodeId sender, std::span<const std::byte> body)
+{
+    const std::string_view text(reinterpret_cast<const char*>(body.data()), body.size());
+    if (const auto message = adapters::decodeRaftMessage(text))
+        m_service.handleMessage(sender, *message, m_loop.now(), *this);
+    publishCommitted();
+    answerWaitingSenders();
+}
+
+void ControllerRole::handleRequest(core::NodeId sender, const ControlRequest& request)
+{
+    ControlReply answer;
+    answer.number = request.number;
+    switch (request.call) {
+    case ControlCall::Submit:
+        submit(sender, request);
+        return;
+    case ControlCall::FindOutcome:
+        answer.outcome = m_service.outcomeOf(request.submission.id);
+        break;
+    case ControlCall::FindRevision:
+        if (auto revision = m_service.findRevision(request.revision))
+            answer.revisions.push_back(std::move(*revision));
+        break;
+    case ControlCall::ListRevisions:
+        answer.revisions = newestRevisions(request.limit);
+        break;
+    case ControlCall::DrainBalancer:
+    case ControlCall::FindSpans:
+        // The daemon answers these itself.
+        return;
+    }
+    reply(sender, answer);
+}
+
+void ControllerRole::submit(core::NodeId sender, const ControlRequest& request)
+{
+    const auto now = m_loop.now();
+    auto outcome = m_service.submit(request.submission, now, *this);
+    if (outcome.kind != OutcomeKind::Unknown || m_waiting.size() >= maxWaitingSenders) {
+        ControlReply answer;
+        answer.number = request.number;
+        answer.outcome = std::move(outcome);
+        reply(sender, answer);
+        return;
+    }
+    m_waiting.push_back({ sender, request.number, request.submission.id, now });
+    // A group of one controller has committed already.
+    publishCommitted();
+    answerWaitingSenders();
+}
+
+void ControllerRole::answerWaitingSenders()
+{
+    const auto now = m_loop.now();
+    std::erase_if(m_waiting, [&](const WaitingSender& waiting) {
+        ControlReply answer;
+        answer.number = waiting.number;
+        answer.outcome = m_service.outcomeOf(waiting.submission);
+        if (!answer.outcome.isFinal() && now - waiting.since < decisionTimeout)
+            return false;
+        reply(waiting.sender, answer);
+        return true;
+    });
+}
+
+void ControllerRole::publishCommitted()
+{
+    const auto& newest = m_service.newestKnown();
+    if (newest.revision <= m_published)
+        return;
+    for (const auto& it : m_service.revisionsSince(m_published))
+        m_revisionHandler(it);
+    m_published = newest.revision;
+}
+
+std::vector<configuration::AcceptedRevision> ControllerRole::newestRevisions(std::size_t limit) const
+{
+    auto revisions = m_service.revisionsSince(0);
+    std::ranges::reverse(revisions);
+    if (revisions.size() > limit)
+        revisions.resize(limit);
+    for (auto& it : revisions)
+        it.document.clear();
+    return revisions;
+}
+
+void ControllerRole::send(core::NodeId peer, const configuration::RaftMessage& message)
+{
+    const auto body = adapters::encodeRaftMessage(message);
+    m_network.sendStream(peer, adapters::Channel::Consensus, std::as_bytes(std::span(body)));
+}
+
+void ControllerRole::reply(core::NodeId peer, const ControlReply& answer)
+{
+    const auto body = adapters::encodeControlReply(answer);
+    m_network.sendStream(peer, adapters::Channel::Stream, std::as_bytes(std::span(body)));
+}
+
+} // namespace ibisgwd
--- /dev/null
+++ b/src/ibisgwd/ControllerRole.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include "ibisgw/adapters/ControlRpc.h"
+#include "ibisgw/adapters/FileLogStore.h"
+#include "ibisgw/configuration/ConfigurationService.h"
+#include "ibisgw/configuration/RaftOutput.h"
+#include "ibisgw/settings/DaemonSettings.h"
+
+#include <functional>
+#include <memory>
+#include <vector>
+
+namespace ibisgw::adapters {
+class EventLoop;
+}
+
+namespace ibisgwd {
+
+class PeerNetwork;
+
+// Agreement on the configuration: the replicated log on the disk of this process, consensus messages on
+// streams, and answers to the requests of other daemons.
+class ControllerRole final : private ibisgw::configuration::RaftOutput {
+public:
+    // Called for each committed revision that this controller learns.
+    using RevisionHandler = std::function<void(const ibisgw::configuration::AcceptedRevision&)>;
+
+    static ibisgw::core::Result<std::unique_ptr<ControllerRole>> create(const ibisgw::settings::DaemonSettings&,
+        ibisgw::core::RandomSource&, ibisgw::adapters::EventLoop&, PeerNetwork&, RevisionHandler);
+    ~ControllerRole() override;
+
+    void tick();
+    void handleConsensus(ibisgw::core::NodeId sender, std::span<const std::byte> body);
+    void handleRequest(ibisgw::core::NodeId sender, const ibisgw::adapters::ControlRequest&);
+
+    ibisgw::configuration::ConfigurationStatus status() const { return m_service.status(); }
+
+private:
+    // A submission whose outcome its sender waits for.
+    struct WaitingSender {
+        ibisgw::core::NodeId sender;
+        std::uint64_t number { 0 };
+        std::string submission;
+        ibisgw::core::TimePoint since;
+    };
+
+    ControllerRole(const ibisgw::settings::DaemonSettings&, std::unique_ptr<ibisgw::adapters::FileLogStore>,
+        ibisgw::core::RandomSource&, ibisgw::adapters::EventLoop&, PeerNetwork&, RevisionHandler);
+
+    void send(ibisgw::core::NodeId, const ibisgw::configuration::RaftMessage&) override;
+    void submit(ibisgw::core::NodeId sender, const ibisgw::adapters::ControlRequest&);
+    void answerWaitingSenders();
+    void publishCommitted();
+    void reply(ibisgw::core::NodeId, const ibisgw::adapters::ControlReply&);
+    std::vector<ibisgw::configuration::AcceptedRevision> newestRevisions(std::size_t limit) const;
+
+    ibisgw::adapters::EventLoop& m_loop;
+    PeerNetwork& m_network;
+    std::unique_ptr<ibisgw::adapters::FileLogStore> m_store;
+    ibisgw::configuration::ConfigurationService m_service;
+    RevisionHandler m_revisionHandler;
+    std::vector<WaitingSender> m_waiting;
+    ibisgw::core::Revision m_published { 0 };
+};
+
+} // namespace ibisgwd
--- a/src/ibisgwd/Daemon.cpp
+++ b/src/ibisgwd/Daemon.cpp
@@ -4,11 +4,11 @@
 #include "ibisgw/adapters/GossipCodec.h"
 #include "ibisgw/adapters/KeyFile.h"
 #include "ibisgw/adapters/Log.h"
+#include "ibisgw/adapters/TraceReader.h"
 #include "ibisgw/configuration/DocumentReader.h"
 #include "ibisgw/membership/GossipMessage.h"
 
 #include <algorithm>
-#include <fstream>
 #include <nlohmann/json.hpp>
 
 namespace ibisgwd {
@@ -65,6 +65,14 @@
     return result;
 }
 
+std::vector<core::NodeId> toNodes(const std::vector<core::Endpoint>& endpoints)
+{
+    std::vector<core::NodeId> nodes;
+    for (const auto& it : endpoints)
+        nodes.push_back(core::NodeId::fromEndpoint(it));
+    return nodes;
+}
+
 } // namespace
 
 core::Result<std::unique_ptr<Daemon>> Daemon::create(settings::DaemonSettings settings)
@@ -73,13 +81,8 @@
     BOOST_LEAF_AUTO(keys, adapters::readKeyFile(settings.keyFile));
     std::unique_ptr<Daemon> daemon(new Daemon(std::move(settings), control, keys));
     BOOST_LEAF_CHECK(daemon->m_network.start());
-    if (daemon->m_settings.balancer) {
-        BOOST_LEAF_ASSIGN(daemon->m_balancer,
-            BalancerRole::create(daemon->m_settings, makeTokenCodec(keys), daemon->m_random, daemon->m_loop,
-                daemon->m_network, [daemon = daemon.get()](const auto& announcement) {
-                    daemon->m_membership.publish(announcement, daemon->m_loop.now());
-                }));
-    }
+    BOOST_LEAF_CHECK(daemon->startRoles(keys));
+    BOOST_LEAF_CHECK(daemon->startApi());
     return daemon;
 }
 
@@ -89,16 +92,43 @@
     , m_network(m_loop, control, keys, wallClockMicroseconds(),
           [this](auto sender, auto channel, auto body) { receive(sender, channel, body); })
     , m_membership(makeMembershipSettings(m_settings, m_network.self()), m_random, *this)
+    , m_client(m_network, toNodes(m_settings.controllers))
+    , m_backend({ m_loop, m_network, m_membership, m_client, m_balancer, m_controller })
 {
 }
 
 Daemon::~Daemon() = default;
 
+core::Result<void> Daemon::startRoles(const adapters::KeyRing& keys)
+{
+    if (m_settings.balancer) {
+        BOOST_LEAF_ASSIGN(m_balancer,
+            BalancerRole::create(m_settings, makeTokenCodec(keys), m_random, m_loop, m_network,
+                [this](const auto& announcement) { m_membership.publish(announcement, m_loop.now()); }));
+    }
+    if (m_settings.controller) {
+        BOOST_LEAF_ASSIGN(m_controller,
+            ControllerRole::create(m_settings, m_random, m_loop, m_network,
+                [this](const auto& revision) { m_membership.publishRevision(revision, m_loop.now(), m_network); }));
+    }
+    return {};
+}
+
+core::Result<void> Daemon::startApi()
+{
+    if (m_settings.admin.port == 0)
+        return {};
+    adapters::AdminApiOptions options;
+    options.listen = m_settings.admin;
+    options.tokenFile = m_settings.tokenFile;
+    BOOST_LEAF_ASSIGN(m_api, adapters::AdminApi::start(m_loop, m_backend, options));
+    return {};
+}
+
 void Daemon::run()
 {
     if (m_balancer)
         m_balancer->start();
-    publishInitialDocument();
     m_loop.addPeriodic(tickPeriod, [this] { tick(); });
     m_loop.onTermination([this] { beginShutdown(); });
     adapters::log(LogLevel::Info, "daemon started", { { "control", m_network.self().endpoint().toString() } });
@@ -111,6 +141,9 @@
     const auto now = m_loop.now();
     m_membership.tick(now, m_network);
     m_network.tick();
+    m_client.tick(now);
+    if (m_controller)
+        m_controller->tick();
     if (m_balancer) {
         updateRing();
         m_balancer->tick();
@@ -142,6 +175,10 @@
     } else if (channel == Channel::Gossip) {
         if (const auto message = adapters::decodeGossip(body))
             m_membership.handleMessage(sender, *message, m_loop.now(), m_network);
+    } else if (channel == Channel::Consensus && m_controller) {
+        m_controller->handleConsensus(sender, body);
+    } else if (channel == Channel::Stream) {
+        handleControlMessage(sender, body);
     }
 }
 
@@ -205,23 +242,30 @@
         { { "seconds", core::toSeconds(duration) } });
 }
 
-void Daemon::publishInitialDocument()
+void Daemon::handleControlMessage(core::NodeId sender, std::span<const std::byte> body)
 {
-    if (m_settings.initialDocument.empty())
-        return;
-    std::ifstream in(m_settings.initialDocument);
-    const auto json = nlohmann::json::parse(in, nullptr, false);
-    const auto reading = configuration::readDocument(json);
-    if (!reading.document) {
-        adapters::log(LogLevel::Error, "the initial document is not valid; correct it with ibisgw config check",
-            { { "file", m_settings.initialDocument } });
+    if (const auto reply = adapters::decodeControlReply(body))
+        m_client.handleReply(*reply, m_loop.now());
+    else if (const auto request = adapters::decodeControlRequest(body))
+        answerRequest(sender, *request);
+}
+
+void Daemon::answerRequest(core::NodeId sender, const adapters::ControlRequest& request)
+{
+    adapters::ControlReply reply;
+    reply.number = request.number;
+    if (request.call == adapters::ControlCall::DrainBalancer) {
+        if (!m_shutdownAt)
+            beginShutdown();
+    } else if (request.call == adapters::ControlCall::FindSpans) {
+        reply.spans = adapters::readTrace({ m_settings.traceFile }, request.traceId);
+    } else {
+        if (m_controller)
+            m_controller->handleRequest(sender, request);
         return;
     }
-    configuration::AcceptedRevision revision;
-    revision.revision = 1;
-    revision.document = json.dump();
-    revision.hash = configuration::hashDocument(revision.document);
-    m_membership.publishRevision(revision, m_loop.now(), m_network);
+    const auto body = adapters::encodeControlReply(reply);
+    m_network.sendStream(sender, Channel::Stream, std::as_bytes(std::span(body)));
 }
 
 } // namespace ibisgwd
--- a/src/ibisgwd/Daemon.h
+++ b/src/ibisgwd/Daemon.h
@@ -1,10 +1,14 @@
 #pragma once
 
+#include "ibisgw/adapters/AdminApi.h"
 #include "ibisgw/adapters/EventLoop.h"
 #include "ibisgw/core/PcgRandomSource.h"
 #include "ibisgw/membership/MembershipNode.h"
 #include "ibisgw/settings/DaemonSettings.h"
 #include "ibisgwd/BalancerRole.h"
+#include "ibisgwd/ControlClient.h"
+#include "ibisgwd/ControllerRole.h"
+#include "ibisgwd/DaemonBackend.h"
 #include "ibisgwd/PeerNetwork.h"
 
 namespace ibisgwd {
@@ -31,14 +35,21 @@
     void updateRing();
     void publishFlowRecords();
     void beginShutdown();
-    void publishInitialDocument();
+    void handleControlMessage(ibisgw::core::NodeId sender, std::span<const std::byte> body);
+    void answerRequest(ibisgw::core::NodeId sender, const ibisgw::adapters::ControlRequest&);
+    ibisgw::core::Result<void> startRoles(const ibisgw::adapters::KeyRing&);
+    ibisgw::core::Result<void> startApi();
 
     ibisgw::settings::DaemonSettings m_settings;
     ibisgw::core::PcgRandomSource m_random;
     ibisgw::adapters::EventLoop m_loop;
     PeerNetwork m_network;
     ibisgw::membership::MembershipNode m_membership;
+    ControlClient m_client;
     std::unique_ptr<BalancerRole> m_balancer;
+    std::unique_ptr<ControllerRole> m_controller;
+    DaemonBackend m_backend;
+    std::unique_ptr<ibisgw::adapters::AdminApi> m_api;
     std::vector<ibisgw::flow::RingMember> m_ring;
     std::optional<ibisgw::core::TimePoint> m_shutdownAt;
 };
--- /dev/null
+++ b/src/ibisgwd/DaemonBackend.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include "ibisgw/adapters/ApiBackend.h"
+#include "ibisgw/adapters/ControlRpc.h"
+
+#include <memory>
+
+namespace ibisgw::adapters {
+class EventLoop;
+}
+namespace ibisgw::membership {
+class MembershipNode;
+}
+
+namespace ibisgwd {
+
+class BalancerRole;
+class ControlClient;
+class ControllerRole;
+class PeerNetwork;
+
+// What the administration API can reach in a daemon. Roles that the daemon does not have are null.
+struct DaemonParts {
+    ibisgw::adapters::EventLoop& loop;
+    const PeerNetwork& network;
+    const ibisgw::membership::MembershipNode& membership;
+    ControlClient& client;
+    const std::unique_ptr<BalancerRole>& balancer;
+    const std::unique_ptr<ControllerRole>& controller;
+};
+
+// Answers the administration API from the state of this daemon, and asks the controllers for the rest.
+class DaemonBackend final : public ibisgw::adapters::ApiBackend {
+public:
+    explicit DaemonBackend(DaemonParts);
+    ~DaemonBackend() override;
+
+    void submit(const ibisgw::adapters::ApiSubmission&,
+        ibisgw::adapters::Completion<ibisgw::adapters::SubmissionAnswer>) override;
+    void findSubmission(
+        const std::string& identifier, ibisgw::adapters::Completion<ibisgw::adapters::SubmissionAnswer>) override;
+    void documentInForce(ibisgw::adapters::Completion<ibisgw::configuration::AcceptedRevision>) override;
+    void documentAt(
+        ibisgw::core::Revision, ibisgw::adapters::Completion<ibisgw::configuration::AcceptedRevision>) override;
+    void history(std::size_t limit, ibisgw::adapters::Completion<std::vector<ibisgw::adapters::HistoryEntry>>) override;
+    void status(ibisgw::adapters::Completion<ibisgw::adapters::SystemStatus>) override;
+    void upstreams(ibisgw::adapters::Completion<std::vector<ibisgw::adapters::UpstreamStatus>>) override;
+    void flowCounts(ibisgw::adapters::Completion<std::vector<ibisgw::adapters::FlowCount>>) override;
+    void findFlow(ibisgw::core::Endpoint caller, ibisgw::core::Endpoint service,
+        ibisgw::adapters::Completion<ibisgw::adapters::FlowLocation>) override;
+    void drainUpstream(ibisgw::core::Endpoint, ibisgw::adapters::Completion<std::monostate>) override;
+    void drainBalancer(const std::string& name, ibisgw::adapters::Completion<std::monostate>) override;
+    void findSpans(
+        const std::string& traceId, ibisgw::adapters::Completion<std::vector<ibisgw::adapters::Span>>) override;
+    std::string metrics() override;
+    std::string unhealthyReason() override;
+
+private:
+    void askForOutcome(
+        ibisgw::adapters::ControlRequest, ibisgw::adapters::Completion<ibisgw::adapters::SubmissionAnswer>);
+
+    DaemonParts m_parts;
+};
+
+} // namespace ibisgwd
