Refuse API calls by host name when there are no tokens

Cause: a web page can make its own host name resolve to 127.0.0.1 (DNS rebinding) and would then call the API of a daemon without tokens from an operator's browser.

Change: without a token file the API answers only to IP addresses and "localhost" in the Host header.

Run before: the new test fails without the check (host name answered with 200).

Conclusion: loopback without tokens is reachable for local programs only.

--- a/src/ibisgw/adapters/AdminApi.cpp
+++ b/src/ibisgw/adapters/AdminApi.cpp
@@ -19,6 +19,14 @@
     return endpoint.address >> 24 == loopbackNetwork;
 }
 
+// Without tokens, any web page could make its own host name resolve to a loopback address (DNS
+// rebinding) and call the API from an operator's browser; such calls carry that name.
+bool isLocalHost(std::string_view host)
+{
+    const auto name = host.substr(0, host.find(':'));
+    return name == "localhost" || name == "default" || name.find_first_not_of("0123456789.") == std::string_view::npos;
+}
+
 // Splits the path after the prefix at slashes. The second segment keeps its slashes when the first one
 // is "submissions", because identifiers contain them.
 std::vector<std::string> splitPath(std::string_view path)
@@ -194,6 +202,11 @@
         respond(std::move(*file));
         return;
     }
+    if (!m_tokens && !isLocalHost(request.host)) {
+        respond(detail::errorResponse(403, core::ErrorKind::PermissionDenied,
+            "without tokens the API answers to its IP address only; call it by address or set token_file"));
+        return;
+    }
     const auto caller = identify(request);
     if (!caller) {
         respond(detail::errorResponse(401, core::ErrorKind::PermissionDenied,
--- a/src/ibisgw/adapters/HttpServer.cpp
+++ b/src/ibisgw/adapters/HttpServer.cpp
@@ -236,6 +236,7 @@
     request.path = path.substr(0, req.query_at);
     if (req.query_at < path.size())
         request.query = path.substr(req.query_at + 1);
+    request.host = toString(req.input.authority);
     request.authorization = headerOf(req, H2O_TOKEN_AUTHORIZATION);
     request.contentType = headerOf(req, H2O_TOKEN_CONTENT_TYPE);
     request.body = toString(req.entity);
--- a/src/ibisgw/adapters/HttpServer.h
+++ b/src/ibisgw/adapters/HttpServer.h
@@ -17,6 +17,8 @@
     // Without the query.
     std::string path;
     std::string query;
+    // Host header; h2o sets "default" when there is none.
+    std::string host;
     std::string authorization;
     std::string contentType;
     std::string body;
--- a/tests/adapters/AdminApiTests.cpp
+++ b/tests/adapters/AdminApiTests.cpp
@@ -256,6 +256,14 @@
             CHECK(support::parseAnswer(probe.readToEnd()).status == 415);
             CHECK(fixture.backend.drained.empty());
         }
+        SUBCASE("a web page whose host name leads to a loopback address does not reach the API")
+        {
+            for (const auto* it : { "evil.example", "127.0.0.1.evil.example:8600", "localhost.evil.example" }) {
+                support::HttpProbe probe(fixture.loop, server);
+                probe.send(std::string("GET /api/v1/document HTTP/1.1\r\nHost: ") + it + "\r\n\r\n");
+                CHECK(support::parseAnswer(probe.readToEnd()).status == 403);
+            }
+        }
     }
 
     TEST_CASE("tokens and what they permit")
--- a/tests/support/HttpProbe.cpp
+++ b/tests/support/HttpProbe.cpp
@@ -81,7 +81,7 @@
 HttpAnswer request(ibisgw::adapters::EventLoop& loop, ibisgw::core::Endpoint server, const std::string& method,
     const std::string& path, const std::string& body, const std::string& token)
 {
-    std::string text = method + " " + path + " HTTP/1.1\r\nHost: test\r\n";
+    std::string text = method + " " + path + " HTTP/1.1\r\nHost: 127.0.0.1:8600\r\n";
     if (method == "POST")
         text += "Content-Type: application/json\r\nContent-Length: " + std::to_string(body.size()) + "\r\n";
     if (!token.empty())
