--- a/src/ibisgw/configuration/ConfigurationService.cpp
+++ b/src/ibisgw/configuration/ConfigurationService.cpp
@@ -96,10 +96,18 @@
     return m_raft.readState(ticket);
 }
 
+core::Result<void> ConfigurationService::removeController(core::NodeId node, core::TimePoint now, RaftOutput& output)
+{
+    return m_raft.removeMember(node, now, output);
+}
+
 ConfigurationStatus ConfigurationService::status() const
 {
     ConfigurationStatus status { m_raft.role(), m_raft.term(), m_raft.leader(), {}, {}, m_raft.commitIndex(),
         m_raft.log().lastIndex(), newestKnown().revision, m_raft.isAccepting(), m_raft.problem() };
+    if (status.problem.empty() && !status.leader.isValid())
+        status.problem
+            = "no leader: nothing is accepted until a majority of the voters with intact disks is in contact";
     for (const auto& it : m_raft.log().membership().members)
         (it.voter ? status.voters : status.learners).push_back(it.node);
     return status;
--- a/src/ibisgw/configuration/ConfigurationService.h
+++ b/src/ibisgw/configuration/ConfigurationService.h
@@ -49,6 +49,9 @@
     std::optional<ReadTicket> beginRead(core::TimePoint now, RaftOutput&);
     ReadState readState(const ReadTicket&) const;
 
+    // Removes a controller that is gone for good; remove it from the settings of the others first.
+    core::Result<void> removeController(core::NodeId, core::TimePoint now, RaftOutput&);
+
     ConfigurationStatus status() const;
     const RaftNode& raft() const { return m_raft; }
 
--- a/src/ibisgw/configuration/RaftMembership.cpp
+++ b/src/ibisgw/configuration/RaftMembership.cpp
@@ -145,6 +145,24 @@
     }
 }
 
+// A controller that is still in the settings of the leader comes back as a learner as soon as it asks.
+core::Result<void> RaftNode::removeMember(core::NodeId node, core::TimePoint now, RaftOutput& output)
+{
+    if (!canChangeMembership())
+        return core::fail(core::ErrorKind::Unavailable,
+            "the membership cannot change now; ask the leader, after the change in progress is committed");
+    if (node == m_options.self)
+        return core::fail(
+            core::ErrorKind::InvalidInput, "the leader cannot remove itself; stop it and ask the next leader");
+    if (!m_log.membership().find(node))
+        return core::fail(core::ErrorKind::NotFound, "controller " + node.endpoint().toString() + " is not a member");
+    auto membership = m_log.membership();
+    membership.remove(node);
+    changeMembership(std::move(membership), now);
+    finish(output);
+    return {};
+}
+
 // One change at a time, and only after an entry of the own term is committed (dissertation, 4.1,
 // with the correction of Ongaro, "bug in single-server membership changes", raft-dev 2015).
 bool RaftNode::canChangeMembership() const
--- a/src/ibisgw/configuration/RaftNode.cpp
+++ b/src/ibisgw/configuration/RaftNode.cpp
@@ -52,6 +52,9 @@
         return;
     sendDiskChecks(now);
     concludeDiskCheck(now);
+    // A leader that has fallen silent is no hint for operators.
+    if (m_role != RaftRole::Leader && now - m_lastLeaderContact > 2 * m_options.electionTimeout)
+        m_leader = {};
     if (m_role == RaftRole::Leader) {
         checkQuorum(now);
         if (m_role == RaftRole::Leader) {
--- a/src/ibisgw/configuration/RaftNode.h
+++ b/src/ibisgw/configuration/RaftNode.h
@@ -47,6 +47,10 @@
     std::optional<ReadTicket> beginRead(core::TimePoint now, RaftOutput&);
     ReadState readState(const ReadTicket&) const;
 
+    // Starts the removal of a member; it is done when the membership is committed without it. Fails
+    // with Unavailable when this is not a leader that can change the membership now.
+    core::Result<void> removeMember(core::NodeId, core::TimePoint now, RaftOutput&);
+
     RaftRole role() const { return m_role; }
     Term term() const { return m_vote.term; }
     core::NodeId leader() const { return m_leader; }
--- a/tests/support/ControllerGroup.cpp
+++ b/tests/support/ControllerGroup.cpp
@@ -192,6 +192,12 @@
     return service(machine).beginRead(m_queue.now(), output);
 }
 
+bool ControllerGroup::remove(Machine leader, Machine removed)
+{
+    Output output(*this, leader);
+    return static_cast<bool>(service(leader).removeController(nodeOf(removed), m_queue.now(), output));
+}
+
 void ControllerGroup::deliver(Machine from, Machine to, const RaftMessage& message)
 {
     auto& controller = m_controllers.at(to);
--- a/tests/support/ControllerGroup.h
+++ b/tests/support/ControllerGroup.h
@@ -44,6 +44,7 @@
 
     ibisgw::configuration::SubmissionOutcome submit(Machine, const ibisgw::configuration::Submission&);
     std::optional<ibisgw::configuration::ReadTicket> beginRead(Machine);
+    bool remove(Machine leader, Machine removed);
 
     static ibisgw::core::NodeId nodeOf(Machine machine) { return { machine }; }
 
