Recognize more outdated disks, and vote by the candidate's membership

A disk replaced by a copy from before its first entry was taken for a new one with the vote of the old one. Change: a controller votes regardless of its own membership, and candidates count their voters and disks only (dissertation, 4.1); answers to a disk check carry the peer's newest majority; a controller without a group also waits for the check; a leader of the present term whose log is shorter than what a voter got from it is outdated. Conclusion: a copy of a follower's disk from its present start is not recognized when the leader that counted its acknowledgements has restarted too.

--- a/src/ibisgw/adapters/RaftCodec.cpp
+++ b/src/ibisgw/adapters/RaftCodec.cpp
@@ -63,6 +63,8 @@
     json.push_back(body.startNonce);
     json.push_back(body.outdated);
     json.push_back(body.voter);
+    json.push_back(body.membershipIndex);
+    json.push_back(body.majority);
 }
 
 void read(detail::JsonArrayReader& reader, VoteRequest& body)
@@ -122,6 +124,8 @@
     body.startNonce = reader.number();
     body.outdated = reader.boolean();
     body.voter = reader.boolean();
+    body.membershipIndex = reader.number();
+    body.majority = reader.number();
 }
 
 // Reads the alternative of the body with the given number.
--- a/src/ibisgw/configuration/RaftElection.cpp
+++ b/src/ibisgw/configuration/RaftElection.cpp
@@ -94,9 +94,8 @@
 {
     if (!m_diskConfirmed || hearsLeader(now))
         return;
-    // A learner, and a controller whose disk was replaced, have no vote (dissertation, 4.2.1).
-    if (!isSelfVoter())
-        return;
+    // Answers even if it is a learner by its own log: the entry that gave it the vote may be missing
+    // there (dissertation, 4.1). The candidate counts the votes of its voters and their disks only.
     // Only a log that is at least as complete gets a vote (ATC 2014, section 5.4.1).
     const bool isComplete = m_options.disabledRules.logComparison
         || std::pair { request.lastTerm, request.lastIndex } >= std::pair { m_log.lastTerm(), m_log.lastIndex() };
--- a/src/ibisgw/configuration/RaftMembership.cpp
+++ b/src/ibisgw/configuration/RaftMembership.cpp
@@ -36,6 +36,10 @@
         const bool isFirst = m_options.self == std::ranges::min(m_options.controllers);
         const bool allNew = m_diskAnswers.size() + 1 >= m_options.controllers.size()
             && std::ranges::none_of(m_diskAnswers, [](const auto& it) { return it.second.hasGroup; });
+        const bool isOver
+            = m_diskAnswers.size() + 1 >= m_options.controllers.size() || now - m_startedAt >= m_options.diskCheckWait;
+        m_diskConfirmed = m_options.disabledRules.diskAge
+            || (isOver && std::ranges::any_of(m_diskAnswers, [](const auto& it) { return it.second.hasGroup; }));
         if (isFirst && allNew)
             foundGroup(now);
         return;
@@ -48,8 +52,8 @@
     const bool isKnown = std::ranges::any_of(m_diskAnswers, [](const auto& it) { return it.second.hasSameGroup; });
     const std::size_t self = isSelfVoter() ? 1 : 0;
     const bool isComplete = confirmations + self >= membership.voterCount();
-    const bool isEnough = now - m_startedAt >= m_options.diskCheckWait
-        && (self ? confirmations + self >= membership.majority() : isKnown);
+    const bool isEnough
+        = now - m_startedAt >= m_options.diskCheckWait && (self ? confirmations + self >= newestMajority() : isKnown);
     if (!isComplete && !isEnough && !m_options.disabledRules.diskAge) {
         m_problem = "the other controllers have not confirmed the state of this disk yet; start a majority of them";
         return;
@@ -58,6 +62,20 @@
     becomeFollower(m_vote.term, {}, now);
 }
 
+// A majority in the newest membership of all that have answered: the own log may be old.
+std::uint64_t RaftNode::newestMajority() const
+{
+    auto index = m_log.membershipIndex();
+    std::uint64_t majority = m_log.membership().majority();
+    for (const auto& [node, answer] : m_diskAnswers) {
+        if (answer.hasSameGroup && answer.membershipIndex > index) {
+            index = answer.membershipIndex;
+            majority = answer.majority;
+        }
+    }
+    return majority;
+}
+
 // Without any state to lose, the controller with the lowest identifier starts a group of one
 // voter, and the others join it one at a time (dissertation, 4.1). All controllers must answer
 // that they have no group, so that an existing group is never started anew.
@@ -68,6 +86,7 @@
         return;
     if (!appendToLog({ LogEntry { m_vote.term, EntryKind::Membership, {}, std::move(membership) } }))
         return;
+    m_diskConfirmed = true;
     becomeFollower(m_vote.term, {}, now);
     m_electionDeadline = now;
 }
@@ -227,14 +246,25 @@
     const bool isEarlierStart = member && member->disk == message.disk
         && (message.generation < member->generation
             || (message.generation == member->generation && request.startNonce != member->startNonce));
+    // The leader of a term syncs its entries before it sends them, so its disk holds all that are in
+    // the log here. This evidence is durable; the record of a peer is lost with this process. A
+    // copy from the present start of a follower is therefore not recognized once the leader
+    // that counted its acknowledgements has restarted.
+    const bool ledThisTerm = m_vote.term == message.term && m_vote.votedFor == from && member
+        && member->disk == message.disk && m_log.lastTerm() == message.term;
+    const bool isShorterThanSent = ledThisTerm && request.lastIndex < m_log.lastIndex();
     // In one term a durable log of a peer does not get shorter, and its term never falls.
-    const bool isOutdated = isEarlierStart || message.generation < record.generation || isOtherStart
-        || message.term < record.term || (message.term == record.term && request.lastIndex < record.lastIndex);
+    const bool isOutdated = isEarlierStart || isShorterThanSent || message.generation < record.generation
+        || isOtherStart || message.term < record.term
+        || (message.term == record.term && request.lastIndex < record.lastIndex);
     if (!isOutdated) {
         record.generation = message.generation;
         record.startNonce = request.startNonce;
     }
-    post(from, DiskCheckReply { message.disk, request.startNonce, isOutdated, isSelfVoter() });
+    const auto& membership = m_log.membership();
+    post(from,
+        DiskCheckReply { message.disk, request.startNonce, isOutdated, isSelfVoter(), m_log.membershipIndex(),
+            membership.majority() });
     if (!isOutdated)
         admit(from, message, request, now);
 }
@@ -252,8 +282,10 @@
     auto& answer = m_diskAnswers[from];
     answer.hasGroup = answer.hasGroup || message.group != 0;
     answer.hasSameGroup = message.group == m_log.membership().group;
-    // The own log may be too old to know the disk of the peer.
-    answer.isVoter = answer.hasSameGroup && reply.voter;
+    // Either log may be too old to know that the peer has a vote.
+    answer.isVoter = answer.hasSameGroup && (reply.voter || m_log.membership().isVoter(from, message.disk));
+    answer.membershipIndex = reply.membershipIndex;
+    answer.majority = reply.majority;
 }
 
 } // namespace ibisgw::configuration
--- a/src/ibisgw/configuration/RaftMessage.h
+++ b/src/ibisgw/configuration/RaftMessage.h
@@ -68,6 +68,9 @@
     bool outdated { false };
     // The peer has a vote, by its own log.
     bool voter { false };
+    // Newest membership of the peer: its index and the size of a majority.
+    LogIndex membershipIndex { 0 };
+    std::uint64_t majority { 0 };
 
     bool operator==(const DiskCheckReply&) const = default;
 };
--- a/src/ibisgw/configuration/RaftNode.cpp
+++ b/src/ibisgw/configuration/RaftNode.cpp
@@ -30,8 +30,7 @@
     m_role = RaftRole::CheckingDisk;
     m_leader = {};
     m_diskAnswers.clear();
-    // A disk without a group has nothing that it could have forgotten.
-    m_diskConfirmed = m_log.membership().group == 0;
+    m_diskConfirmed = false;
     m_progress.clear();
     m_startedAt = m_nextDiskCheck = now;
     resetElectionTimer(now);
@@ -216,8 +215,9 @@
     if (group != 0 && message.group != group)
         return false;
     if (group == 0) {
-        // A controller without a group joins the one whose leader sends it the log.
-        return message.group != 0
+        // A controller without a group joins the one whose leader sends it the log, once it is
+        // sure that its disk is new and not a copy from before it got its vote.
+        return m_diskConfirmed && message.group != 0
             && (std::holds_alternative<AppendRequest>(message.body)
                 || std::holds_alternative<SnapshotRequest>(message.body));
     }
--- a/src/ibisgw/configuration/RaftNode.h
+++ b/src/ibisgw/configuration/RaftNode.h
@@ -86,6 +86,8 @@
         bool hasGroup { false };
         bool hasSameGroup { false };
         bool isVoter { false };
+        LogIndex membershipIndex { 0 };
+        std::uint64_t majority { 0 };
     };
 
     // RaftNode.cpp
@@ -126,6 +128,7 @@
     // RaftMembership.cpp
     void sendDiskChecks(core::TimePoint now);
     void concludeDiskCheck(core::TimePoint now);
+    std::uint64_t newestMajority() const;
     void foundGroup(core::TimePoint now);
     void rejoinWithNewDisk(core::TimePoint now);
     void admit(core::NodeId, const RaftMessage&, const DiskCheckRequest&, core::TimePoint now);
