--- a/src/ibisgw/configuration/RaftNode.h
+++ b/src/ibisgw/configuration/RaftNode.h
@@ -47,6 +47,10 @@
     std::optional<ReadTicket> beginRead(core::TimePoint now, RaftOutput&);
     ReadState readState(const ReadTicket&) const;
 
+    // Starts the removal of a member; it is done when the membership is committed without it. Fails
+    // with Unavailable when this is not a leader that can change the membership now.
+    core::Result<void> removeMember(core::NodeId, core::TimePoint now, RaftOutput&);
+
     RaftRole role() const { return m_role; }
     Term term() const { return m_vote.term; }
     core::NodeId leader() const { return m_leader; }
@@ -82,6 +86,8 @@
         bool hasGroup { false };
         bool hasSameGroup { false };
         bool isVoter { false };
+        LogIndex membershipIndex { 0 };
+        std::uint64_t majority { 0 };
     };
 
     // RaftNode.cpp
@@ -122,6 +128,7 @@
     // RaftMembership.cpp
     void sendDiskChecks(core::TimePoint now);
     void concludeDiskCheck(core::TimePoint now);
+    std::uint64_t newestMajority() const;
     void foundGroup(core::TimePoint now);
     void rejoinWithNewDisk(core::TimePoint now);
     void admit(core::NodeId, const RaftMessage&, const DiskCheckRequest&, core::TimePoint now);
