Run seeded fault schedules and measure the four counts that must be zero

Change: tests/support/FaultSchedule runs one seeded schedule in virtual time: two services, 5 balancers, 8 upstreams, 12 faults (kills and planned restarts of balancers, drains, kills and restarts of upstreams, one-way and two-way cuts), 1 % loss, 2 % duplication, delays of 1 to 40 ms, callers with, without and with a foreign token, retransmissions and cancellations. Upstreams count executions. The measures duplicate_executions, false_not_run, misrouted_packets and crossed_answers share one run of 1,000 seeds.

--- /dev/null
+++ b/benchmarks/FaultMeasures.cpp
@@ -0,0 +1,76 @@
+#include "FaultMeasures.h"
+
+#include "support/FaultSchedule.h"
+
+#include <cstdlib>
+#include <map>
+
+namespace bench {
+
+namespace {
+
+// 1,000, or the number in the environment variable IBISGW_FAULT_SCHEDULES. One failed seed N is replayed with
+// `IBISGW_FAULT_SCHEDULES=1 ibisgw-bench --filter duplicate_executions --seed N`.
+std::uint64_t scheduleCount()
+{
+    const char* text = std::getenv("IBISGW_FAULT_SCHEDULES");
+    return text ? std::strtoull(text, nullptr, 10) : 1000;
+}
+
+struct FaultRun {
+    support::FaultTotals totals;
+    // Seeds whose schedule broke a rule, to replay one of them alone; the first few.
+    std::vector<std::uint64_t> failedSeeds;
+};
+
+// The seed of the command line is the first of the schedules.
+const FaultRun& faultRun(std::uint64_t firstSeed)
+{
+    constexpr std::size_t printedSeeds = 5;
+    static std::map<std::uint64_t, FaultRun> runs;
+    const auto [it, isNew] = runs.try_emplace(firstSeed);
+    if (!isNew)
+        return it->second;
+    auto& run = it->second;
+    const auto count = scheduleCount();
+    for (std::uint64_t n = 0; n < count; ++n) {
+        support::FaultScheduleOptions options;
+        options.seed = firstSeed + n;
+        const auto totals = support::runFaultSchedule(options);
+        run.totals.add(totals);
+        if (!totals.isClean() && run.failedSeeds.size() < printedSeeds)
+            run.failedSeeds.push_back(options.seed);
+    }
+    return run;
+}
+
+void addMeasure(MeasureList& measures, const char* name, const char* unit, std::uint64_t support::FaultTotals::*count)
+{
+    measures.push_back({ name, unit, true, [count](std::uint64_t seed) {
+                            const auto& run = faultRun(seed);
+                            MeasureResult result;
+                            result.value = static_cast<double>(run.totals.*count);
+                            result.bound = 0;
+                            result.details = {
+                                { "schedules", scheduleCount() },
+                                { "requests", run.totals.requests },
+                                { "answered", run.totals.answered },
+                                { "not_run", run.totals.notRun },
+                                { "outcome_unknown", run.totals.outcomeUnknown },
+                                { "failed_seeds", run.failedSeeds },
+                            };
+                            return result;
+                        } });
+}
+
+} // namespace
+
+void addFaultMeasures(MeasureList& measures)
+{
+    addMeasure(measures, "duplicate_executions", "count", &support::FaultTotals::duplicateExecutions);
+    addMeasure(measures, "false_not_run", "count", &support::FaultTotals::falseNotRun);
+    addMeasure(measures, "misrouted_packets", "count", &support::FaultTotals::misroutedPackets);
+    addMeasure(measures, "crossed_answers", "count", &support::FaultTotals::crossedAnswers);
+}
+
+} // namespace bench
--- a/benchmarks/RequestMeasures.cpp
+++ b/benchmarks/RequestMeasures.cpp
@@ -1,7 +1,11 @@
+#include "FaultMeasures.h"
 #include "Measures.h"
 
 namespace bench {
 
-void addRequestMeasures(MeasureList&) { }
+void addRequestMeasures(MeasureList& measures)
+{
+    addFaultMeasures(measures);
+}
 
 } // namespace bench
--- /dev/null
+++ b/tests/support/FaultSchedule.cpp
@@ -0,0 +1,185 @@
+#include "support/FaultSchedule.h"
+
+#include "ibisgw/core/PcgRandomSource.h"
+
+namespace support {
+
+using namespace ibisgw;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr core::Endpoint serviceAddresses[] { { 0xc0000201, 443 }, { 0xc0000202, 443 } };
+constexpr const char* serviceNames[] { "slotdesk", "regatta-archive" };
+constexpr core::KindId bookingKind = 2;
+constexpr NetworkConditions conditions { 1ms, 40ms, 0.01, 0.02 };
+// Machine of all callers in BalancerGroup.
+constexpr MessageQueue::Machine callersMachine = 1;
+
+std::shared_ptr<const configuration::Document> makeDocument()
+{
+    configuration::Document document { { { "peachtree" } }, { { "a", "r" } }, {} };
+    for (std::size_t n = 0; n < std::size(serviceNames); ++n) {
+        configuration::RequestKind booking { bookingKind, "booking" };
+        booking.deadlineMs = 2000;
+        configuration::Service service { serviceNames[n], "peachtree", { serviceAddresses[n] } };
+        service.kinds = { booking };
+        document.services.push_back(service);
+    }
+    return std::make_shared<const configuration::Document>(document);
+}
+
+class Schedule {
+public:
+    explicit Schedule(const FaultScheduleOptions& options)
+        : m_options(options)
+        , m_random(options.seed)
+        , m_queue(conditions, m_random)
+        , m_group(groupOptions(options), makeDocument(), m_queue, m_random)
+        , m_callers(callerOptions(), m_group, m_random)
+    {
+        std::uint32_t address = 0x0a010001;
+        for (std::size_t service = 0; service < std::size(serviceNames); ++service) {
+            for (unsigned n = 0; n < options.upstreamsPerService; ++n) {
+                FakeUpstreamOptions upstream { core::UpstreamId::fromEndpoint({ address++, 80 }), serviceNames[service],
+                    serviceAddresses[service] };
+                upstream.meanServiceTime = 60ms;
+                m_group.addUpstream(upstream);
+            }
+        }
+    }
+
+    FaultTotals run()
+    {
+        m_queue.runFor(1500ms);
+        const auto start = m_queue.now();
+        const auto length = static_cast<std::uint64_t>(m_options.duration.count());
+        const auto flows = static_cast<std::uint64_t>(core::toSeconds(m_options.duration)) * m_options.flowsPerSecond;
+        for (std::uint64_t n = 0; n < flows; ++n)
+            m_queue.at(start + core::Duration(m_random.below(length)), [this](auto) { m_callers.startFlow(); });
+        for (unsigned n = 0; n < m_options.faults; ++n)
+            m_queue.at(start + core::Duration(m_random.below(length)), [this](auto) { injectFault(); });
+        m_queue.runFor(m_options.duration + m_options.settleTime);
+        return totals();
+    }
+
+private:
+    static BalancerGroupOptions groupOptions(const FaultScheduleOptions& options)
+    {
+        BalancerGroupOptions group;
+        group.balancers = options.balancers;
+        return group;
+    }
+
+    static FaultCallersOptions callerOptions()
+    {
+        FaultCallersOptions callers;
+        callers.services = { std::begin(serviceAddresses), std::end(serviceAddresses) };
+        callers.kind = bookingKind;
+        return callers;
+    }
+
+    core::Duration drawOutage() { return 50ms + core::Duration(m_random.below(4'000'000)); }
+
+    void injectFault()
+    {
+        const auto balancer = static_cast<unsigned>(m_random.below(m_group.balancerCount()));
+        auto& upstream = *m_group.upstreams()[m_random.below(m_group.upstreams().size())];
+        switch (m_random.below(6)) {
+        case 0:
+            restartBalancer(balancer, true);
+            break;
+        case 1:
+            restartBalancer(balancer, false);
+            break;
+        case 2:
+            upstream.drain();
+            m_queue.after(drawOutage(), [&upstream](auto) { upstream.restart(); });
+            break;
+        case 3:
+            upstream.kill();
+            // A process needs longer for its start than a packet lives in the network.
+            m_queue.after(100ms + drawOutage(), [&upstream](auto) { upstream.restart(); });
+            break;
+        case 4:
+            cut(machineOf(balancer), machineOf(static_cast<unsigned>(m_random.below(m_group.balancerCount()))));
+            break;
+        default:
+            cut(machineOf(balancer), m_random.chance(0.5) ? upstream.options().id.value : callersMachine);
+            break;
+        }
+    }
+
+    void restartBalancer(unsigned index, bool planned)
+    {
+        if (!m_group.balancer(index))
+            return;
+        if (planned)
+            m_group.stopBalancer(index, 1s);
+        else
+            m_group.killBalancer(index);
+        m_queue.after(1s + drawOutage(), [this, index](auto) {
+            if (!m_group.balancer(index))
+                m_group.startBalancer(index);
+        });
+    }
+
+    // One direction or both, for a while.
+    void cut(MessageQueue::Machine first, MessageQueue::Machine second)
+    {
+        m_queue.cut(first, second);
+        if (m_random.chance(0.7))
+            m_queue.cut(second, first);
+        m_queue.after(drawOutage(), [this, first, second](auto) {
+            m_queue.heal(first, second);
+            m_queue.heal(second, first);
+        });
+    }
+
+    static MessageQueue::Machine machineOf(unsigned balancer)
+    {
+        return core::NodeId::fromEndpoint({ 0x0a000001 + balancer, 7000 }).value;
+    }
+
+    FaultTotals totals()
+    {
+        const auto callers = m_callers.totals();
+        const auto& executions = m_group.executions();
+        return { executions.duplicateExecutions(), callers.falseNotRun, executions.misroutedPackets(),
+            callers.crossedAnswers, callers.requests, callers.answered, callers.notRun, callers.outcomeUnknown,
+            executions.total() };
+    }
+
+    FaultScheduleOptions m_options;
+    core::PcgRandomSource m_random;
+    MessageQueue m_queue;
+    BalancerGroup m_group;
+    FaultCallers m_callers;
+};
+
+} // namespace
+
+bool FaultTotals::isClean() const
+{
+    return duplicateExecutions == 0 && falseNotRun == 0 && misroutedPackets == 0 && crossedAnswers == 0;
+}
+
+void FaultTotals::add(const FaultTotals& other)
+{
+    duplicateExecutions += other.duplicateExecutions;
+    falseNotRun += other.falseNotRun;
+    misroutedPackets += other.misroutedPackets;
+    crossedAnswers += other.crossedAnswers;
+    requests += other.requests;
+    answered += other.answered;
+    notRun += other.notRun;
+    outcomeUnknown += other.outcomeUnknown;
+    executions += other.executions;
+}
+
+FaultTotals runFaultSchedule(const FaultScheduleOptions& options)
+{
+    return Schedule(options).run();
+}
+
+} // namespace support
