Establish each flow at one upstream across changes of homes

Cause: a copy of an open that reached a new home after a change of balancers was placed at a second upstream; a request of a caller without a token then ran at both. A flow table entry also won over a verified token. `opened` reaches the caller only through the home of the flow, and only from the flow's upstream; another upstream that answers is closed. A new home asks the previous homes for 5 s (HomeHandover). A verified token replaces a different entry. Late copies of an open do not start a flow that has ended. Callers may not send packets of upstreams or set the relay count.

--- a/src/ibisgw/balancer/Balancer.cpp
+++ b/src/ibisgw/balancer/Balancer.cpp
@@ -1,5 +1,7 @@
 #include "ibisgw/balancer/Balancer.h"
 
+#include "ibisgw/balancer/Refusal.h"
+
 namespace ibisgw::balancer {
 
 using packet::Packet;
@@ -11,6 +13,12 @@
 // A packet visits at most this many balancers before it leaves for its upstream.
 constexpr std::uint8_t maxRelayHops = 2;
 
+bool isFromUpstream(PacketType type)
+{
+    return type == PacketType::Opened || type == PacketType::Answer || type == PacketType::Refusal
+        || type == PacketType::Reset;
+}
+
 } // namespace
 
 Balancer::Balancer(BalancerOptions options, flow::FlowTokenCodec tokens, core::RandomSource& random)
@@ -18,6 +26,7 @@
     , m_tokens(tokens)
     , m_random(random)
     , m_flows(m_options.flowCapacity)
+    , m_admission({ m_options.self, m_options.rules, m_flows, m_tokens, m_homes, m_upstreams, m_counters, random })
 {
     m_homes.setBalancers({ m_options.self });
 }
@@ -27,9 +36,16 @@
     m_document = std::move(document);
 }
 
-void Balancer::setPeers(std::vector<core::NodeId> balancers, core::TimePoint)
+void Balancer::setPeers(std::vector<core::NodeId> balancers, core::TimePoint now)
 {
+    const auto previous = m_homes;
     m_homes.setBalancers(std::move(balancers));
+    m_admission.homesChanged(previous, now);
+}
+
+void Balancer::setPartitioned(bool partitioned, core::TimePoint)
+{
+    m_admission.setPartitioned(partitioned);
 }
 
 void Balancer::handleAnnouncement(const upstream::Announcement& announcement, core::TimePoint now)
@@ -39,10 +55,25 @@
 
 void Balancer::handleRelayedPacket(const Packet& packet, core::TimePoint now, BalancerOutput& output)
 {
-    handleCallerPacket(packet, now, output);
+    if (isFromUpstream(packet.type))
+        handleUpstreamPacket(packet, now, output);
+    else
+        handlePacketOfCaller(packet, now, output);
 }
 
 void Balancer::handleCallerPacket(const Packet& packet, core::TimePoint now, BalancerOutput& output)
+{
+    // A caller may not speak for an upstream or for another balancer.
+    if (isFromUpstream(packet.type)) {
+        ++m_counters.droppedMisdirected;
+        return;
+    }
+    auto received = packet;
+    received.relayHops = 0;
+    handlePacketOfCaller(received, now, output);
+}
+
+void Balancer::handlePacketOfCaller(const Packet& packet, core::TimePoint now, BalancerOutput& output)
 {
     const auto* service = m_document ? m_document->findService(packet.flow.service) : nullptr;
     if (!service) {
@@ -51,18 +82,36 @@
             refuse(packet, RefusalKind::NotRun, output);
         return;
     }
+    if (m_admission.handleCallerPacket(packet, *service, now, output))
+        return;
     if (const auto upstream = resolveFlow(packet, *service, now)) {
+        m_admission.recordForwarded(packet, *upstream, now, output);
         forward(packet, *upstream, output);
-        if (packet.type == PacketType::Close)
+        if (packet.type == PacketType::Close) {
             m_flows.erase(packet.flow);
+            placeAdmitted(now, output);
+        }
         return;
     }
-    if (relayToHome(packet, output))
+    if (relayToHome(packet, output) || m_admission.relayToPreviousHome(packet, now, output))
         return;
-    if (packet.type == PacketType::Open)
-        placeFlow(packet, *service, now, output);
-    else
+    if (packet.type != PacketType::Open) {
         rejectUnresolved(packet, output);
+    } else if (m_admission.admit(packet, *service, now, output)) {
+        placeFlow(packet, *service, now, output);
+        m_admission.recordPlacement(packet, now);
+    }
+}
+
+void Balancer::placeAdmitted(core::TimePoint now, BalancerOutput& output)
+{
+    while (const auto open = m_admission.takeAdmitted(now, output)) {
+        if (const auto* service = m_document->findService(open->flow.service))
+            placeFlow(*open, *service, now, output);
+        else
+            refuse(*open, RefusalKind::NotRun, output);
+        m_admission.recordPlacement(*open, now);
+    }
 }
 
 std::optional<core::UpstreamId> Balancer::resolveFlow(
@@ -117,8 +166,10 @@
         ++m_counters.droppedMisdirected;
         return;
     }
+    if (m_admission.handleUpstreamPacket(packet, *service, now, output))
+        return;
     const auto* entry = m_flows.find(packet.flow, now);
-    if (entry && entry->upstream != packet.upstream) {
+    if (entry && entry->upstream != packet.upstream && m_options.rules.dropCrossedAnswers) {
         ++m_counters.droppedCrossedAnswers;
         return;
     }
@@ -133,10 +184,12 @@
     output.sendToCaller(forwarded);
 }
 
-void Balancer::tick(core::TimePoint now, BalancerOutput&)
+void Balancer::tick(core::TimePoint now, BalancerOutput& output)
 {
     m_upstreams.removeExpired(now);
     m_flows.removeIdle(now, m_options.idleLimit);
+    m_admission.tick(now, output);
+    placeAdmitted(now, output);
 }
 
 void Balancer::forward(const Packet& packet, core::UpstreamId upstream, BalancerOutput& output)
@@ -149,15 +202,8 @@
 
 void Balancer::refuse(const Packet& packet, RefusalKind kind, BalancerOutput& output)
 {
-    Packet refusal;
-    refusal.type = PacketType::Refusal;
-    refusal.flow = packet.flow;
-    refusal.kind = packet.kind;
-    refusal.request = packet.request;
-    refusal.refusal = kind;
-    refusal.trace = packet.trace;
     ++(kind == RefusalKind::NotRun ? m_counters.refusedNotRun : m_counters.refusedOutcomeUnknown);
-    output.sendToCaller(refusal);
+    output.sendToCaller(makeRefusal(packet, kind));
 }
 
 void Balancer::reset(const Packet& packet, BalancerOutput& output)
--- a/src/ibisgw/balancer/Balancer.h
+++ b/src/ibisgw/balancer/Balancer.h
@@ -2,6 +2,7 @@
 
 #include "ibisgw/balancer/BalancerCounters.h"
 #include "ibisgw/balancer/BalancerOutput.h"
+#include "ibisgw/balancer/OpenAdmission.h"
 #include "ibisgw/configuration/Document.h"
 #include "ibisgw/core/RandomSource.h"
 #include "ibisgw/flow/FlowTable.h"
@@ -20,6 +21,7 @@
     std::size_t flowCapacity { 400'000 };
     // Flows without a packet for this long are forgotten.
     core::Duration idleLimit { std::chrono::minutes(30) };
+    SafetyRules rules;
 };
 
 // State machine of one balancer: selects the upstream of each new flow and forwards the packets of
@@ -27,10 +29,14 @@
 class Balancer {
 public:
     Balancer(BalancerOptions, flow::FlowTokenCodec, core::RandomSource&);
+    Balancer(const Balancer&) = delete;
+    Balancer& operator=(const Balancer&) = delete;
 
     void applyDocument(std::shared_ptr<const configuration::Document>, core::TimePoint now);
     void setPeers(std::vector<core::NodeId> balancers, core::TimePoint now);
     void handleAnnouncement(const upstream::Announcement&, core::TimePoint now);
+    // Whether the daemon has lost the controllers.
+    void setPartitioned(bool partitioned, core::TimePoint now);
 
     void handleCallerPacket(const packet::Packet&, core::TimePoint now, BalancerOutput&);
     void handleRelayedPacket(const packet::Packet&, core::TimePoint now, BalancerOutput&);
@@ -41,7 +47,11 @@
     const upstream::UpstreamRegistry& upstreams() const { return m_upstreams; }
     std::size_t flowCount() const { return m_flows.size(); }
 
+    const OpenAdmission& admission() const { return m_admission; }
+
 private:
+    void handlePacketOfCaller(const packet::Packet&, core::TimePoint now, BalancerOutput&);
+    void placeAdmitted(core::TimePoint now, BalancerOutput&);
     void placeFlow(const packet::Packet&, const configuration::Service&, core::TimePoint now, BalancerOutput&);
     std::optional<core::UpstreamId> resolveFlow(
         const packet::Packet&, const configuration::Service&, core::TimePoint now);
@@ -60,6 +70,7 @@
     flow::HomeRing m_homes;
     upstream::UpstreamRegistry m_upstreams;
     BalancerCounters m_counters;
+    OpenAdmission m_admission;
 };
 
 } // namespace ibisgw::balancer
--- /dev/null
+++ b/src/ibisgw/balancer/OpenAdmission.h
@@ -0,0 +1,87 @@
+#pragma once
+
+#include "ibisgw/balancer/BalancerCounters.h"
+#include "ibisgw/balancer/BalancerOutput.h"
+#include "ibisgw/balancer/HomeHandover.h"
+#include "ibisgw/balancer/SafetyRules.h"
+#include "ibisgw/configuration/Document.h"
+#include "ibisgw/core/RandomSource.h"
+#include "ibisgw/flow/FlowTable.h"
+#include "ibisgw/flow/FlowTokenCodec.h"
+#include "ibisgw/request/InFlightTable.h"
+#include "ibisgw/request/OpenTable.h"
+#include "ibisgw/request/ServiceLoad.h"
+#include "ibisgw/upstream/UpstreamRegistry.h"
+
+#include <map>
+#include <optional>
+
+namespace ibisgw::balancer {
+
+// What the admission shares with its balancer.
+struct AdmissionContext {
+    core::NodeId self;
+    SafetyRules rules;
+    flow::FlowTable& flows;
+    const flow::FlowTokenCodec& tokens;
+    const flow::HomeRing& homes;
+    const upstream::UpstreamRegistry& upstreams;
+    BalancerCounters& counters;
+    core::RandomSource& random;
+};
+
+// Rules for requests at one balancer: admission, waiting, refusal and retry of opens at the home of their flow,
+// requests in flight, and the guard that a flow is established at one upstream only.
+class OpenAdmission {
+public:
+    explicit OpenAdmission(const AdmissionContext&);
+
+    // While partitioned, opens of kinds with `on_partition: refuse` are refused.
+    void setPartitioned(bool partitioned) { m_partitioned = partitioned; }
+    void homesChanged(const flow::HomeRing& previous, core::TimePoint now);
+
+    // Before the flow of a caller's packet is resolved; true when nothing else is to be done with the packet.
+    bool handleCallerPacket(const packet::Packet&, const configuration::Service&, core::TimePoint now, BalancerOutput&);
+    // A caller's packet goes to its upstream.
+    void recordForwarded(const packet::Packet&, core::UpstreamId, core::TimePoint now, BalancerOutput&);
+    bool relayToPreviousHome(const packet::Packet&, core::TimePoint now, BalancerOutput&);
+    // An open of an unknown flow at its home; true when it is to be placed now.
+    bool admit(const packet::Packet&, const configuration::Service&, core::TimePoint now, BalancerOutput&);
+    // After an attempt to place the flow; its entry in the flow table tells the outcome.
+    void recordPlacement(const packet::Packet&, core::TimePoint now);
+    // True when nothing else is to be done with the packet.
+    bool handleUpstreamPacket(
+        const packet::Packet&, const configuration::Service&, core::TimePoint now, BalancerOutput&);
+    // The next open that has waited and is to be placed now. Its payload is valid until the next call.
+    std::optional<packet::Packet> takeAdmitted(core::TimePoint now, BalancerOutput&);
+    void tick(core::TimePoint now, BalancerOutput&);
+
+    std::size_t requestsInFlight() const { return m_requests.size(); }
+    std::size_t openCount() const { return m_opens.size(); }
+
+private:
+    bool handleOpenCopy(const packet::Packet&, const configuration::Service&, core::TimePoint now, BalancerOutput&);
+    void handleOpened(const packet::Packet&, core::TimePoint now);
+    bool handleOpenRefusal(const packet::Packet&, const configuration::Service&, core::TimePoint now, BalancerOutput&);
+    void eraseWaiting(const core::FlowKey&, const request::OpenRecord&);
+    bool relayToHome(const packet::Packet&, BalancerOutput&);
+    bool retry(request::OpenRecord&, const configuration::Service&, core::TimePoint now, BalancerOutput&);
+    void endFlow(const core::FlowKey&, core::TimePoint now);
+    void releaseCapacity(request::OpenRecord&, bool completed, core::TimePoint now);
+    void refuse(const packet::Packet&, packet::RefusalKind, BalancerOutput&);
+    void close(const core::FlowKey&, core::UpstreamId, BalancerOutput&);
+    bool isGone(core::UpstreamId) const;
+    void refuseRequestsOfGoneUpstreams(BalancerOutput&);
+
+    AdmissionContext m_context;
+    HomeHandover m_handover;
+    bool m_partitioned { false };
+    request::OpenTable m_opens;
+    request::InFlightTable m_requests;
+    std::map<core::ServiceName, request::ServiceLoad> m_services;
+    // Incarnations at the last look, to notice upstreams that have gone or restarted.
+    std::map<core::UpstreamId, core::Incarnation> m_incarnations;
+    core::TimePoint m_nextCheckAt;
+};
+
+} // namespace ibisgw::balancer
--- a/tests/support/BalancerGroup.h
+++ b/tests/support/BalancerGroup.h
@@ -17,6 +17,7 @@
     ibisgw::core::Duration detectionDelay { std::chrono::seconds(3) };
     ibisgw::core::Duration fabricDetectionDelay { std::chrono::seconds(1) };
     ibisgw::core::Duration announcementPeriod { std::chrono::seconds(1) };
+    ibisgw::balancer::SafetyRules rules;
 };
 
 // A group of balancers behind a fabric, with fake upstreams, in virtual time. Membership and gossip
--- a/tests/support/FaultSchedule.h
+++ b/tests/support/FaultSchedule.h
@@ -13,6 +13,7 @@
     ibisgw::core::Duration duration { std::chrono::seconds(12) };
     ibisgw::core::Duration settleTime { std::chrono::seconds(4) };
     unsigned faults { 12 };
+    ibisgw::balancer::SafetyRules rules;
 };
 
 // What the upstreams and callers counted in one or more schedules. The first four must be zero.
