--- a/src/ibisgw/balancer/HomeHandover.cpp
+++ b/src/ibisgw/balancer/HomeHandover.cpp
@@ -41,6 +41,9 @@
     if (previous.balancers() == current.balancers())
         return;
     m_current = current;
+    // What was learned about a former run of a balancer says nothing about the present one.
+    for (const auto& it : current.balancers())
+        m_questionsByNode.erase(it);
     const bool joined = previous.balancers() == std::vector { m_self };
     m_previous.push_front({ joined ? withoutNode(current, m_self) : previous, now, joined });
     if (m_previous.size() > maxPreviousRings)
