--- a/src/ibisgw/balancer/Balancer.h
+++ b/src/ibisgw/balancer/Balancer.h
@@ -2,14 +2,15 @@
 
 #include "ibisgw/balancer/BalancerCounters.h"
 #include "ibisgw/balancer/BalancerOutput.h"
-#include "ibisgw/balancer/RelayBudget.h"
+#include "ibisgw/balancer/FlowHomes.h"
+#include "ibisgw/balancer/HomeHandover.h"
+#include "ibisgw/balancer/OpenAdmission.h"
 #include "ibisgw/balancer/ServicePlacement.h"
 #include "ibisgw/configuration/Document.h"
 #include "ibisgw/core/RandomSource.h"
 #include "ibisgw/flow/FlowRecordLog.h"
 #include "ibisgw/flow/FlowTable.h"
 #include "ibisgw/flow/FlowTokenCodec.h"
-#include "ibisgw/flow/HomeRing.h"
 #include "ibisgw/upstream/UpstreamRegistry.h"
 
 #include <map>
@@ -33,13 +34,17 @@
     double relaysPerSecond { 20'000 };
     // Way of selecting the upstream for requests; least in flight when empty.
     SelectorFactory makeSelector;
+    SafetyRules rules;
 };
 
 // State machine of one balancer: selects the upstream of each new flow and forwards the packets of
 // existing flows to the upstream that they already have.
-class Balancer {
+class Balancer : private FlowPlacer {
 public:
     Balancer(BalancerOptions, flow::FlowTokenCodec, core::RandomSource&);
+    ~Balancer() override;
+    Balancer(const Balancer&) = delete;
+    Balancer& operator=(const Balancer&) = delete;
 
     void applyDocument(std::shared_ptr<const configuration::Document>, core::TimePoint now);
     // Synchronized balancers of the group, all taken to be in this balancer's zone.
@@ -47,6 +52,8 @@
     // Running balancers of the group, this one included; those that leave are no homes.
     void setPeers(std::vector<flow::RingMember>, core::TimePoint now);
     void handleAnnouncement(const upstream::Announcement&, core::TimePoint now);
+    // Whether the daemon has lost the controllers.
+    void setPartitioned(bool partitioned, core::TimePoint now);
 
     void handleCallerPacket(const packet::Packet&, core::TimePoint now, BalancerOutput&);
     void handleRelayedPacket(const packet::Packet&, core::TimePoint now, BalancerOutput&);
@@ -65,9 +72,26 @@
     const BalancerCounters& counters() const { return m_counters; }
     const upstream::UpstreamRegistry& upstreams() const { return m_upstreams; }
     std::size_t flowCount() const { return m_flows.size(); }
+    const OpenAdmission& admission() const { return m_admission; }
 
 private:
-    void placeFlow(const packet::Packet&, const configuration::Service&, core::TimePoint now, BalancerOutput&);
+    core::UpstreamId upstreamOf(const core::FlowKey&, core::TimePoint now) override;
+    core::UpstreamId placeFlow(const packet::Packet& open, const configuration::Service&,
+        const std::vector<core::UpstreamId>& excluded, core::TimePoint now) override;
+    void restoreFlow(
+        const packet::Packet& open, core::UpstreamId, const configuration::Service&, core::TimePoint now) override;
+    bool isEjected(core::UpstreamId, const configuration::Service&, core::TimePoint now) override;
+    void dropFlow(const core::FlowKey&, core::TimePoint now) override;
+    void releaseFlow(const core::FlowKey&, core::TimePoint now) override;
+
+    void handlePacketOfCaller(const packet::Packet&, core::TimePoint now, BalancerOutput&);
+    void handleOpen(const packet::Packet&, const configuration::Service&, core::TimePoint now, BalancerOutput&);
+    // Upstream of a flow whose open has arrived again.
+    std::optional<core::UpstreamId> resolveOpen(
+        const packet::Packet&, const configuration::Service&, core::TimePoint now);
+    void placeOpen(const packet::Packet&, const configuration::Service&, core::TimePoint now, BalancerOutput&);
+    void placeAdmitted(core::TimePoint now, BalancerOutput&);
+    bool askPreviousHomes(const packet::Packet&, core::TimePoint now, BalancerOutput&);
     std::optional<core::UpstreamId> resolveFlow(
         const packet::Packet&, const configuration::Service&, core::TimePoint now);
     std::optional<core::UpstreamId> resolveByToken(
@@ -77,18 +101,18 @@
     std::optional<core::UpstreamId> resolveByDefault(
         const packet::Packet&, const configuration::Service&, core::TimePoint now);
     void closeFlow(const packet::Packet&, const configuration::Service&, core::TimePoint now, BalancerOutput&);
-    // True when the packet needs no further work here.
-    bool relayToHome(const packet::Packet&, core::TimePoint now, BalancerOutput&);
-    void relay(const packet::Packet&, core::NodeId, core::TimePoint now, BalancerOutput&);
-    core::NodeId homeOf(std::uint64_t flowHash, const configuration::Service&);
+    // Zone whose balancers are the homes of the flow; null when it is not known.
+    const core::ZoneName* zoneOf(const core::FlowKey&);
+    // Forgets the entry of an earlier flow of the caller when a later one is established elsewhere.
+    void dropLeftOver(const packet::Packet&, core::TimePoint now);
     flow::FlowEntry* learn(const packet::Packet&, core::UpstreamId, const configuration::Service&, core::TimePoint now);
-    void noteForwarded(const packet::Packet&, core::UpstreamId, const configuration::Service&, core::TimePoint now);
+    void forwardKnown(
+        const packet::Packet&, core::UpstreamId, const configuration::Service&, core::TimePoint now, BalancerOutput&);
     void noteAnswer(const packet::Packet&, flow::FlowEntry*, const configuration::Service&, core::TimePoint now);
     ServicePlacement& placementOf(const configuration::Service&);
     // The home of a flow counts it, for the bounded-load rule or as a request in flight.
     void setCounted(flow::FlowEntry&, bool);
-    void dropFlow(const core::FlowKey&, core::TimePoint now);
-    void dropRecord(const flow::FlowEntry&, const configuration::Service&);
+    void dropRecord(const flow::FlowEntry&);
     // Incremental work on the flow table: idle flows, counts and records after changes.
     flow::FlowTable::Visit maintainFlow(flow::FlowEntry&, core::TimePoint now);
     void recordIfNeeded(const flow::FlowEntry&, ServicePlacement&, bool isHome, core::TimePoint now);
@@ -103,14 +127,16 @@
     BalancerOptions m_options;
     flow::FlowTokenCodec m_tokens;
     core::RandomSource& m_random;
+    BalancerCounters m_counters;
     std::shared_ptr<const configuration::Document> m_document;
     flow::FlowTable m_flows;
-    flow::HomeRing m_homes;
     upstream::UpstreamRegistry m_upstreams;
     flow::FlowRecordLog m_records;
-    RelayBudget m_relayBudget;
     std::unordered_map<core::ServiceName, std::unique_ptr<ServicePlacement>> m_placements;
-    BalancerCounters m_counters;
+    FlowHomes m_homes;
+    PeerRelay m_relay;
+    HomeHandover m_handover;
+    OpenAdmission m_admission;
 };
 
 } // namespace ibisgw::balancer
--- /dev/null
+++ b/src/ibisgw/balancer/HomeHandover.cpp
@@ -0,0 +1,96 @@
+#include "ibisgw/balancer/HomeHandover.h"
+
+namespace ibisgw::balancer {
+
+using packet::Packet;
+
+namespace {
+
+// Above the hop limit of ordinary relays. Even counts are questions, odd counts are answers "not known".
+constexpr std::uint8_t firstQuestionHop = 16;
+constexpr std::size_t maxQuestions = 65'536;
+// A balancer outside the ring has ended when it left two copies for one flow without an answer (the network
+// loses single packets), or the questions about so many flows that it cannot know all of them.
+constexpr unsigned flowQuestionsBeforeEnd = 2;
+constexpr unsigned nodeQuestionsBeforeEnd = 20;
+constexpr core::Duration answerTimeout = std::chrono::milliseconds(150);
+
+} // namespace
+
+HomeHandover::HomeHandover(const FlowHomes& homes, PeerRelay& relay)
+    : m_homes(homes)
+    , m_relay(relay)
+{
+}
+
+void HomeHandover::homesChanged()
+{
+    // What was learned about a former run of a balancer says nothing about the present one.
+    for (const auto& it : m_homes.ring().members())
+        m_questionsByNode.erase(it.node);
+}
+
+std::vector<core::NodeId> HomeHandover::previousHomes(const Packet& packet, core::TimePoint now) const
+{
+    std::vector<core::NodeId> homes;
+    for (const auto& it : m_homes.previousHomesOf(packet.flow)) {
+        const bool isOpen = packet.type == packet::PacketType::Open;
+        const auto limit = isOpen || !m_homes.ring().isRunning(it.node) ? memory : flow::HomeRing::changeRetention;
+        if (now - it.until <= limit)
+            homes.push_back(it.node);
+    }
+    return homes;
+}
+
+bool HomeHandover::hasEnded(const core::FlowKey& flow, core::NodeId node, core::TimePoint now)
+{
+    if (m_homes.ring().isRunning(node))
+        return false;
+    if (m_questionsByFlow.size() >= maxQuestions && !m_questionsByFlow.contains(flow))
+        return true;
+    auto& ofFlow = m_questionsByFlow.try_emplace(flow, Question { now, 0 }).first->second;
+    auto& ofNode = m_questionsByNode.try_emplace(node, Question { now, 0 }).first->second;
+    if (ofFlow.count >= flowQuestionsBeforeEnd && now - ofFlow.firstAskedAt > answerTimeout)
+        return true;
+    if (ofNode.count >= nodeQuestionsBeforeEnd && now - ofNode.firstAskedAt > answerTimeout)
+        return true;
+    ++ofFlow.count;
+    ++ofNode.count;
+    return false;
+}
+
+bool HomeHandover::relay(const Packet& packet, core::TimePoint now, BalancerOutput& output)
+{
+    auto relayed = packet;
+    const bool isQuestion = packet.relayHops >= firstQuestionHop && packet.relayHops % 2 == 0;
+    if (isQuestion) {
+        // Not known here either. The asking balancer is the home in the present ring.
+        const auto home = m_homes.homeOf(packet.flow);
+        if (!home.isValid() || home == m_homes.self())
+            return false;
+        ++relayed.relayHops;
+        m_relay.send(relayed, home, now, output);
+        return true;
+    }
+    std::size_t next = packet.relayHops < firstQuestionHop ? 0 : (packet.relayHops - firstQuestionHop + 1) / 2;
+    const auto homes = previousHomes(packet, now);
+    if (next > 0 && next <= homes.size())
+        m_questionsByNode.erase(homes[next - 1]);
+    for (; next < homes.size(); ++next) {
+        if (hasEnded(packet.flow, homes[next], now))
+            continue;
+        relayed.relayHops = static_cast<std::uint8_t>(firstQuestionHop + 2 * next);
+        m_relay.send(relayed, homes[next], now, output);
+        return true;
+    }
+    return false;
+}
+
+void HomeHandover::tick(core::TimePoint now)
+{
+    const auto isForgotten = [&](const auto& it) { return now - it.second.firstAskedAt > memory; };
+    std::erase_if(m_questionsByFlow, isForgotten);
+    std::erase_if(m_questionsByNode, isForgotten);
+}
+
+} // namespace ibisgw::balancer
--- a/src/ibisgw/balancer/ServicePlacement.cpp
+++ b/src/ibisgw/balancer/ServicePlacement.cpp
@@ -1,5 +1,6 @@
 #include "ibisgw/balancer/ServicePlacement.h"
 
+#include <algorithm>
 #include <map>
 
 namespace ibisgw::balancer {
@@ -52,15 +53,25 @@
     return m_upstreams.newWorkShare(upstream, now);
 }
 
-core::UpstreamId ServicePlacement::placeStream(std::uint64_t flowHash, core::TimePoint now)
+flow::DefaultPlacement::ShareOf ServicePlacement::shareOutside(
+    const std::vector<core::UpstreamId>& excluded, core::TimePoint now) const
 {
-    return m_defaults.place(flowHash, [&](auto it) { return newWorkShare(it, now); });
+    return [this, &excluded, now](core::UpstreamId it) {
+        return std::ranges::find(excluded, it) == excluded.end() ? newWorkShare(it, now) : 0.0;
+    };
 }
 
-core::UpstreamId ServicePlacement::placeRequest(std::uint64_t flowHash, core::TimePoint now)
+core::UpstreamId ServicePlacement::placeStream(
+    std::uint64_t flowHash, const std::vector<core::UpstreamId>& excluded, core::TimePoint now)
+{
+    return m_defaults.place(flowHash, shareOutside(excluded, now));
+}
+
+core::UpstreamId ServicePlacement::placeRequest(
+    std::uint64_t flowHash, const std::vector<core::UpstreamId>& excluded, core::TimePoint now)
 {
     std::vector<upstream::SelectionCandidate> candidates;
-    for (const auto& it : m_defaults.candidatesFor(flowHash, [&](auto it) { return newWorkShare(it, now); }))
+    for (const auto& it : m_defaults.candidatesFor(flowHash, shareOutside(excluded, now)))
         candidates.push_back({ it, newWorkShare(it, now) });
     return m_selector->select(candidates, now);
 }
--- a/src/ibisgw/balancer/ServicePlacement.h
+++ b/src/ibisgw/balancer/ServicePlacement.h
@@ -23,8 +23,11 @@
     // Takes over changes of the upstreams and ejects those that do not answer.
     void update(core::TimePoint now);
 
-    core::UpstreamId placeStream(std::uint64_t flowHash, core::TimePoint now);
-    core::UpstreamId placeRequest(std::uint64_t flowHash, core::TimePoint now);
+    // None of the excluded upstreams; invalid when there is no other.
+    core::UpstreamId placeStream(
+        std::uint64_t flowHash, const std::vector<core::UpstreamId>& excluded, core::TimePoint now);
+    core::UpstreamId placeRequest(
+        std::uint64_t flowHash, const std::vector<core::UpstreamId>& excluded, core::TimePoint now);
     // 0 when the upstream gets no new work.
     double newWorkShare(core::UpstreamId, core::TimePoint now) const;
 
@@ -35,6 +38,8 @@
 
 private:
     void rebuildDefaults(core::TimePoint now);
+    flow::DefaultPlacement::ShareOf shareOutside(
+        const std::vector<core::UpstreamId>& excluded, core::TimePoint now) const;
 
     core::ServiceName m_service;
     const upstream::UpstreamRegistry& m_upstreams;
--- a/src/ibisgw/flow/FlowTable.cpp
+++ b/src/ibisgw/flow/FlowTable.cpp
@@ -129,7 +129,7 @@
     if (!victimSegment)
         return false;
     if (m_evictionHandler)
-        m_evictionHandler(victimSegment->buckets[victim]);
+        m_evictionHandler(victimSegment->buckets[victim], now);
     eraseAt(*victimSegment, victim);
     return true;
 }
--- a/tests/support/BalancerGroup.h
+++ b/tests/support/BalancerGroup.h
@@ -23,6 +23,7 @@
     bool tellFlowRecords { true };
     // Creates the balancers; those of ibisgw when empty.
     GroupMemberFactory makeMember;
+    ibisgw::balancer::SafetyRules rules;
 };
 
 // A group of balancers behind a fabric, with fake upstreams, in virtual time. Membership and gossip
