Let fake upstreams refuse opens and accept cancellations

Cause: retries, shedding and cancellation could not be tested. Change: FakeUpstream refuses opens while shedding, or a share of them while its announcements stay ready; a cancellation that meets its request in the queue, or overtakes it, prevents the run. Fault schedules shed (one fault in seven, 5 % of the opens).

--- a/tests/support/FakeUpstream.cpp
+++ b/tests/support/FakeUpstream.cpp
@@ -29,11 +29,7 @@
         return;
     }
     if (packet.type == PacketType::Open) {
-        if (m_flows.try_emplace(packet.flow).second) {
-            ++m_opensReceived;
-            m_lastOpenAt = m_queue.now();
-        }
-        reply(PacketType::Opened, packet);
+        handleOpen(packet);
         return;
     }
     if (!m_flows.contains(packet.flow)) {
@@ -47,6 +43,43 @@
         reply(PacketType::Data, packet);
     else if (packet.type == PacketType::Close)
         m_flows.erase(packet.flow);
+    else if (packet.type == PacketType::Cancel)
+        handleCancel(packet);
+}
+
+void FakeUpstream::handleOpen(const Packet& packet)
+{
+    if (!m_flows.contains(packet.flow)) {
+        if (m_state == UpstreamState::Shedding || m_random.chance(m_options.openRefusalShare)) {
+            ++m_openRefusals;
+            reply(PacketType::Refusal, packet, RefusalKind::NotRun);
+            return;
+        }
+        m_flows[packet.flow];
+        ++m_opensReceived;
+        m_lastOpenAt = m_queue.now();
+    }
+    reply(PacketType::Opened, packet);
+}
+
+void FakeUpstream::handleCancel(const Packet& packet)
+{
+    // A cancellation that overtakes its request, or meets it in the queue, prevents the run. What runs goes on.
+    auto& requests = m_flows[packet.flow];
+    const auto [it, isNew] = requests.try_emplace(packet.request, RequestState::Refused);
+    if (!isNew && it->second != RequestState::Waiting)
+        return;
+    it->second = RequestState::Refused;
+    std::erase_if(m_waiting, [&](const auto& pending) {
+        return pending.packet.flow == packet.flow && pending.packet.request == packet.request;
+    });
+    ++m_cancellations;
+    reply(PacketType::Refusal, packet, RefusalKind::NotRun);
+}
+
+void FakeUpstream::setShedding(bool shedding)
+{
+    m_state = shedding ? UpstreamState::Shedding : UpstreamState::Ready;
 }
 
 void FakeUpstream::handleRequest(const Packet& packet)
--- a/tests/support/FakeUpstream.h
+++ b/tests/support/FakeUpstream.h
@@ -22,6 +22,8 @@
     std::size_t queueLimit { 4 };
     // Mean of the exponentially distributed execution time.
     ibisgw::core::Duration meanServiceTime { std::chrono::milliseconds(100) };
+    // Share of the flows whose open is refused although the announcements say that new work is welcome.
+    double openRefusalShare { 0 };
     // Reports no load and stays "ready" whatever happens.
     bool misleading { false };
 };
@@ -38,6 +40,8 @@
     ibisgw::upstream::Announcement announcement();
 
     void drain() { m_state = ibisgw::upstream::UpstreamState::Draining; }
+    // While shedding, opens of new flows are refused as not run. It is announced like each state.
+    void setShedding(bool);
     void kill();
     // Starts again as a new incarnation without flows.
     void restart();
@@ -49,6 +53,9 @@
     std::uint64_t opensReceived() const { return m_opensReceived; }
     std::uint64_t executions() const { return m_executions; }
     std::uint64_t refusals() const { return m_refusals; }
+    std::uint64_t openRefusals() const { return m_openRefusals; }
+    // Requests that were cancelled before they ran.
+    std::uint64_t cancellations() const { return m_cancellations; }
     // When the last flow was opened; for how long a draining upstream still gets new work.
     std::optional<ibisgw::core::TimePoint> lastOpenAt() const { return m_lastOpenAt; }
 
@@ -64,6 +71,8 @@
         std::optional<ibisgw::core::TimePoint> deadline;
     };
 
+    void handleOpen(const ibisgw::packet::Packet&);
+    void handleCancel(const ibisgw::packet::Packet&);
     void handleRequest(const ibisgw::packet::Packet&);
     void startWaiting();
     void finish(const ibisgw::packet::Packet&);
@@ -86,6 +95,8 @@
     std::uint64_t m_opensReceived { 0 };
     std::uint64_t m_executions { 0 };
     std::uint64_t m_refusals { 0 };
+    std::uint64_t m_openRefusals { 0 };
+    std::uint64_t m_cancellations { 0 };
     std::optional<ibisgw::core::TimePoint> m_lastOpenAt;
 };
 
--- a/tests/support/FaultSchedule.cpp
+++ b/tests/support/FaultSchedule.cpp
@@ -44,6 +44,7 @@
                 FakeUpstreamOptions upstream { core::UpstreamId::fromEndpoint({ address++, 80 }), serviceNames[service],
                     serviceAddresses[service] };
                 upstream.meanServiceTime = 60ms;
+                upstream.openRefusalShare = 0.05;
                 m_group.addUpstream(upstream);
             }
         }
@@ -86,7 +87,7 @@
     {
         const auto balancer = static_cast<unsigned>(m_random.below(m_group.balancerCount()));
         auto& upstream = *m_group.upstreams()[m_random.below(m_group.upstreams().size())];
-        switch (m_random.below(6)) {
+        switch (m_random.below(7)) {
         case 0:
             restartBalancer(balancer, true);
             break;
@@ -101,6 +102,10 @@
             restartUpstream(upstream);
             break;
         case 4:
+            upstream.setShedding(true);
+            m_queue.after(drawOutage(), [&upstream](auto) { upstream.setShedding(false); });
+            break;
+        case 5:
             cut(machineOf(balancer), machineOf(static_cast<unsigned>(m_random.below(m_group.balancerCount()))));
             break;
         default:
@@ -128,7 +133,11 @@
     void restartUpstream(FakeUpstream& upstream)
     {
         upstream.kill();
-        m_queue.after(450ms + drawOutage(), [&upstream](auto) { upstream.restart(); });
+        m_queue.after(450ms + drawOutage(), [&upstream](auto) {
+            // Two faults may overlap; the first start counts.
+            if (!upstream.isRunning())
+                upstream.restart();
+        });
     }
 
     // One direction or both, for a while.
--- a/tests/support/FaultSchedule.h
+++ b/tests/support/FaultSchedule.h
@@ -33,7 +33,7 @@
 };
 
 // Runs one seeded schedule in virtual time: two services, kills and restarts of balancers and
-// upstreams, drains, cuts, 1 % loss, 2 % duplication and delays of 1 to 40 ms that reorder packets.
+// upstreams, drains, shedding, cuts, 1 % loss, 2 % duplication and delays of 1 to 40 ms that reorder packets.
 // Equal options give equal totals.
 FaultTotals runFaultSchedule(const FaultScheduleOptions&);
 
