Hand flows over to their new homes and keep records within their budget

A restarted balancer refused its own records from its earlier process; balance used up the 4 % of records; records that gave way were published again in turns; a leaving balancer told all balancers instead of the new homes. Change: FlowHandOver to the new home of each flow that it cannot derive; records of an earlier process are accepted; balance gets records up to 2 % of the flows, and the reports of open flows keep it from exceptions that only one home needs; BalancerGroup sends records once a second with repair of gaps and counts their bytes.

--- a/benchmarks/PlacementMeasures.cpp
+++ b/benchmarks/PlacementMeasures.cpp
@@ -157,6 +157,27 @@
     return result;
 }
 
+// Flows that come and go, a rolling restart and drains: what records and hand-over cost each balancer.
+MeasureResult measureFlowRecordBytes(std::uint64_t seed)
+{
+    PlacementScenarioOptions options;
+    options.seed = seed;
+    options.loss = 0.01;
+    PlacementScenario scenario(options);
+    scenario.openFlows(PlacementScenario::flowCount, 120s);
+    scheduleRollingRestart(scenario);
+    for (unsigned n = 0; n < 4; ++n) {
+        scenario.queue().after(30s * n, [&, n](auto) { scenario.upstream(n).drain(); });
+        scenario.queue().after(30s * n + 20s, [&, n](auto) { scenario.upstream(n).resume(); });
+    }
+    scenario.replaceFlows(static_cast<double>(PlacementScenario::flowCount) / 600, 160s);
+    MeasureResult result;
+    result.value = static_cast<double>(scenario.group().worstFlowRecordBytesPerSecond());
+    result.bound = 4096;
+    result.details["records"] = scenario.group().balancer(4)->flowRecords().size();
+    return result;
+}
+
 double runMisleadingReports(PlacementScenarioOptions options, nlohmann::json& details)
 {
     constexpr unsigned misleading = 5;
@@ -206,6 +227,7 @@
     list.push_back({ "imbalance_busy_slots", "share of slots", true, measureBusySlots });
     list.push_back({ "imbalance_misleading_reports", "share/fair", true,
         [](auto seed) { return compare(seed, 1.1, runMisleadingReports); } });
+    list.push_back({ "flow_record_bytes_per_s", "bytes/s", true, measureFlowRecordBytes });
     list.push_back({ "drain_new_work_after_s", "s", true, [](auto seed) { return compare(seed, 3, runDrain); } });
     addFlowStateMeasures(list);
 }
--- a/src/ibisgw/balancer/Balancer.cpp
+++ b/src/ibisgw/balancer/Balancer.cpp
@@ -24,7 +24,8 @@
     , m_tokens(tokens)
     , m_random(random)
     , m_flows(m_options.flowCapacity)
-    , m_records(m_options.self, m_options.firstRecordSequence)
+    , m_records(m_options.self, m_options.firstRecordSequence,
+          static_cast<std::size_t>(maxRecordShare * static_cast<double>(m_options.flowCapacity)))
     , m_relayBudget(m_options.relaysPerSecond, m_options.relaysPerSecond)
 {
     if (!m_options.makeSelector) {
--- a/src/ibisgw/balancer/Balancer.h
+++ b/src/ibisgw/balancer/Balancer.h
@@ -6,12 +6,14 @@
 #include "ibisgw/balancer/ServicePlacement.h"
 #include "ibisgw/configuration/Document.h"
 #include "ibisgw/core/RandomSource.h"
+#include "ibisgw/flow/FlowHandOver.h"
 #include "ibisgw/flow/FlowRecordLog.h"
 #include "ibisgw/flow/FlowTable.h"
 #include "ibisgw/flow/FlowTokenCodec.h"
 #include "ibisgw/flow/HomeRing.h"
 #include "ibisgw/upstream/UpstreamRegistry.h"
 
+#include <deque>
 #include <map>
 #include <memory>
 #include <optional>
@@ -59,8 +61,12 @@
     // For gap repair, and for a joining balancer, which takes over all records before it becomes a home.
     const flow::FlowRecordLog& flowRecords() const { return m_records; }
     void adoptFlowRecords(const std::vector<flow::FlowRecord>&, const std::map<core::NodeId, std::uint64_t>& heads);
-    // Called when this balancer starts to leave: turns what the others cannot derive into flow records.
+    // Called when this balancer starts to leave, after setPeers() that says so: queues the flows that
+    // their new homes cannot derive.
     void handOver(core::TimePoint now);
+    // Flows to send to their new homes, after handOver() and after other balancers have joined.
+    std::vector<flow::FlowHandOver> takeHandOvers(std::size_t maxCount);
+    void adoptFlow(const flow::FlowHandOver&, core::TimePoint now);
 
     const BalancerCounters& counters() const { return m_counters; }
     const upstream::UpstreamRegistry& upstreams() const { return m_upstreams; }
@@ -91,7 +97,9 @@
     void dropRecord(const flow::FlowEntry&, const configuration::Service&);
     // Incremental work on the flow table: idle flows, counts and records after changes.
     flow::FlowTable::Visit maintainFlow(flow::FlowEntry&, core::TimePoint now);
+    bool hasRoomForBalance(ServicePlacement&) const;
     void recordIfNeeded(const flow::FlowEntry&, ServicePlacement&, bool isHome, core::TimePoint now);
+    void handOverIfNeeded(const flow::FlowEntry&, const configuration::Service&);
     bool isLost(const flow::FlowEntry&, const configuration::Service&, core::TimePoint now) const;
     core::Duration idleLimitOf(const flow::FlowEntry&, const configuration::Service&) const;
     void forward(const packet::Packet&, core::UpstreamId, BalancerOutput&);
@@ -108,6 +116,7 @@
     flow::HomeRing m_homes;
     upstream::UpstreamRegistry m_upstreams;
     flow::FlowRecordLog m_records;
+    std::deque<flow::FlowHandOver> m_handOvers;
     RelayBudget m_relayBudget;
     std::unordered_map<core::ServiceName, std::unique_ptr<ServicePlacement>> m_placements;
     BalancerCounters m_counters;
--- a/src/ibisgw/balancer/BalancerFlows.cpp
+++ b/src/ibisgw/balancer/BalancerFlows.cpp
@@ -15,11 +15,10 @@
 
 // A packet visits at most this many balancers before it leaves for its upstream.
 constexpr std::uint8_t maxRelayHops = 2;
-// An upstream that restarts is announced to all balancers within this time, so an entry that is older
-// than the news by this much belongs to the earlier incarnation.
-constexpr core::Duration incarnationLag = std::chrono::seconds(10);
-// Time for an answer to arrive after the deadline of its request.
-constexpr core::Duration answerMargin = std::chrono::seconds(5);
+// Flow records that balance may use, as a share of the open flows; the rest of the 4 % is left for
+// exceptions that are no choice, such as those of defaults that drain.
+constexpr double balanceRecordShare = 0.02;
+constexpr double freeBalanceRecords = 64;
 
 bool isSticky(core::KindId kind, const configuration::Service& service)
 {
@@ -150,7 +149,8 @@
     }
     const auto hash = packet.flow.hash();
     const bool sticky = isSticky(packet.kind, service);
-    const auto upstream = sticky ? placement.placeStream(hash, now) : placement.placeRequest(hash, now);
+    const auto upstream
+        = sticky ? placement.placeStream(hash, hasRoomForBalance(placement), now) : placement.placeRequest(hash, now);
     auto* entry = upstream.isValid() ? m_flows.insert(packet.flow, upstream, now) : nullptr;
     if (!entry) {
         refuse(packet, RefusalKind::NotRun, output);
@@ -167,6 +167,12 @@
     forward(packet, upstream, output);
 }
 
+bool Balancer::hasRoomForBalance(ServicePlacement& placement) const
+{
+    const auto flows = placement.defaults().flowCount() * m_homes.homeCount();
+    return static_cast<double>(m_records.size()) < freeBalanceRecords + balanceRecordShare * static_cast<double>(flows);
+}
+
 void Balancer::closeFlow(
     const Packet& packet, const configuration::Service& service, core::TimePoint now, BalancerOutput& output)
 {
@@ -234,9 +240,9 @@
     if (!entry.has(FlowEntry::Sticky))
         counted ? placement.load().noteStarted(entry.upstream()) : placement.load().noteFinished(entry.upstream());
     else if (counted)
-        placement.defaults().addFlow(key.hash(), entry.upstream());
+        placement.defaults().addFlow(entry.upstream());
     else
-        placement.defaults().removeFlow(key.hash(), entry.upstream());
+        placement.defaults().removeFlow(entry.upstream());
 }
 
 void Balancer::dropFlow(const core::FlowKey& key, core::TimePoint now)
@@ -257,91 +263,4 @@
         m_records.remove(hash);
 }
 
-bool Balancer::isLost(const FlowEntry& entry, const configuration::Service& service, core::TimePoint now) const
-{
-    const auto* record = m_upstreams.find(entry.upstream());
-    if (!record || record->announcement.service != service.name)
-        return true;
-    return now - entry.idleTime(now) + incarnationLag < record->incarnationSince;
-}
-
-core::Duration Balancer::idleLimitOf(const FlowEntry& entry, const configuration::Service& service) const
-{
-    if (entry.has(FlowEntry::Sticky))
-        return m_options.idleLimit;
-    if (!entry.has(FlowEntry::Unanswered))
-        return m_options.requestIdleLimit;
-    // The answer may have passed another balancer, so the flag alone must not keep the entry.
-    std::uint32_t deadlineMs = 0;
-    for (const auto& it : service.kinds)
-        deadlineMs = std::max(deadlineMs, it.deadlineMs);
-    return std::max(m_options.requestIdleLimit, std::chrono::milliseconds(deadlineMs) + answerMargin);
-}
-
-flow::FlowTable::Visit Balancer::maintainFlow(FlowEntry& entry, core::TimePoint now)
-{
-    const auto key = entry.key();
-    const auto* service = m_document ? m_document->findService(key.service) : nullptr;
-    if (!service || entry.idleTime(now) > idleLimitOf(entry, *service) || isLost(entry, *service, now)) {
-        setCounted(entry, false);
-        if (service)
-            dropRecord(entry, *service);
-        return flow::FlowTable::Visit::Erase;
-    }
-    const bool isHome = homeOf(key.hash(), *service) == m_options.self;
-    if (!entry.has(FlowEntry::Sticky))
-        return flow::FlowTable::Visit::Keep;
-    setCounted(entry, isHome);
-    recordIfNeeded(entry, placementOf(*service), isHome, now);
-    return flow::FlowTable::Visit::Keep;
-}
-
-void Balancer::recordIfNeeded(const FlowEntry& entry, ServicePlacement& placement, bool isHome, core::TimePoint now)
-{
-    const auto hash = entry.key().hash();
-    const bool isDerived = placement.defaults().derivedUpstream(hash) == entry.upstream();
-    const bool hasRecord = m_records.find(hash) == entry.upstream();
-    if (isDerived) {
-        if (hasRecord && isHome && placement.defaults().versionCount() == 1)
-            m_records.remove(hash);
-        return;
-    }
-    // The home may have died before it told of an exception; this balancer knows the flow from its traffic.
-    const bool speaksForHome = isHome || m_homes.hasLostHome(hash, placement.defaults().zoneOf(hash), now);
-    if (!hasRecord && speaksForHome)
-        m_records.record(hash, entry.upstream());
-}
-
-void Balancer::applyFlowRecord(const flow::FlowRecord& record, core::TimePoint)
-{
-    m_records.apply(record);
-}
-
-std::vector<flow::FlowRecord> Balancer::takeFlowRecords(std::size_t maxCount)
-{
-    return m_records.takeOutgoing(maxCount);
-}
-
-void Balancer::adoptFlowRecords(
-    const std::vector<flow::FlowRecord>& records, const std::map<core::NodeId, std::uint64_t>& heads)
-{
-    for (const auto& it : records)
-        m_records.apply(it);
-    m_records.setHeads(heads);
-}
-
-void Balancer::handOver(core::TimePoint)
-{
-    m_flows.forEach([&](const FlowEntry& entry) {
-        const auto key = entry.key();
-        const auto* service = m_document ? m_document->findService(key.service) : nullptr;
-        if (!service || !entry.has(FlowEntry::Counted))
-            return;
-        const bool isDerived = entry.has(FlowEntry::Sticky)
-            && placementOf(*service).defaults().derivedUpstream(key.hash()) == entry.upstream();
-        if (!isDerived)
-            m_records.record(key.hash(), entry.upstream());
-    });
-}
-
 } // namespace ibisgw::balancer
--- a/src/ibisgw/balancer/ServicePlacement.cpp
+++ b/src/ibisgw/balancer/ServicePlacement.cpp
@@ -52,9 +52,19 @@
     return m_upstreams.newWorkShare(upstream, now);
 }
 
-core::UpstreamId ServicePlacement::placeStream(std::uint64_t flowHash, core::TimePoint now)
+core::UpstreamId ServicePlacement::placeStream(std::uint64_t flowHash, bool hasRoom, core::TimePoint now)
 {
-    return m_defaults.place(flowHash, [&](auto it) { return newWorkShare(it, now); });
+    std::uint64_t total = 0;
+    for (const auto& it : m_eligible) {
+        const auto* record = m_upstreams.find(it);
+        total += record ? record->announcement.openFlows : 0;
+    }
+    const auto isBelowMean = [&](core::UpstreamId it) {
+        const auto* record = m_upstreams.find(it);
+        return record && std::uint64_t { record->announcement.openFlows } * m_eligible.size() <= total;
+    };
+    return m_defaults.place(
+        flowHash, [&](auto it) { return newWorkShare(it, now); }, isBelowMean, hasRoom);
 }
 
 core::UpstreamId ServicePlacement::placeRequest(std::uint64_t flowHash, core::TimePoint now)
--- a/src/ibisgw/balancer/ServicePlacement.h
+++ b/src/ibisgw/balancer/ServicePlacement.h
@@ -23,7 +23,8 @@
     // Takes over changes of the upstreams and ejects those that do not answer.
     void update(core::TimePoint now);
 
-    core::UpstreamId placeStream(std::uint64_t flowHash, core::TimePoint now);
+    // Without room for more flow records the default is taken although it is above the load bound.
+    core::UpstreamId placeStream(std::uint64_t flowHash, bool hasRoom, core::TimePoint now);
     core::UpstreamId placeRequest(std::uint64_t flowHash, core::TimePoint now);
     // 0 when the upstream gets no new work.
     double newWorkShare(core::UpstreamId, core::TimePoint now) const;
--- a/src/ibisgw/flow/DefaultPlacement.cpp
+++ b/src/ibisgw/flow/DefaultPlacement.cpp
@@ -11,8 +11,6 @@
 
 // Bounds the memory of an upstream set that changes all the time.
 constexpr std::size_t maxVersions = 16;
-// Below this number of flows a home always balances.
-constexpr std::size_t freeExceptions = 16;
 
 std::uint64_t hashOfZone(const core::ZoneName& zone)
 {
@@ -131,7 +129,8 @@
     return candidates;
 }
 
-core::UpstreamId DefaultPlacement::place(std::uint64_t flowHash, const ShareOf& shareOf)
+core::UpstreamId DefaultPlacement::place(
+    std::uint64_t flowHash, const ShareOf& shareOf, const IsBelowMean& isBelowMean, bool hasRoom)
 {
     auto candidates = candidatesFor(flowHash, shareOf);
     if (candidates.empty())
@@ -143,12 +142,13 @@
     for (const auto& it : candidates)
         total += flowsOf(it);
     const auto mean = static_cast<double>(total) / static_cast<double>(candidates.size());
+    const auto isBelow = [&](core::UpstreamId it, double bound) {
+        return static_cast<double>(flowsOf(it) + 1) <= std::ceil(bound * mean * shareOf(it));
+    };
     const auto isBelowBound = [&](core::UpstreamId it) {
-        return static_cast<double>(flowsOf(it) + 1) <= std::ceil(loadBound * mean * shareOf(it));
+        return isBelow(it, loadBound) || (isBelowMean(it) && isBelow(it, reportedLoadBound));
     };
-    const bool mayDeviate = m_exceptionCount
-        < freeExceptions + static_cast<std::size_t>(balanceExceptionShare * static_cast<double>(m_flowCount));
-    if (!mayDeviate || isBelowBound(candidates.front()))
+    if (!hasRoom || isBelowBound(candidates.front()))
         return candidates.front();
     for (const auto& it : candidates) {
         // A cold upstream gets only the flows of its own share, or each overload would go to it.
@@ -158,14 +158,13 @@
     return candidates.front();
 }
 
-void DefaultPlacement::addFlow(std::uint64_t flowHash, core::UpstreamId upstream)
+void DefaultPlacement::addFlow(core::UpstreamId upstream)
 {
     ++m_flows[upstream];
     ++m_flowCount;
-    m_exceptionCount += defaultOf(flowHash) != upstream;
 }
 
-void DefaultPlacement::removeFlow(std::uint64_t flowHash, core::UpstreamId upstream)
+void DefaultPlacement::removeFlow(core::UpstreamId upstream)
 {
     const auto it = m_flows.find(upstream);
     if (it == m_flows.end())
@@ -173,9 +172,6 @@
     if (--it->second == 0)
         m_flows.erase(it);
     --m_flowCount;
-    // The set may have changed since the flow was added, so the count is an estimate.
-    if (defaultOf(flowHash) != upstream && m_exceptionCount > 0)
-        --m_exceptionCount;
 }
 
 std::size_t DefaultPlacement::flowsOf(core::UpstreamId upstream) const
--- a/src/ibisgw/flow/DefaultPlacement.h
+++ b/src/ibisgw/flow/DefaultPlacement.h
@@ -31,9 +31,9 @@
     static constexpr core::Duration versionRetention = std::chrono::seconds(60);
     // An upstream above this multiple of the mean gets no new flow of the home.
     static constexpr double loadBound = 1.03;
-    // A home makes no more exceptions for balance beyond this share of its flows.
-    static constexpr double balanceExceptionShare = 0.03;
-
+    // Bound for an upstream whose report says that it is below the mean of the whole group: the flows of
+    // one home vary by 1/sqrt(220) = 7 %, and balance within each home would cost 3 % of exceptions.
+    static constexpr double reportedLoadBound = 1.25;
     // Share of a full share of new flows that an upstream may get: 0 when it is not eligible.
     using ShareOf = std::function<double(core::UpstreamId)>;
 
@@ -48,14 +48,18 @@
     core::UpstreamId derivedUpstream(std::uint64_t flowHash) const;
     // As above for a decision on a packet: from then on the present version is retained.
     core::UpstreamId useDerivedUpstream(std::uint64_t flowHash);
+    // True for an upstream that reports no more open flows than the mean of all.
+    using IsBelowMean = std::function<bool(core::UpstreamId)>;
+
     // Upstream for a new stream; invalid when none is eligible.
-    core::UpstreamId place(std::uint64_t flowHash, const ShareOf&);
+    // Without room for exceptions, balance yields and the default is taken if it is eligible.
+    core::UpstreamId place(std::uint64_t flowHash, const ShareOf&, const IsBelowMean&, bool hasRoom);
     // Eligible upstreams of the first zone, in the order of the flow, that has any.
     std::vector<core::UpstreamId> candidatesFor(std::uint64_t flowHash, const ShareOf&) const;
 
     // Flows of which this balancer is the home.
-    void addFlow(std::uint64_t flowHash, core::UpstreamId);
-    void removeFlow(std::uint64_t flowHash, core::UpstreamId);
+    void addFlow(core::UpstreamId);
+    void removeFlow(core::UpstreamId);
     std::size_t flowCount() const { return m_flowCount; }
     std::size_t versionCount() const { return m_versions.size(); }
 
@@ -73,8 +77,6 @@
     std::deque<Version> m_versions;
     std::unordered_map<core::UpstreamId, std::size_t> m_flows;
     std::size_t m_flowCount { 0 };
-    // Flows of this home that are not on their default at the time they were added.
-    std::size_t m_exceptionCount { 0 };
 };
 
 } // namespace ibisgw::flow
--- a/src/ibisgw/flow/FlowRecordLog.cpp
+++ b/src/ibisgw/flow/FlowRecordLog.cpp
@@ -10,12 +10,16 @@
 // A restarted balancer starts its sequences far above those of its earlier process.
 constexpr std::uint64_t restartDistance = 1 << 16;
 constexpr std::size_t smallestLimit = 1024;
+// Halves the limit in 35 s at 20 calls a second.
+constexpr double limitDecay = 0.999;
 
 } // namespace
 
-FlowRecordLog::FlowRecordLog(core::NodeId self, std::uint64_t firstSequence)
+FlowRecordLog::FlowRecordLog(core::NodeId self, std::uint64_t firstSequence, std::size_t firstLimit)
     : m_self(self)
-    , m_nextSequence(std::max<std::uint64_t>(firstSequence, 1))
+    , m_firstSequence(std::max<std::uint64_t>(firstSequence, 1))
+    , m_nextSequence(m_firstSequence)
+    , m_limit(static_cast<double>(firstLimit))
 {
 }
 
@@ -44,9 +48,11 @@
 
 bool FlowRecordLog::apply(const FlowRecord& record)
 {
-    if (record.origin == m_self)
+    // Records of an earlier process of this balancer come back from its peers.
+    if (record.origin == m_self && record.sequence >= m_firstSequence)
         return false;
-    noteSequence(record);
+    if (record.origin != m_self)
+        noteSequence(record);
     const auto it = m_records.find(record.flowHash);
     if (it != m_records.end() && it->second.origin == record.origin && it->second.sequence >= record.sequence)
         return false;
@@ -84,13 +90,14 @@
 
 void FlowRecordLog::enforceLimit()
 {
-    while (m_records.size() > m_limit || m_order.size() > 2 * m_limit + smallestLimit) {
+    const auto limit = static_cast<std::size_t>(m_limit);
+    while (m_records.size() > limit || m_order.size() > 2 * limit + smallestLimit) {
         const auto [flowHash, age] = m_order.front();
         m_order.pop_front();
         const auto it = m_records.find(flowHash);
         if (it == m_records.end() || it->second.age != age)
             continue;
-        if (m_records.size() <= m_limit) {
+        if (m_records.size() <= limit) {
             it->second.age = m_nextAge++;
             m_order.emplace_back(flowHash, it->second.age);
             continue;
@@ -170,7 +177,7 @@
 
 void FlowRecordLog::setLimit(std::size_t limit)
 {
-    m_limit = std::max(limit, smallestLimit);
+    m_limit = std::max({ static_cast<double>(limit), static_cast<double>(smallestLimit), m_limit * limitDecay });
     enforceLimit();
 }
 
--- a/src/ibisgw/flow/FlowRecordLog.h
+++ b/src/ibisgw/flow/FlowRecordLog.h
@@ -15,7 +15,7 @@
 class FlowRecordLog {
 public:
     // The first sequence must be larger than all of an earlier process of the same balancer.
-    FlowRecordLog(core::NodeId self, std::uint64_t firstSequence);
+    FlowRecordLog(core::NodeId self, std::uint64_t firstSequence, std::size_t firstLimit);
 
     // Publishes a record of this balancer.
     void record(std::uint64_t flowHash, core::UpstreamId);
@@ -30,6 +30,8 @@
     std::vector<FlowRecord> takeOutgoing(std::size_t maxCount);
     // Newest sequence of this balancer; peers compare it with what they hold.
     std::uint64_t head() const { return m_nextSequence - 1; }
+    // The same without the records that have not been taken yet.
+    std::uint64_t takenHead() const { return head() - (m_own.size() - m_taken); }
     // First sequence of the origin that is missing here, if any up to its head.
     std::optional<std::uint64_t> firstMissing(core::NodeId origin, std::uint64_t head) const;
     // Own records from the given sequence on; all live ones of this balancer when it is too old.
@@ -40,8 +42,10 @@
     std::map<core::NodeId, std::uint64_t> heads() const;
     void setHeads(const std::map<core::NodeId, std::uint64_t>&);
 
-    // The oldest records give way beyond this number.
+    // The oldest records give way beyond this number. It falls slowly, because a balancer that has just
+    // joined does not know yet how many flows there are.
     void setLimit(std::size_t);
+    bool isFull() const { return static_cast<double>(m_records.size()) >= m_limit; }
     std::size_t size() const { return m_records.size(); }
     std::uint64_t gaveWay() const { return m_gaveWay; }
 
@@ -64,6 +68,7 @@
     void enforceLimit();
 
     core::NodeId m_self;
+    std::uint64_t m_firstSequence;
     std::uint64_t m_nextSequence;
     std::unordered_map<std::uint64_t, Held> m_records;
     // Flow hashes in the order of their records, with the age that tells live ones from replaced ones.
@@ -73,7 +78,7 @@
     std::deque<FlowRecord> m_own;
     std::size_t m_taken { 0 };
     std::map<core::NodeId, OriginState> m_origins;
-    std::size_t m_limit { 1024 };
+    double m_limit;
     std::uint64_t m_gaveWay { 0 };
 };
 
--- a/tests/support/BalancerGroup.cpp
+++ b/tests/support/BalancerGroup.cpp
@@ -8,11 +8,16 @@
 
 using namespace ibisgw;
 using packet::Packet;
+using namespace std::chrono_literals;
 
 namespace {
 
 constexpr core::Duration tickPeriod = std::chrono::milliseconds(50);
-constexpr std::size_t maxRecordsPerDatagram = 80;
+// Bytes a second of each balancer, of 4,096: to and from each of 8 peers 2 x 8 x (84 + 6 x 14) = 2,688 for
+// records, 2 x 380 for hand-over; a joining balancer sends no records and pulls for 1,960 from 8 peers.
+constexpr std::size_t maxRecordsPerDatagram = 6;
+constexpr std::size_t maxHandOversPerSecond = 20;
+constexpr std::size_t maxPulledRecordsPerSecond = 140;
 // Version, sender, key number, sequence and authentication code, and UDP over IPv4.
 constexpr std::size_t datagramHeaderBytes = 40 + 28;
 
@@ -156,14 +161,13 @@
             Output output(*this, it->node);
             if (it->member)
                 it->member->tick(now, output);
-            publishFlowRecords(*it);
         }
         const auto previous = now - tickPeriod;
         const auto period = m_options.announcementPeriod;
         if (now.time_since_epoch() / period != previous.time_since_epoch() / period) {
             for (auto& it : m_upstreams)
                 announce(*it);
-            compareFlowRecordHeads();
+            startNextSecond();
         }
         schedulePeriodicWork();
     });
@@ -175,8 +179,6 @@
     if (!balancer || !m_options.tellFlowRecords)
         return;
     const auto records = balancer->takeFlowRecords(maxRecordsPerDatagram);
-    if (records.empty())
-        return;
     for (auto& it : m_slots) {
         if (it->index != slot.index && it->member)
             sendFlowRecords(slot, *it, records);
@@ -185,61 +187,103 @@
 
 void BalancerGroup::sendFlowRecords(Slot& from, Slot& to, const RecordList& records)
 {
-    const auto bytes = datagramHeaderBytes + flow::flowRecordHeaderBytes + records.size() * flow::flowRecordWireBytes;
+    // The head alone travels with the probes of the membership.
+    const auto bytes = flow::flowRecordHeaderBytes
+        + (records.empty() ? 0 : datagramHeaderBytes + records.size() * flow::flowRecordWireBytes);
+    from.recordBytes += bytes;
+    const auto head = from.member->balancer()->flowRecords().head();
+    m_queue.send(from.node.value, to.node.value,
+        [this, sender = from.index, index = to.index, records, bytes, head](core::TimePoint now) {
+            auto* receiver = balancer(index);
+            m_slots[index]->recordBytes += bytes;
+            if (!receiver)
+                return;
+            for (const auto& it : records)
+                receiver->applyFlowRecord(it, now);
+            repairGap(*m_slots[sender], *m_slots[index], head);
+        });
+}
+
+void BalancerGroup::repairGap(Slot& from, Slot& to, std::uint64_t head)
+{
+    auto* sender = balancer(from.index);
+    // Records that have not been taken yet are no gap.
+    const auto published = sender ? std::min(head, sender->flowRecords().takenHead()) : 0;
+    const auto missing = balancer(to.index)->flowRecords().firstMissing(from.node, published);
+    if (!missing)
+        return;
+    auto records = sender->flowRecords().since(*missing);
+    if (records.size() > maxRecordsPerDatagram)
+        records.resize(maxRecordsPerDatagram);
+    const auto bytes = datagramHeaderBytes + records.size() * flow::flowRecordWireBytes;
     from.recordBytes += bytes;
     m_queue.send(from.node.value, to.node.value, [this, index = to.index, records, bytes](core::TimePoint now) {
-        auto* balancer = this->balancer(index);
         m_slots[index]->recordBytes += bytes;
         for (const auto& it : records) {
-            if (balancer)
-                balancer->applyFlowRecord(it, now);
+            if (auto* receiver = balancer(index))
+                receiver->applyFlowRecord(it, now);
         }
     });
 }
 
-void BalancerGroup::compareFlowRecordHeads()
+void BalancerGroup::startNextSecond()
+{
+    for (auto& it : m_slots) {
+        m_worstRecordBytes = std::max(m_worstRecordBytes, it->recordBytes);
+        it->recordBytes = 0;
+    }
+    for (auto& it : m_slots)
+        publishFlowRecords(*it);
+    for (auto& it : m_slots)
+        publishHandOvers(*it);
+}
+
+void BalancerGroup::publishHandOvers(Slot& slot)
 {
-    for (auto& from : m_slots) {
-        m_worstRecordBytes = std::max(m_worstRecordBytes, from->recordBytes);
-        from->recordBytes = 0;
-        auto* origin = balancer(from->index);
-        if (!origin || !m_options.tellFlowRecords)
-            continue;
-        for (auto& to : m_slots) {
-            if (to->index == from->index || !to->member)
+    auto* balancer = slot.member ? slot.member->balancer() : nullptr;
+    if (!balancer || !m_options.tellFlowRecords)
+        return;
+    for (const auto& it : balancer->takeHandOvers(maxHandOversPerSecond)) {
+        for (auto& target : m_slots) {
+            if (target->node != it.target)
                 continue;
-            from->recordBytes += flow::flowRecordHeaderBytes;
-            m_queue.send(from->node.value, to->node.value,
-                [this, node = from->node, first = from->index, second = to->index, head = origin->flowRecords().head()](
-                    core::TimePoint) {
-                    auto* receiver = balancer(second);
-                    auto* sender = balancer(first);
-                    m_slots[second]->recordBytes += flow::flowRecordHeaderBytes;
-                    const auto missing = receiver ? receiver->flowRecords().firstMissing(node, head) : std::nullopt;
-                    if (!missing || !sender)
-                        return;
-                    auto records = sender->flowRecords().since(*missing);
-                    if (records.size() > maxRecordsPerDatagram)
-                        records.resize(maxRecordsPerDatagram);
-                    sendFlowRecords(*m_slots[first], *m_slots[second], records);
+            slot.recordBytes += flow::flowHandOverWireBytes;
+            target->recordBytes += flow::flowHandOverWireBytes;
+            // A hand-over is acknowledged and repeated in the daemon; here the repetition comes anyway.
+            for (const core::Duration delay : { 0ms, 500ms }) {
+                m_queue.after(delay, [this, it, from = slot.node.value, to = target->index](auto) {
+                    m_queue.send(from, m_slots[to]->node.value, [this, it, to](core::TimePoint now) {
+                        if (auto* receiver = this->balancer(to))
+                            receiver->adoptFlow(it, now);
+                    });
                 });
+            }
         }
     }
 }
 
-void BalancerGroup::adoptFlowRecords(Slot& joining)
+void BalancerGroup::continueJoin(unsigned index, unsigned starts, const RecordList& records, std::size_t adopted)
 {
+    auto& joining = *m_slots[index];
+    if (!joining.member || joining.starts != starts)
+        return;
+    auto* receiver = joining.member->balancer();
+    const auto end = std::min(records.size(), adopted + maxPulledRecordsPerSecond);
+    joining.recordBytes += (end - adopted) * flow::flowRecordWireBytes;
     for (auto& it : m_slots) {
-        auto* peer = balancer(it->index);
-        if (it->index == joining.index || !peer || !it->inFabric)
-            continue;
-        const auto records = peer->flowRecords().all();
-        joining.recordBytes += records.size() * flow::flowRecordWireBytes;
-        it->recordBytes += records.size() * flow::flowRecordWireBytes;
-        if (joining.member->balancer())
-            joining.member->balancer()->adoptFlowRecords(records, peer->flowRecords().heads());
+        if (it->inFabric)
+            it->recordBytes += (end - adopted) * flow::flowRecordWireBytes / (m_slots.size() - 1);
+    }
+    if (receiver)
+        receiver->adoptFlowRecords({ records.begin() + static_cast<std::ptrdiff_t>(adopted),
+                                       records.begin() + static_cast<std::ptrdiff_t>(end) },
+            {});
+    if (end < records.size()) {
+        m_queue.after(1s, [=, this](auto) { continueJoin(index, starts, records, end); });
         return;
     }
+    joining.inFabric = true;
+    tellPeers();
 }
 
 void BalancerGroup::tellPeers()
@@ -295,9 +339,17 @@
         auto& joining = *m_slots[index];
         if (!joining.member || joining.starts != starts)
             return;
-        adoptFlowRecords(joining);
-        joining.inFabric = true;
-        tellPeers();
+        RecordList records;
+        for (auto& it : m_slots) {
+            auto* peer = balancer(it->index);
+            if (it->index == index || !peer || !it->inFabric)
+                continue;
+            records = peer->flowRecords().all();
+            // Later records reach the joining balancer in the usual way.
+            joining.member->balancer()->adoptFlowRecords({}, peer->flowRecords().heads());
+            break;
+        }
+        continueJoin(index, starts, records, 0);
     });
 }
 
--- a/tests/support/BalancerGroup.h
+++ b/tests/support/BalancerGroup.h
@@ -72,9 +72,11 @@
 
     using RecordList = std::vector<ibisgw::flow::FlowRecord>;
     void publishFlowRecords(Slot&);
-    void compareFlowRecordHeads();
+    void startNextSecond();
+    void repairGap(Slot& from, Slot& to, std::uint64_t head);
     void sendFlowRecords(Slot& from, Slot& to, const RecordList&);
-    void adoptFlowRecords(Slot& joining);
+    void publishHandOvers(Slot&);
+    void continueJoin(unsigned index, unsigned starts, const RecordList&, std::size_t adopted);
 
     void deliverToBalancer(unsigned index, const std::function<void(Slot&)>& deliver);
     void sendFromUpstream(const ibisgw::packet::Packet&);
