Stop a leaving balancer only after its hand-overs

Cause: 28 flows broke in a planned change because the process ended, or started again, while hand-overs were waiting. Change: Balancer::pendingHandOvers(); the group stops and starts a balancer only when there are none.

--- a/src/ibisgw/balancer/Balancer.h
+++ b/src/ibisgw/balancer/Balancer.h
@@ -66,6 +66,8 @@
     void handOver(core::TimePoint now);
     // Flows to send to their new homes, after handOver() and after other balancers have joined.
     std::vector<flow::FlowHandOver> takeHandOvers(std::size_t maxCount);
+    // A leaving balancer stops only when none are left.
+    std::size_t pendingHandOvers() const { return m_handOvers.size(); }
     void adoptFlow(const flow::FlowHandOver&, core::TimePoint now);
 
     const BalancerCounters& counters() const { return m_counters; }
--- a/tests/support/BalancerGroup.h
+++ b/tests/support/BalancerGroup.h
@@ -41,9 +41,11 @@
     void onCallerPacket(CallerHandler handler) { m_callerHandler = std::move(handler); }
 
     void killBalancer(unsigned index);
-    // Planned: the fabric and the peers are told, then the process ends after the given time.
+    // Planned: the fabric and the peers are told, then the process ends after the given time, once it
+    // has handed over its flows.
     void stopBalancer(unsigned index, ibisgw::core::Duration grace);
-    // Joins: the fabric and the peers use it after the join delay.
+    // Joins once an earlier process has stopped: the fabric and the peers use it after the join delay and
+    // the pull of flow records.
     void startBalancer(unsigned index);
 
     unsigned balancerCount() const { return static_cast<unsigned>(m_slots.size()); }
@@ -84,6 +86,7 @@
     void announce(FakeUpstream&);
     void schedulePeriodicWork();
     void tellPeers();
+    void finishStop(unsigned index, unsigned starts);
     void createMember(Slot&);
     ibisgw::core::ZoneName zoneOf(const Slot&) const;
 
