Hand a flow over again when its home changes twice

Change: a flow that was handed over counts until it is handed on; targets are looked up when hand-overs are sent.

--- a/src/ibisgw/balancer/BalancerMaintenance.cpp
+++ b/src/ibisgw/balancer/BalancerMaintenance.cpp
@@ -123,6 +123,11 @@
     const auto end = m_handOvers.begin() + static_cast<std::ptrdiff_t>(std::min(maxCount, m_handOvers.size()));
     std::vector<flow::FlowHandOver> taken(m_handOvers.begin(), end);
     m_handOvers.erase(m_handOvers.begin(), end);
+    for (auto& it : taken) {
+        // The home may have changed since.
+        if (const auto* service = m_document->findService(it.flow.service))
+            it.target = homeOf(it.flow.hash(), *service);
+    }
     return taken;
 }
 
@@ -133,13 +138,17 @@
         ++m_counters.droppedInvalidRecord;
         return;
     }
+    auto* entry = m_flows.find(handOver.flow, now, flow::FlowTable::Touch::No);
     // What this balancer has seen itself is newer.
-    if (m_flows.find(handOver.flow, now, flow::FlowTable::Touch::No))
+    if (entry && entry->upstream() != handOver.upstream)
         return;
-    if (auto* entry = m_flows.insert(handOver.flow, handOver.upstream, now)) {
-        entry->set(FlowEntry::Sticky, handOver.isSticky);
-        setCounted(*entry, true);
-    }
+    if (!entry)
+        entry = m_flows.insert(handOver.flow, handOver.upstream, now);
+    if (!entry)
+        return;
+    entry->set(FlowEntry::Sticky, handOver.isSticky);
+    // Counted even if the home has changed again meanwhile: then the next pass hands the flow over.
+    setCounted(*entry, true);
 }
 
 } // namespace ibisgw::balancer
