--- a/src/ibisgw/balancer/Balancer.cpp
+++ b/src/ibisgw/balancer/Balancer.cpp
@@ -31,10 +31,11 @@
     , m_tokens(tokens)
     , m_random(random)
     , m_flows(m_options.flowCapacity)
-    , m_records(m_options.self, m_options.firstRecordSequence)
+    , m_records(m_options.self, m_options.firstRecordSequence,
+          static_cast<std::size_t>(maxRecordShare * static_cast<double>(m_options.flowCapacity)))
     , m_homes({ m_options.self, m_options.zone }, [this](const auto& flow) { return zoneOf(flow); })
     , m_relay(m_homes, { m_options.relaysPerSecond, m_options.relaysPerSecond }, m_counters)
-    , m_handover(m_homes, m_relay)
+    , m_homeQuestions(m_homes, m_relay)
     , m_admission({ m_options.rules, m_homes, m_upstreams, m_relay, m_counters, *this })
 {
     if (!m_options.makeSelector) {
@@ -69,7 +70,7 @@
 void Balancer::setPeers(std::vector<flow::RingMember> members, core::TimePoint now)
 {
     m_homes.setMembers(std::move(members), now);
-    m_handover.homesChanged();
+    m_homeQuestions.homesChanged();
     m_admission.homesChanged();
 }
 
@@ -200,7 +201,7 @@
 
 bool Balancer::askPreviousHomes(const Packet& packet, core::TimePoint now, BalancerOutput& output)
 {
-    return m_options.rules.askPreviousHomes && m_handover.relay(packet, now, output);
+    return m_options.rules.askPreviousHomes && m_homeQuestions.relay(packet, now, output);
 }
 
 void Balancer::handleUpstreamPacket(const Packet& packet, core::TimePoint now, BalancerOutput& output)
@@ -257,7 +258,7 @@
         placement->update(now);
     m_flows.scan(
         m_flows.bucketCount() / scanTicks + 1, [&](flow::FlowEntry& entry) { return maintainFlow(entry, now); });
-    m_handover.tick(now);
+    m_homeQuestions.tick(now);
     m_admission.tick(now, output);
     placeAdmitted(now, output);
     std::size_t streams = 0;
--- a/src/ibisgw/balancer/ServicePlacement.cpp
+++ b/src/ibisgw/balancer/ServicePlacement.cpp
@@ -62,9 +62,18 @@
 }
 
 core::UpstreamId ServicePlacement::placeStream(
-    std::uint64_t flowHash, const std::vector<core::UpstreamId>& excluded, core::TimePoint now)
+    std::uint64_t flowHash, const std::vector<core::UpstreamId>& excluded, bool hasRoom, core::TimePoint now)
 {
-    return m_defaults.place(flowHash, shareOutside(excluded, now));
+    std::uint64_t total = 0;
+    for (const auto& it : m_eligible) {
+        const auto* record = m_upstreams.find(it);
+        total += record ? record->announcement.openFlows : 0;
+    }
+    const auto isBelowMean = [&](core::UpstreamId it) {
+        const auto* record = m_upstreams.find(it);
+        return record && std::uint64_t { record->announcement.openFlows } * m_eligible.size() <= total;
+    };
+    return m_defaults.place(flowHash, shareOutside(excluded, now), isBelowMean, hasRoom);
 }
 
 core::UpstreamId ServicePlacement::placeRequest(
--- a/src/ibisgw/balancer/ServicePlacement.h
+++ b/src/ibisgw/balancer/ServicePlacement.h
@@ -23,9 +23,10 @@
     // Takes over changes of the upstreams and ejects those that do not answer.
     void update(core::TimePoint now);
 
-    // None of the excluded upstreams; invalid when there is no other.
+    // None of the excluded upstreams; invalid when there is no other. Without room for more flow records the default is
+    // taken although it is above the load bound.
     core::UpstreamId placeStream(
-        std::uint64_t flowHash, const std::vector<core::UpstreamId>& excluded, core::TimePoint now);
+        std::uint64_t flowHash, const std::vector<core::UpstreamId>& excluded, bool hasRoom, core::TimePoint now);
     core::UpstreamId placeRequest(
         std::uint64_t flowHash, const std::vector<core::UpstreamId>& excluded, core::TimePoint now);
     // 0 when the upstream gets no new work.
--- a/tests/support/BalancerGroup.h
+++ b/tests/support/BalancerGroup.h
@@ -42,9 +42,11 @@
     void onCallerPacket(CallerHandler handler) { m_callerHandler = std::move(handler); }
 
     void killBalancer(unsigned index);
-    // Planned: the fabric and the peers are told, then the process ends after the given time.
+    // Planned: the fabric and the peers are told, then the process ends after the given time, once it
+    // has handed over its flows.
     void stopBalancer(unsigned index, ibisgw::core::Duration grace);
-    // Joins: the fabric and the peers use it after the join delay.
+    // Joins once an earlier process has stopped: the fabric and the peers use it after the join delay and
+    // the pull of flow records.
     void startBalancer(unsigned index);
 
     unsigned balancerCount() const { return static_cast<unsigned>(m_slots.size()); }
@@ -73,9 +75,11 @@
 
     using RecordList = std::vector<ibisgw::flow::FlowRecord>;
     void publishFlowRecords(Slot&);
-    void compareFlowRecordHeads();
+    void startNextSecond();
+    void repairGap(Slot& from, Slot& to, std::uint64_t head);
     void sendFlowRecords(Slot& from, Slot& to, const RecordList&);
-    void adoptFlowRecords(Slot& joining);
+    void publishHandOvers(Slot&);
+    void continueJoin(unsigned index, unsigned starts, const RecordList&, std::size_t adopted);
 
     void deliverToBalancer(unsigned index, const std::function<void(Slot&)>& deliver);
     void sendFromUpstream(const ibisgw::packet::Packet&);
@@ -83,6 +87,7 @@
     void announce(FakeUpstream&);
     void schedulePeriodicWork();
     void tellPeers();
+    void finishStop(unsigned index, unsigned starts);
     void createMember(Slot&);
     ibisgw::core::ZoneName zoneOf(const Slot&) const;
 
