Make exceptions for balance only when the whole group is out of balance

Change: an upstream whose report of open flows is within 1.5 % and 10 flows of the mean keeps its default flows up to 1.25 times the mean of the home.

--- a/src/ibisgw/balancer/ServicePlacement.cpp
+++ b/src/ibisgw/balancer/ServicePlacement.cpp
@@ -6,6 +6,15 @@
 
 using upstream::UpstreamState;
 
+namespace {
+
+// An upstream whose report is within this excess over the mean needs no exceptions yet. The absolute part
+// keeps a group with few flows from making exceptions for what is only chance.
+constexpr double reportedExcess = 1.015;
+constexpr double smallExcess = 10;
+
+} // namespace
+
 ServicePlacement::ServicePlacement(core::ServiceName service, const upstream::UpstreamRegistry& upstreams,
     const SelectorFactory& makeSelector, core::RandomSource& random)
     : m_service(std::move(service))
@@ -59,12 +68,13 @@
         const auto* record = m_upstreams.find(it);
         total += record ? record->announcement.openFlows : 0;
     }
-    const auto isBelowMean = [&](core::UpstreamId it) {
+    const auto isNearMean = [&](core::UpstreamId it) {
         const auto* record = m_upstreams.find(it);
-        return record && std::uint64_t { record->announcement.openFlows } * m_eligible.size() <= total;
+        const auto mean = static_cast<double>(total) / static_cast<double>(m_eligible.size());
+        return record && record->announcement.openFlows <= reportedExcess * mean + smallExcess;
     };
     return m_defaults.place(
-        flowHash, [&](auto it) { return newWorkShare(it, now); }, isBelowMean, hasRoom);
+        flowHash, [&](auto it) { return newWorkShare(it, now); }, isNearMean, hasRoom);
 }
 
 core::UpstreamId ServicePlacement::placeRequest(std::uint64_t flowHash, core::TimePoint now)
--- a/src/ibisgw/flow/DefaultPlacement.cpp
+++ b/src/ibisgw/flow/DefaultPlacement.cpp
@@ -130,7 +130,7 @@
 }
 
 core::UpstreamId DefaultPlacement::place(
-    std::uint64_t flowHash, const ShareOf& shareOf, const IsBelowMean& isBelowMean, bool hasRoom)
+    std::uint64_t flowHash, const ShareOf& shareOf, const IsNearMean& isNearMean, bool hasRoom)
 {
     auto candidates = candidatesFor(flowHash, shareOf);
     if (candidates.empty())
@@ -146,7 +146,7 @@
         return static_cast<double>(flowsOf(it) + 1) <= std::ceil(bound * mean * shareOf(it));
     };
     const auto isBelowBound = [&](core::UpstreamId it) {
-        return isBelow(it, loadBound) || (isBelowMean(it) && isBelow(it, reportedLoadBound));
+        return isBelow(it, loadBound) || (isNearMean(it) && isBelow(it, reportedLoadBound));
     };
     if (!hasRoom || isBelowBound(candidates.front()))
         return candidates.front();
--- a/src/ibisgw/flow/DefaultPlacement.h
+++ b/src/ibisgw/flow/DefaultPlacement.h
@@ -31,7 +31,7 @@
     static constexpr core::Duration versionRetention = std::chrono::seconds(60);
     // An upstream above this multiple of the mean gets no new flow of the home.
     static constexpr double loadBound = 1.03;
-    // Bound for an upstream whose report says that it is below the mean of the whole group: the flows of
+    // Bound for an upstream whose report says that it is not above the mean of the whole group: the flows of
     // one home vary by 1/sqrt(220) = 7 %, and balance within each home would cost 3 % of exceptions.
     static constexpr double reportedLoadBound = 1.25;
     // Share of a full share of new flows that an upstream may get: 0 when it is not eligible.
@@ -48,12 +48,12 @@
     core::UpstreamId derivedUpstream(std::uint64_t flowHash) const;
     // As above for a decision on a packet: from then on the present version is retained.
     core::UpstreamId useDerivedUpstream(std::uint64_t flowHash);
-    // True for an upstream that reports no more open flows than the mean of all.
-    using IsBelowMean = std::function<bool(core::UpstreamId)>;
+    // True for an upstream whose report of open flows is not far above the mean of all.
+    using IsNearMean = std::function<bool(core::UpstreamId)>;
 
     // Upstream for a new stream; invalid when none is eligible.
     // Without room for exceptions, balance yields and the default is taken if it is eligible.
-    core::UpstreamId place(std::uint64_t flowHash, const ShareOf&, const IsBelowMean&, bool hasRoom);
+    core::UpstreamId place(std::uint64_t flowHash, const ShareOf&, const IsNearMean&, bool hasRoom);
     // Eligible upstreams of the first zone, in the order of the flow, that has any.
     std::vector<core::UpstreamId> candidatesFor(std::uint64_t flowHash, const ShareOf&) const;
 
