--- a/src/ibisgw/balancer/ServicePlacement.cpp
+++ b/src/ibisgw/balancer/ServicePlacement.cpp
@@ -7,6 +7,15 @@
 
 using upstream::UpstreamState;
 
+namespace {
+
+// An upstream whose report is within this excess over the mean needs no exceptions yet. The absolute part
+// keeps a group with few flows from making exceptions for what is only chance.
+constexpr double reportedExcess = 1.015;
+constexpr double smallExcess = 10;
+
+} // namespace
+
 ServicePlacement::ServicePlacement(core::ServiceName service, const upstream::UpstreamRegistry& upstreams,
     const SelectorFactory& makeSelector, core::RandomSource& random)
     : m_service(std::move(service))
@@ -69,11 +78,12 @@
         const auto* record = m_upstreams.find(it);
         total += record ? record->announcement.openFlows : 0;
     }
-    const auto isBelowMean = [&](core::UpstreamId it) {
+    const auto isNearMean = [&](core::UpstreamId it) {
         const auto* record = m_upstreams.find(it);
-        return record && std::uint64_t { record->announcement.openFlows } * m_eligible.size() <= total;
+        const auto mean = static_cast<double>(total) / static_cast<double>(m_eligible.size());
+        return record && record->announcement.openFlows <= reportedExcess * mean + smallExcess;
     };
-    return m_defaults.place(flowHash, shareOutside(excluded, now), isBelowMean, hasRoom);
+    return m_defaults.place(flowHash, shareOutside(excluded, now), isNearMean, hasRoom);
 }
 
 core::UpstreamId ServicePlacement::placeRequest(
