Measure goodput during overload, recovery after it, and retry amplification

Cause: with upstreams that queue more than a deadline's worth of work, overload made them run requests whose callers had given up. Change: measures recovery_after_overload_s, overload_goodput and retry_amplification (14 upstreams with 2 slots, 9 balancers, load 1.5 for 60 s, then 0.7), with upstream queues of 4 and of 100 requests. The adaptive limit judges the time since the open was forwarded, and decreases at most once a second: a decrease shows its effect after the time of a flow.

--- /dev/null
+++ b/benchmarks/OverloadMeasures.cpp
@@ -0,0 +1,187 @@
+#include "OverloadMeasures.h"
+
+#include "ibisgw/core/PcgRandomSource.h"
+#include "support/LoadCallers.h"
+
+#include <algorithm>
+#include <map>
+
+namespace bench {
+
+using namespace ibisgw;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr core::Endpoint serviceAddress { 0xc0000201, 443 };
+constexpr core::KindId bookingKind = 2;
+constexpr unsigned upstreamCount = 14;
+constexpr core::Duration serviceTime = 100ms;
+// 14 upstreams with 2 slots.
+constexpr double capacity = upstreamCount * 2 / core::toSeconds(serviceTime);
+constexpr unsigned overloadSeconds = 60;
+constexpr unsigned recoverySeconds = 30;
+constexpr unsigned windowSeconds = 3;
+// Requests that an upstream accepts beyond its slots. The deep queue holds more than a deadline's worth of work, so
+// that only the admission keeps the answers in time.
+constexpr std::size_t shallowQueue = 4;
+constexpr std::size_t deepQueue = 100;
+
+std::shared_ptr<const configuration::Document> makeDocument()
+{
+    configuration::RequestKind booking { bookingKind, "booking" };
+    booking.deadlineMs = 2000;
+    configuration::Service service { "slotdesk", "peachtree", { serviceAddress } };
+    service.kinds = { booking };
+    return std::make_shared<const configuration::Document>(
+        configuration::Document { { { "peachtree" } }, { { "a", "r" } }, { service } });
+}
+
+struct Cluster {
+    Cluster(std::uint64_t seed, std::size_t queueLimit)
+        : random(seed)
+        , queue({}, random)
+        , group({}, makeDocument(), queue, random)
+    {
+        for (std::uint32_t n = 0; n < upstreamCount; ++n) {
+            support::FakeUpstreamOptions upstream { core::UpstreamId::fromEndpoint({ 0x0a010001 + n, 80 }), "slotdesk",
+                serviceAddress };
+            upstream.meanServiceTime = serviceTime;
+            upstream.queueLimit = queueLimit;
+            group.addUpstream(upstream);
+        }
+        queue.runFor(1500ms);
+    }
+
+    core::PcgRandomSource random;
+    support::MessageQueue queue;
+    support::BalancerGroup group;
+};
+
+struct OverloadRun {
+    double goodput { 0 };
+    double recoverySeconds { 0 };
+    double shareWithoutOverload { 0 };
+};
+
+// Share of the requests of 3 s from the second on that were answered in time.
+double answeredShare(const std::vector<support::LoadSecond>& seconds, unsigned first)
+{
+    std::uint64_t started = 0;
+    std::uint64_t answered = 0;
+    for (unsigned n = first; n < first + windowSeconds; ++n) {
+        started += seconds[n].started;
+        answered += seconds[n].answeredInTime;
+    }
+    return static_cast<double>(answered) / static_cast<double>(started);
+}
+
+// The first second from which on, until the end, requests are answered in time as without an overload before. Without
+// overload a few requests are refused too, because a new flow can meet a full queue of its upstream.
+double findRecovery(const std::vector<support::LoadSecond>& seconds, double shareWithoutOverload)
+{
+    constexpr double recovered = 0.95;
+    unsigned recovery = recoverySeconds - windowSeconds;
+    while (recovery > 0 && answeredShare(seconds, overloadSeconds + recovery - 1) >= recovered * shareWithoutOverload)
+        --recovery;
+    return recovery;
+}
+
+// Share of the requests that are answered in time at load 0.7.
+double shareWithoutOverload(std::uint64_t seed, std::size_t queueLimit)
+{
+    Cluster cluster(seed, queueLimit);
+    support::LoadCallers callers({ serviceAddress, bookingKind }, cluster.group, cluster.random);
+    callers.offer(0.7 * capacity, std::chrono::seconds(recoverySeconds));
+    cluster.queue.runFor(std::chrono::seconds(recoverySeconds + 5));
+    std::uint64_t started = 0;
+    std::uint64_t answered = 0;
+    for (const auto& it : callers.seconds()) {
+        started += it.started;
+        answered += it.answeredInTime;
+    }
+    return static_cast<double>(answered) / static_cast<double>(started);
+}
+
+const OverloadRun& overloadRun(std::uint64_t seed, std::size_t queueLimit)
+{
+    static std::map<std::pair<std::uint64_t, std::size_t>, OverloadRun> runs;
+    const auto [it, isNew] = runs.try_emplace({ seed, queueLimit });
+    if (!isNew)
+        return it->second;
+    Cluster cluster(seed, queueLimit);
+    support::LoadCallers callers({ serviceAddress, bookingKind }, cluster.group, cluster.random);
+    callers.offer(1.5 * capacity, std::chrono::seconds(overloadSeconds));
+    cluster.queue.runFor(std::chrono::seconds(overloadSeconds));
+    callers.offer(0.7 * capacity, std::chrono::seconds(recoverySeconds));
+    cluster.queue.runFor(std::chrono::seconds(recoverySeconds + 5));
+    const auto& answers = callers.answersBySecond();
+    std::uint64_t inTime = 0;
+    for (unsigned n = 0; n < overloadSeconds; ++n)
+        inTime += answers[n];
+    it->second.goodput = static_cast<double>(inTime) / (capacity * overloadSeconds);
+    it->second.shareWithoutOverload = shareWithoutOverload(seed, queueLimit);
+    it->second.recoverySeconds = findRecovery(callers.seconds(), it->second.shareWithoutOverload);
+    return it->second;
+}
+
+MeasureResult measureRecovery(std::uint64_t seed)
+{
+    const auto& deep = overloadRun(seed, deepQueue);
+    const auto& shallow = overloadRun(seed, shallowQueue);
+    MeasureResult result;
+    result.value = std::max(deep.recoverySeconds, shallow.recoverySeconds);
+    result.bound = 5;
+    result.details = { { "goodput_deep_queues", deep.goodput }, { "goodput_shallow_queues", shallow.goodput },
+        { "recovery_deep_queues_s", deep.recoverySeconds }, { "recovery_shallow_queues_s", shallow.recoverySeconds },
+        { "share_without_overload_deep_queues", deep.shareWithoutOverload },
+        { "share_without_overload_shallow_queues", shallow.shareWithoutOverload } };
+    return result;
+}
+
+MeasureResult measureGoodput(std::uint64_t seed)
+{
+    MeasureResult result;
+    result.value = std::min(overloadRun(seed, deepQueue).goodput, overloadRun(seed, shallowQueue).goodput);
+    result.bound = 0.9;
+    result.comparison = Comparison::AtLeast;
+    return result;
+}
+
+// Opens sent to upstreams for each open received, while half of the upstreams refuse all opens. Their announcements
+// go on to say that they are ready, as lagging ones do.
+MeasureResult measureRetryAmplification(std::uint64_t seed)
+{
+    Cluster cluster(seed, shallowQueue);
+    auto& upstreams = cluster.group.upstreams();
+    for (std::size_t n = 0; n < upstreams.size() / 2; ++n)
+        upstreams[n]->refuseOpens(1.0);
+    support::LoadCallers callers({ serviceAddress, bookingKind }, cluster.group, cluster.random);
+    callers.offer(0.7 * capacity, 60s);
+    cluster.queue.runFor(65s);
+    std::uint64_t received = 0;
+    std::uint64_t forwarded = 0;
+    std::uint64_t retried = 0;
+    for (unsigned n = 0; n < cluster.group.balancerCount(); ++n) {
+        const auto& counters = cluster.group.balancer(n)->counters();
+        received += counters.opensReceived;
+        forwarded += counters.opensForwarded;
+        retried += counters.opensRetried;
+    }
+    MeasureResult result;
+    result.value = static_cast<double>(forwarded) / static_cast<double>(received);
+    result.bound = 1.1;
+    result.details = { { "opens_received", received }, { "opens_retried", retried } };
+    return result;
+}
+
+} // namespace
+
+void addOverloadMeasures(MeasureList& measures)
+{
+    measures.push_back({ "recovery_after_overload_s", "s", true, measureRecovery });
+    measures.push_back({ "overload_goodput", "share of capacity", true, measureGoodput });
+    measures.push_back({ "retry_amplification", "ratio", true, measureRetryAmplification });
+}
+
+} // namespace bench
--- /dev/null
+++ b/benchmarks/OverloadMeasures.h
@@ -0,0 +1,10 @@
+#pragma once
+
+#include "Measure.h"
+
+namespace bench {
+
+// Goodput during overload, recovery after it, and retries while upstreams shed.
+void addOverloadMeasures(MeasureList&);
+
+} // namespace bench
--- a/src/ibisgw/balancer/OpenAdmission.cpp
+++ b/src/ibisgw/balancer/OpenAdmission.cpp
@@ -320,7 +320,8 @@
         return;
     record.holdsCapacity = false;
     const auto remaining = record.deadline.remaining(now);
-    const auto spent = core::toSeconds(now - record.receivedAt);
+    // The wait in the own queue is not a sign of congested upstreams.
+    const auto spent = core::toSeconds(now - record.forwardedAt);
     if (!completed || !remaining)
         it->second.release(record.open.kind, now);
     else
--- a/src/ibisgw/request/ConcurrencyLimiter.cpp
+++ b/src/ibisgw/request/ConcurrencyLimiter.cpp
@@ -10,10 +10,10 @@
 constexpr double congestedShareOfDeadline = 0.5;
 // Single slow flows follow from lost packets and failed upstreams, not from load.
 constexpr double newestFlowWeight = 1.0 / 8;
-constexpr double congestedFlows = 0.25;
+constexpr double congestedFlows = 0.4;
 constexpr double decreaseFactor = 0.9;
-// One decrease for each round of flows, not for each flow of it.
-constexpr core::Duration decreasePeriod = std::chrono::milliseconds(200);
+// A decrease shows its effect after about the time that a flow takes; earlier ones would leave slots idle.
+constexpr core::Duration decreasePeriod = std::chrono::seconds(1);
 
 } // namespace
 
@@ -34,6 +34,7 @@
         if (now - m_lastDecreaseAt < decreasePeriod)
             return;
         m_lastDecreaseAt = now;
+        m_congestedShare = 0;
         // The limit follows the flows in progress, so that an unused high limit does not delay the reaction.
         m_limit = std::max(minLimit, std::min(m_limit, m_inProgress + 1.0) * decreaseFactor);
     } else if (limitIsUsed) {
--- a/tests/support/FakeUpstream.h
+++ b/tests/support/FakeUpstream.h
@@ -42,6 +42,7 @@
     void drain() { m_state = ibisgw::upstream::UpstreamState::Draining; }
     // While shedding, opens of new flows are refused as not run. It is announced like each state.
     void setShedding(bool);
+    void refuseOpens(double share) { m_options.openRefusalShare = share; }
     void kill();
     // Starts again as a new incarnation without flows.
     void restart();
