Test admission, refusals, retries and cancellation of one balancer

Cause: the promises of OpenAdmission had no tests of their own. Change: tests with a recording output for retries within limit and budget, the race of two upstreams that both answer opened, requests at upstreams that have gone, limits, queue and deadlines, callers that leave, kinds that are refused in a partition, late copies, tokens against stale entries, crossed answers, forged packets, and questions to previous homes.

--- /dev/null
+++ b/tests/balancer/OpenAdmissionTests.cpp
@@ -0,0 +1,411 @@
+#include "ibisgw/balancer/Balancer.h"
+#include "ibisgw/core/PcgRandomSource.h"
+#include "support/RecordingOutput.h"
+
+#include <algorithm>
+#include <doctest/doctest.h>
+
+using namespace ibisgw;
+using namespace std::chrono_literals;
+using packet::Packet;
+using packet::PacketType;
+using packet::RefusalKind;
+
+namespace {
+
+constexpr core::Endpoint serviceAddress { 0xc0000201, 443 };
+constexpr core::Endpoint otherAddress { 0xc0000202, 443 };
+constexpr core::KindId bookingKind = 2;
+constexpr core::KindId partitionedKind = 3;
+constexpr std::uint32_t concurrencyLimit = 2;
+
+std::shared_ptr<const configuration::Document> makeDocument()
+{
+    configuration::RequestKind booking { bookingKind, "booking" };
+    booking.concurrencyLimit = concurrencyLimit;
+    booking.queueLimit = 1;
+    configuration::RequestKind payment { partitionedKind, "payment" };
+    payment.onPartition = configuration::PartitionBehaviour::Refuse;
+    configuration::Service service { "slotdesk", "peachtree", { serviceAddress } };
+    service.kinds = { booking, payment };
+    configuration::Service other { "regatta-archive", "peachtree", { otherAddress } };
+    return std::make_shared<const configuration::Document>(
+        configuration::Document { { { "peachtree" } }, { { "a", "r" } }, { service, other } });
+}
+
+flow::FlowTokenCodec makeTokens()
+{
+    return { flow::TokenKey {}, std::nullopt };
+}
+
+// One balancer that is the home of all flows, with two upstreams.
+struct Fixture {
+    explicit Fixture(const balancer::SafetyRules& rules = {})
+        : balancer({ .self = { 1 }, .zone = "a", .rules = rules }, makeTokens(), random)
+    {
+        balancer.applyDocument(makeDocument(), now);
+        for (const auto& it : upstreams)
+            announce(it, upstream::UpstreamState::Ready);
+    }
+
+    void announce(core::UpstreamId id, upstream::UpstreamState state, core::Incarnation incarnation = 1)
+    {
+        upstream::Announcement announcement { id, "slotdesk", "a", incarnation, ++sequence, state, 2 };
+        balancer.handleAnnouncement(announcement, now);
+    }
+
+    static Packet packetOf(PacketType type, std::uint32_t caller, core::RequestId request = 0)
+    {
+        Packet packet;
+        packet.type = type;
+        packet.flow = { { caller, 50000 }, serviceAddress };
+        packet.kind = bookingKind;
+        packet.request = request;
+        packet.deadlineMs = 2000;
+        return packet;
+    }
+
+    void fromCaller(const Packet& packet) { balancer.handleCallerPacket(packet, now, output); }
+    void fromUpstream(PacketType type, core::UpstreamId upstream, std::uint32_t caller, core::RequestId request = 0)
+    {
+        auto packet = packetOf(type, caller, request);
+        packet.upstream = upstream;
+        packet.refusal = type == PacketType::Refusal ? RefusalKind::NotRun : RefusalKind::None;
+        balancer.handleUpstreamPacket(packet, now, output);
+    }
+    void pass(core::Duration duration)
+    {
+        now += duration;
+        balancer.tick(now, output);
+    }
+    // The upstream that got the open of the flow.
+    core::UpstreamId open(std::uint32_t caller)
+    {
+        fromCaller(packetOf(PacketType::Open, caller));
+        REQUIRE(!output.toUpstreams.empty());
+        return output.toUpstreams.back().first;
+    }
+    core::UpstreamId other(core::UpstreamId upstream) const
+    {
+        return upstream == upstreams[0] ? upstreams[1] : upstreams[0];
+    }
+    std::size_t sentToUpstream(core::UpstreamId upstream, PacketType type) const
+    {
+        return static_cast<std::size_t>(std::ranges::count_if(
+            output.toUpstreams, [&](const auto& it) { return it.first == upstream && it.second.type == type; }));
+    }
+    std::size_t refusals(RefusalKind kind) const
+    {
+        return static_cast<std::size_t>(std::ranges::count_if(
+            output.toCallers, [&](const auto& it) { return it.type == PacketType::Refusal && it.refusal == kind; }));
+    }
+    std::size_t sentToCaller(PacketType type) const
+    {
+        return static_cast<std::size_t>(std::ranges::count(output.toCallers, type, &Packet::type));
+    }
+
+    const core::UpstreamId upstreams[2] { { 0x0a0100010050 }, { 0x0a0100020050 } };
+    core::PcgRandomSource random { 1 };
+    support::RecordingOutput output;
+    core::TimePoint now { 24h };
+    std::uint64_t sequence { 0 };
+    balancer::Balancer balancer;
+};
+
+} // namespace
+
+TEST_SUITE("balancer")
+{
+    // Guards against callers that are refused although another upstream has room.
+    TEST_CASE("an open that its upstream refuses is retried at another upstream")
+    {
+        Fixture fixture;
+        const auto first = fixture.open(1);
+        fixture.now += 300ms;
+        fixture.fromUpstream(PacketType::Refusal, first, 1);
+        CHECK(fixture.sentToUpstream(fixture.other(first), PacketType::Open) == 1);
+        CHECK(fixture.output.toUpstreams.back().second.deadlineMs == 1700);
+        CHECK(fixture.output.toCallers.empty());
+
+        SUBCASE("the caller is refused when the retry limit is reached")
+        {
+            fixture.fromUpstream(PacketType::Refusal, fixture.other(first), 1);
+            CHECK(fixture.refusals(RefusalKind::NotRun) == 1);
+        }
+        SUBCASE("the budget bounds the retries")
+        {
+            const auto second = fixture.open(2);
+            fixture.fromUpstream(PacketType::Refusal, second, 2);
+            CHECK(fixture.refusals(RefusalKind::NotRun) == 1);
+            CHECK(fixture.balancer.counters().opensRetried == 1);
+        }
+        SUBCASE("when both upstreams answer opened, the caller sees one and the other is closed")
+        {
+            fixture.fromUpstream(PacketType::Opened, first, 1);
+            fixture.fromUpstream(PacketType::Opened, fixture.other(first), 1);
+            CHECK(fixture.sentToCaller(PacketType::Opened) == 1);
+            CHECK(fixture.output.toCallers.back().upstream == fixture.other(first));
+            CHECK(fixture.sentToUpstream(first, PacketType::Close) == 1);
+        }
+        SUBCASE("a late copy of the refusal does not refuse an established flow")
+        {
+            fixture.fromUpstream(PacketType::Opened, fixture.other(first), 1);
+            fixture.fromUpstream(PacketType::Refusal, first, 1);
+            fixture.fromUpstream(PacketType::Refusal, fixture.other(first), 1);
+            CHECK(fixture.refusals(RefusalKind::NotRun) == 0);
+        }
+    }
+
+    // Guards against a check of the race above that cannot fail.
+    TEST_CASE("without the way through the home a late opened reaches the other upstream's caller unclosed")
+    {
+        balancer::SafetyRules rules;
+        rules.openedThroughHome = false;
+        Fixture fixture(rules);
+        const auto first = fixture.open(1);
+        fixture.fromUpstream(PacketType::Refusal, first, 1);
+        fixture.fromUpstream(PacketType::Opened, first, 1);
+        CHECK(fixture.sentToUpstream(first, PacketType::Close) == 0);
+    }
+
+    // Guards against a second flow for a request that ran at the upstream before it went.
+    TEST_CASE("an unanswered open is retried only when its caller repeats it after the upstream has gone")
+    {
+        Fixture fixture;
+        const auto first = fixture.open(1);
+        fixture.pass(300ms);
+        fixture.announce(first, upstream::UpstreamState::Stopped);
+        fixture.pass(300ms);
+        CHECK(fixture.sentToUpstream(fixture.other(first), PacketType::Open) == 0);
+        fixture.fromCaller(Fixture::packetOf(PacketType::Open, 1));
+        CHECK(fixture.sentToUpstream(fixture.other(first), PacketType::Open) == 1);
+    }
+
+    // Guards against callers that wait for the answer of an upstream that has gone (R4: the outcome is unknown).
+    TEST_CASE("a request in flight at an upstream that has gone is refused once as outcome unknown")
+    {
+        Fixture fixture;
+        const auto first = fixture.open(1);
+        fixture.fromUpstream(PacketType::Opened, first, 1);
+        fixture.fromCaller(Fixture::packetOf(PacketType::Request, 1, 7));
+        fixture.pass(300ms);
+        SUBCASE("stopped")
+        {
+            fixture.announce(first, upstream::UpstreamState::Stopped);
+        }
+        SUBCASE("restarted")
+        {
+            fixture.announce(first, upstream::UpstreamState::Ready, 2);
+        }
+        fixture.pass(300ms);
+        fixture.pass(300ms);
+        CHECK(fixture.refusals(RefusalKind::OutcomeUnknown) == 1);
+        CHECK(fixture.refusals(RefusalKind::NotRun) == 0);
+        CHECK(fixture.sentToUpstream(fixture.other(first), PacketType::Request) == 0);
+    }
+
+    // Guards against a refusal after the answer.
+    TEST_CASE("an answered request is not refused when its upstream goes")
+    {
+        Fixture fixture;
+        const auto first = fixture.open(1);
+        fixture.fromUpstream(PacketType::Opened, first, 1);
+        fixture.fromCaller(Fixture::packetOf(PacketType::Request, 1, 7));
+        fixture.pass(300ms);
+        fixture.fromUpstream(PacketType::Answer, first, 1, 7);
+        fixture.announce(first, upstream::UpstreamState::Stopped);
+        fixture.pass(300ms);
+        CHECK(fixture.output.toCallers.size() == 2);
+        CHECK(fixture.refusals(RefusalKind::OutcomeUnknown) == 0);
+    }
+
+    // Guards against unbounded work at the upstreams (limit 2, queue 1).
+    TEST_CASE("opens beyond the limit wait, and beyond the queue are refused as not run")
+    {
+        Fixture fixture;
+        for (std::uint32_t caller = 1; caller <= 4; ++caller)
+            fixture.fromCaller(Fixture::packetOf(PacketType::Open, caller));
+        CHECK(fixture.output.toUpstreams.size() == 2);
+        REQUIRE(fixture.refusals(RefusalKind::NotRun) == 1);
+        CHECK(fixture.output.toCallers.back().flow.caller.address == 4);
+        fixture.output.clear();
+
+        SUBCASE("a waiting open starts when a flow ends, with the rest of its deadline")
+        {
+            fixture.pass(400ms);
+            fixture.fromCaller(Fixture::packetOf(PacketType::Close, 1));
+            REQUIRE(fixture.output.toUpstreams.size() == 2);
+            CHECK(fixture.output.toUpstreams.back().second.flow.caller.address == 3);
+            CHECK(fixture.output.toUpstreams.back().second.deadlineMs == 1600);
+        }
+        SUBCASE("copies of a waiting open change nothing")
+        {
+            fixture.fromCaller(Fixture::packetOf(PacketType::Open, 3));
+            CHECK(fixture.output.toUpstreams.empty());
+            CHECK(fixture.output.toCallers.empty());
+        }
+        SUBCASE("a caller that leaves gives up its place")
+        {
+            auto type = PacketType::Close;
+            SUBCASE("with a close") { }
+            SUBCASE("with a cancellation")
+            {
+                type = PacketType::Cancel;
+            }
+            fixture.fromCaller(Fixture::packetOf(type, 3));
+            fixture.fromCaller(Fixture::packetOf(PacketType::Open, 3));
+            fixture.fromCaller(Fixture::packetOf(PacketType::Close, 1));
+            CHECK(fixture.sentToUpstream(fixture.upstreams[0], PacketType::Open) == 0);
+            CHECK(fixture.sentToUpstream(fixture.upstreams[1], PacketType::Open) == 0);
+        }
+        SUBCASE("a waiting open whose deadline passes is refused as not run")
+        {
+            fixture.pass(2100ms);
+            CHECK(fixture.refusals(RefusalKind::NotRun) == 1);
+            CHECK(fixture.output.toUpstreams.empty());
+        }
+    }
+
+    // Guards against work that the operators forbid while the controllers cannot be reached.
+    TEST_CASE("in a partition the kinds that ask for it are refused as not run")
+    {
+        Fixture fixture;
+        auto payment = Fixture::packetOf(PacketType::Open, 1);
+        payment.kind = partitionedKind;
+        fixture.fromCaller(payment);
+        const auto first = fixture.output.toUpstreams.back().first;
+        fixture.fromUpstream(PacketType::Opened, first, 1);
+        fixture.balancer.setPartitioned(true, fixture.now);
+        payment.flow.caller.address = 2;
+        fixture.fromCaller(payment);
+        CHECK(fixture.refusals(RefusalKind::NotRun) == 1);
+        fixture.open(3);
+        CHECK(fixture.refusals(RefusalKind::NotRun) == 1);
+        SUBCASE("flows that are open go on")
+        {
+            auto request = Fixture::packetOf(PacketType::Request, 1, 7);
+            request.kind = partitionedKind;
+            fixture.fromCaller(request);
+            CHECK(fixture.sentToUpstream(first, PacketType::Request) == 1);
+        }
+        SUBCASE("they are served again after the partition")
+        {
+            fixture.balancer.setPartitioned(false, fixture.now);
+            payment.flow.caller.address = 4;
+            fixture.fromCaller(payment);
+            CHECK(fixture.refusals(RefusalKind::NotRun) == 1);
+        }
+    }
+
+    // Guards against a flow that starts again after its end, so that a late copy of its request runs a second time.
+    TEST_CASE("a late copy of an open does not start a flow that has ended")
+    {
+        balancer::SafetyRules rules;
+        std::size_t opens = 1;
+        SUBCASE("with the rule") { }
+        SUBCASE("without the rule it does")
+        {
+            rules.rememberEndedFlows = false;
+            opens = 2;
+        }
+        Fixture fixture(rules);
+        const auto first = fixture.open(1);
+        fixture.fromUpstream(PacketType::Opened, first, 1);
+        fixture.fromCaller(Fixture::packetOf(PacketType::Close, 1));
+        fixture.fromCaller(Fixture::packetOf(PacketType::Open, 1));
+        CHECK(fixture.sentToUpstream(fixture.upstreams[0], PacketType::Open)
+                + fixture.sentToUpstream(fixture.upstreams[1], PacketType::Open)
+            == opens);
+    }
+
+    // Guards against a request that follows a stale entry although its token names the flow's upstream.
+    TEST_CASE("a verified token wins over the flow table")
+    {
+        balancer::SafetyRules rules;
+        bool follows = true;
+        SUBCASE("with the rule") { }
+        SUBCASE("without the rule the entry wins")
+        {
+            rules.tokenReplacesEntry = false;
+            follows = false;
+        }
+        Fixture fixture(rules);
+        const auto stale = fixture.open(1);
+        auto request = Fixture::packetOf(PacketType::Request, 1, 7);
+        request.token = makeTokens().issue(request.flow, fixture.other(stale));
+        fixture.fromCaller(request);
+        CHECK(fixture.sentToUpstream(fixture.other(stale), PacketType::Request) == (follows ? 1 : 0));
+        SUBCASE("a forged one does not")
+        {
+            Fixture strict;
+            const auto upstream = strict.open(1);
+            request.token = { strict.other(upstream), 12345 };
+            strict.fromCaller(request);
+            CHECK(strict.sentToUpstream(upstream, PacketType::Request) == 1);
+        }
+    }
+
+    // Guards against an answer of an upstream that is not the flow's (R3).
+    TEST_CASE("an answer of another upstream is dropped")
+    {
+        balancer::SafetyRules rules;
+        std::size_t answers = 0;
+        SUBCASE("with the rule") { }
+        SUBCASE("without the rule it reaches the caller")
+        {
+            rules.dropCrossedAnswers = false;
+            answers = 1;
+        }
+        Fixture fixture(rules);
+        const auto first = fixture.open(1);
+        fixture.fromUpstream(PacketType::Opened, first, 1);
+        fixture.fromUpstream(PacketType::Answer, fixture.other(first), 1, 7);
+        CHECK(fixture.sentToCaller(PacketType::Answer) == answers);
+    }
+
+    // Guards against callers that speak for upstreams, which would confirm flows or answer for others.
+    TEST_CASE("packets of upstreams are not accepted from callers")
+    {
+        Fixture fixture;
+        fixture.open(1);
+        fixture.output.clear();
+        for (const auto type : { PacketType::Opened, PacketType::Answer, PacketType::Refusal, PacketType::Reset }) {
+            auto packet = Fixture::packetOf(type, 1);
+            packet.upstream = fixture.upstreams[0];
+            fixture.fromCaller(packet);
+        }
+        CHECK(fixture.output.toCallers.empty());
+        CHECK(fixture.output.toUpstreams.empty());
+        CHECK(fixture.balancer.counters().droppedMisdirected == 4);
+    }
+
+    // Guards against a second upstream for a flow whose home has changed.
+    TEST_CASE("a new home asks the previous home before it places a flow")
+    {
+        Fixture fixture;
+        const core::NodeId self { 1 };
+        const core::NodeId before { 2 };
+        fixture.balancer.setPeers({ before }, fixture.now);
+        fixture.balancer.setPeers({ self }, fixture.now);
+        fixture.fromCaller(Fixture::packetOf(PacketType::Open, 1));
+        REQUIRE(fixture.output.toPeers.size() == 1);
+        CHECK(fixture.output.toPeers.back().first == before);
+        CHECK(fixture.output.toUpstreams.empty());
+        SUBCASE("it places the flow when the previous home does not know it")
+        {
+            auto answer = fixture.output.toPeers.back().second;
+            ++answer.relayHops;
+            fixture.balancer.handleRelayedPacket(answer, fixture.now, fixture.output);
+            CHECK(fixture.output.toUpstreams.size() == 1);
+        }
+        SUBCASE("it places the flow when the previous home has ended and does not answer")
+        {
+            fixture.pass(200ms);
+            fixture.fromCaller(Fixture::packetOf(PacketType::Open, 1));
+            CHECK(fixture.output.toUpstreams.empty());
+            fixture.pass(200ms);
+            fixture.fromCaller(Fixture::packetOf(PacketType::Open, 1));
+            CHECK(fixture.output.toUpstreams.size() == 1);
+        }
+    }
+}
