--- a/src/ibisgw/balancer/Balancer.cpp
+++ b/src/ibisgw/balancer/Balancer.cpp
@@ -62,6 +62,7 @@
 void Balancer::setPeers(const std::vector<core::NodeId>& balancers, core::TimePoint now)
 {
     std::vector<flow::RingMember> members;
+    members.reserve(balancers.size());
     for (const auto& it : balancers)
         members.push_back({ it, m_options.zone });
     setPeers(std::move(members), now);
@@ -297,7 +298,7 @@
 {
     // Another balancer may have forwarded a copy of the request, so its outcome is not known here.
     if (packet.type == PacketType::Request)
-        refuse(packet, RefusalKind::OutcomeUnknown, output);
+        refuse(packet, m_options.rules.requestRefusal(), output);
     else if (packet.type == PacketType::Data)
         reset(packet, output);
 }
--- a/src/ibisgw/balancer/BalancerFlows.cpp
+++ b/src/ibisgw/balancer/BalancerFlows.cpp
@@ -2,14 +2,13 @@
 
 #include <algorithm>
 
-// Resolution, placement and maintenance of flows; Balancer.cpp handles the packets.
+// Resolution and placement of flows; Balancer.cpp handles the packets.
 
 namespace ibisgw::balancer {
 
 using flow::FlowEntry;
 using packet::Packet;
 using packet::PacketType;
-using packet::RefusalKind;
 
 namespace {
 
@@ -62,7 +61,8 @@
 std::optional<core::UpstreamId> Balancer::resolveByToken(
     const Packet& packet, const configuration::Service& service, core::TimePoint now)
 {
-    if (!serves(packet.token.upstream, service) || !m_tokens.verify(packet.flow, packet.token)) {
+    const bool isValid = serves(packet.token.upstream, service) && m_tokens.verify(packet.flow, packet.token);
+    if (!isValid && m_options.rules.verifyTokens) {
         ++m_counters.droppedInvalidToken;
         return std::nullopt;
     }
--- a/src/ibisgw/balancer/OpenAdmission.cpp
+++ b/src/ibisgw/balancer/OpenAdmission.cpp
@@ -291,7 +291,8 @@
         return;
     record.holdsCapacity = false;
     const auto remaining = record.deadline.remaining(now);
-    const auto spent = core::toSeconds(now - record.receivedAt);
+    // The wait in the own queue is not a sign of congested upstreams.
+    const auto spent = core::toSeconds(now - record.forwardedAt);
     if (!completed || !remaining)
         it->second.release(record.open.kind, now);
     else
@@ -335,7 +336,10 @@
             packet.flow = request.flow;
             packet.request = request.request;
             packet.kind = entry.kind;
-            refuse(packet, RefusalKind::OutcomeUnknown, output);
+            if (m_context.rules.requestsStayAtUpstream)
+                refuse(packet, m_context.rules.requestRefusal(), output);
+            else
+                moveRequest(packet, output);
         });
     }
     for (const auto& [id, record] : m_context.upstreams.records()) {
@@ -344,6 +348,19 @@
     }
 }
 
+void OpenAdmission::moveRequest(Packet packet, BalancerOutput& output)
+{
+    for (const auto& [id, record] : m_context.upstreams.records()) {
+        if (isGone(id))
+            continue;
+        packet.type = PacketType::Open;
+        output.sendToUpstream(id, packet);
+        packet.type = PacketType::Request;
+        output.sendToUpstream(id, packet);
+        return;
+    }
+}
+
 void OpenAdmission::tick(core::TimePoint now, BalancerOutput& output)
 {
     if (now < m_nextCheckAt)
--- a/src/ibisgw/balancer/ServicePlacement.cpp
+++ b/src/ibisgw/balancer/ServicePlacement.cpp
@@ -48,6 +48,7 @@
         zone.upstreams.push_back(id);
     }
     std::vector<flow::ZoneUpstreams> list;
+    list.reserve(zones.size());
     for (auto& [name, zone] : zones)
         list.push_back(std::move(zone));
     m_defaults.setUpstreams(std::move(list), now);
--- a/tests/support/FakeUpstream.h
+++ b/tests/support/FakeUpstream.h
@@ -44,6 +44,7 @@
     void resume() { m_state = ibisgw::upstream::UpstreamState::Ready; }
     // While shedding, opens of new flows are refused as not run. It is announced like each state.
     void setShedding(bool);
+    void refuseOpens(double share) { m_options.openRefusalShare = share; }
     void kill();
     // Starts again as a new incarnation without flows.
     void restart();
