--- a/benchmarks/PlacementMeasures.cpp
+++ b/benchmarks/PlacementMeasures.cpp
@@ -155,6 +155,11 @@
     auto result = compare(seed, 0, runBusySlots);
     result.bound = result.details["baseline_hash"].get<double>() / 2;
     result.comparison = Comparison::Below;
+    PlacementScenarioOptions options;
+    options.seed = seed;
+    options.joinIdleQueue = true;
+    nlohmann::json ignored;
+    result.details["join_idle_queue"] = runBusySlots(options, ignored);
     return result;
 }
 
--- a/benchmarks/PlacementScenario.cpp
+++ b/benchmarks/PlacementScenario.cpp
@@ -2,6 +2,8 @@
 
 #include "BaselineMembers.h"
 
+#include "ibisgw/upstream/JoinIdleQueueSelector.h"
+
 #include <algorithm>
 
 namespace bench {
@@ -30,6 +32,11 @@
 {
     support::BalancerGroupOptions group;
     group.zones = options.zones;
+    if (options.joinIdleQueue) {
+        group.makeSelector = [](const auto& load, auto& random) {
+            return std::make_unique<upstream::JoinIdleQueueSelector>(load, random);
+        };
+    }
     if (options.way == PlacementWay::Hash)
         group.makeMember = [](const auto&) { return std::make_unique<HashBaseline>(); };
     else if (options.way == PlacementWay::Local)
--- a/benchmarks/PlacementScenario.h
+++ b/benchmarks/PlacementScenario.h
@@ -18,6 +18,8 @@
     double loss { 0 };
     // Index of an upstream that reports no load and is ten times slower.
     std::optional<unsigned> misleadingUpstream;
+    // Join-Idle-Queue instead of the selection that balancers use by default.
+    bool joinIdleQueue { false };
     std::vector<ibisgw::core::ZoneName> zones { "a" };
 };
 
--- a/src/ibisgw/flow/DefaultPlacement.cpp
+++ b/src/ibisgw/flow/DefaultPlacement.cpp
@@ -139,9 +139,13 @@
     std::ranges::sort(
         candidates, std::ranges::greater {}, [&](auto it) { return core::rendezvousWeight(flowHash, it.value); });
     std::size_t total = 1;
-    for (const auto& it : candidates)
+    double shares = 0;
+    for (const auto& it : candidates) {
         total += flowsOf(it);
-    const auto mean = static_cast<double>(total) / static_cast<double>(candidates.size());
+        shares += shareOf(it);
+    }
+    // By shares, so that the others have room for what a cold upstream does not get.
+    const auto mean = static_cast<double>(total) / shares;
     const auto isBelow = [&](core::UpstreamId it, double bound) {
         return static_cast<double>(flowsOf(it) + 1) <= std::ceil(bound * mean * shareOf(it));
     };
--- a/tests/support/BalancerGroup.cpp
+++ b/tests/support/BalancerGroup.cpp
@@ -374,6 +374,7 @@
 void BalancerGroup::createMember(Slot& slot)
 {
     balancer::BalancerOptions options { slot.node, zoneOf(slot), m_options.flowCapacity };
+    options.makeSelector = m_options.makeSelector;
     options.firstRecordSequence = static_cast<std::uint64_t>(m_queue.now().time_since_epoch().count());
     slot.member
         = m_options.makeMember ? m_options.makeMember(options) : std::make_unique<BalancerMember>(options, m_random);
--- a/tests/support/BalancerGroup.h
+++ b/tests/support/BalancerGroup.h
@@ -21,6 +21,8 @@
     ibisgw::core::Duration joinDelay { std::chrono::milliseconds(1500) };
     // Flow records are sent to the peers; false shows what breaks without them.
     bool tellFlowRecords { true };
+    // Way of selecting upstreams for requests; the default of the balancers when empty.
+    ibisgw::balancer::SelectorFactory makeSelector;
     // Creates the balancers; those of ibisgw when empty.
     GroupMemberFactory makeMember;
 };
