--- /dev/null
+++ b/tests/balancer/FlowRecordGroupTests.cpp
@@ -0,0 +1,142 @@
+#include "ibisgw/core/PcgRandomSource.h"
+#include "support/FakeCallers.h"
+
+#include <doctest/doctest.h>
+
+using namespace ibisgw;
+using namespace std::chrono_literals;
+
+namespace {
+
+const core::Endpoint serviceAddress { 0xc0000201, 443 };
+
+std::shared_ptr<const configuration::Document> makeDocument()
+{
+    configuration::RequestKind stream { 1, "live-view" };
+    stream.placement = configuration::Placement::Sticky;
+    configuration::Service service { "slotdesk", "peachtree", { serviceAddress } };
+    service.kinds = { stream, { 2, "booking" } };
+    return std::make_shared<const configuration::Document>(
+        configuration::Document { { { "peachtree" } }, { { "a", "r" }, { "b", "r" } }, { service } });
+}
+
+struct Group {
+    explicit Group(const support::BalancerGroupOptions& options)
+        : balancers(options, makeDocument(), queue, random)
+    {
+        for (std::uint32_t n = 0; n < 14; ++n) {
+            support::FakeUpstreamOptions upstream { core::UpstreamId::fromEndpoint({ 0x0a010001 + n, 80 }), "slotdesk",
+                serviceAddress };
+            upstream.zone = options.zones[n % options.zones.size()];
+            balancers.addUpstream(upstream);
+        }
+        queue.runFor(2s);
+    }
+
+    // None of the callers echoes a token; each stream sends its next data after the given time.
+    void openStreams(int count, core::Duration period)
+    {
+        for (int n = 0; n < count; ++n) {
+            callers.openStream(period, false);
+            queue.runFor(2ms);
+        }
+        queue.runFor(3s);
+    }
+
+    core::PcgRandomSource random { 1 };
+    support::MessageQueue queue { {}, random };
+    support::BalancerGroup balancers;
+    support::FakeCallers callers { { serviceAddress }, balancers };
+};
+
+support::BalancerGroupOptions withRecords(bool tellFlowRecords)
+{
+    support::BalancerGroupOptions options;
+    options.tellFlowRecords = tellFlowRecords;
+    return options;
+}
+
+// Some streams are not on their default, because one upstream drains while they open.
+std::uint64_t brokenAfterKills(bool tellFlowRecords)
+{
+    Group group(withRecords(tellFlowRecords));
+    group.balancers.upstreams()[3]->drain();
+    group.queue.runFor(2s);
+    group.openStreams(1000, 40s);
+    group.balancers.killBalancer(0);
+    group.queue.runFor(10s);
+    group.balancers.killBalancer(1);
+    group.balancers.killBalancer(2);
+    group.queue.runFor(60s);
+    CHECK(group.callers.establishedStreams() + group.callers.totals().brokenStreams == 1000);
+    return group.callers.totals().brokenStreams;
+}
+
+std::uint64_t brokenAfterRestarts(bool tellFlowRecords)
+{
+    Group group(withRecords(tellFlowRecords));
+    group.balancers.upstreams()[3]->drain();
+    group.queue.runFor(2s);
+    group.openStreams(1000, 4min);
+    for (unsigned n = 0; n < 9; ++n) {
+        group.balancers.stopBalancer(n, 5s);
+        group.balancers.startBalancer(n);
+        group.queue.runFor(20s);
+    }
+    group.queue.runFor(3min);
+    return group.callers.totals().brokenStreams;
+}
+
+} // namespace
+
+TEST_SUITE("balancer")
+{
+    // Guards against streams that break when their home dies and their caller echoes no token.
+    TEST_CASE("streams without token survive the death of one, then two balancers")
+    {
+        CHECK(brokenAfterKills(true) == 0);
+        // Without flow records the streams that are not on their default break.
+        CHECK(brokenAfterKills(false) > 5);
+    }
+
+    // Guards against streams that break in a rolling restart.
+    TEST_CASE("streams without token survive a rolling restart of all balancers")
+    {
+        CHECK(brokenAfterRestarts(true) == 0);
+        CHECK(brokenAfterRestarts(false) > 5);
+    }
+
+    // Guards against flows that move or break because two zones have not heard from each other for a while.
+    TEST_CASE("zones that were cut off from each other join their views and no flow moves")
+    {
+        support::BalancerGroupOptions options;
+        options.zones = { "a", "b" };
+        Group group(options);
+        group.openStreams(400, 2min);
+        REQUIRE(group.callers.establishedStreams() == 400);
+        group.balancers.cutZones();
+        group.queue.runFor(40s);
+        for (unsigned n = 0; n < 9; ++n) {
+            // Both views keep the upstreams of the other zone.
+            CHECK(group.balancers.balancer(n)->upstreams().records().size() == 14);
+        }
+        group.balancers.healZones();
+        group.queue.runFor(150s);
+        CHECK(group.callers.totals().brokenStreams == 0);
+        for (unsigned n = 0; n < 9; ++n)
+            CHECK(group.balancers.balancer(n)->upstreams().eligible("slotdesk").size() == 14);
+    }
+
+    // Guards against a restarted upstream whose old flows are taken for open ones.
+    TEST_CASE("flows of an upstream that restarts are reset, those of others stay")
+    {
+        Group group(withRecords(true));
+        group.openStreams(500, 10s);
+        const auto id = group.balancers.upstreams()[3]->options().id;
+        const auto flows = group.callers.establishedStreamsOn(id).size();
+        group.balancers.upstreams()[3]->restart();
+        group.queue.runFor(30s);
+        CHECK(group.callers.totals().brokenStreams == flows);
+        CHECK(group.callers.brokenStreamsElsewhere(id) == 0);
+    }
+}
--- a/tests/support/BalancerGroup.cpp
+++ b/tests/support/BalancerGroup.cpp
@@ -288,17 +288,41 @@
 
 void BalancerGroup::tellPeers()
 {
-    std::vector<flow::RingMember> members;
-    for (const auto& it : m_slots) {
-        if (it->member && (it->inFabric || it->isLeaving))
-            members.push_back({ it->node, zoneOf(*it), it->isLeaving });
-    }
     for (auto& it : m_slots) {
-        if (it->member && it->member->balancer())
-            it->member->balancer()->setPeers(members, m_queue.now());
+        if (!it->member || !it->member->balancer())
+            continue;
+        std::vector<flow::RingMember> members;
+        for (const auto& peer : m_slots) {
+            const bool isReachable = !m_queue.isCut(it->node.value, peer->node.value);
+            if (peer->member && (peer->inFabric || peer->isLeaving) && isReachable)
+                members.push_back({ peer->node, zoneOf(*peer), peer->isLeaving });
+        }
+        it->member->balancer()->setPeers(members, m_queue.now());
     }
 }
 
+void BalancerGroup::cutZones()
+{
+    std::vector<std::pair<MessageQueue::Machine, core::ZoneName>> machines;
+    for (const auto& it : m_slots)
+        machines.emplace_back(it->node.value, zoneOf(*it));
+    for (const auto& it : m_upstreams)
+        machines.emplace_back(it->options().id.value, it->options().zone);
+    for (const auto& [machine, zone] : machines) {
+        for (const auto& [other, otherZone] : machines) {
+            if (zone != otherZone)
+                m_queue.cut(machine, other);
+        }
+    }
+    m_queue.after(m_options.detectionDelay, [this](auto) { tellPeers(); });
+}
+
+void BalancerGroup::healZones()
+{
+    m_queue.healAll();
+    m_queue.after(m_options.detectionDelay, [this](auto) { tellPeers(); });
+}
+
 balancer::Balancer* BalancerGroup::balancer(unsigned index)
 {
     auto& member = m_slots[index]->member;
--- a/tests/support/BalancerGroup.h
+++ b/tests/support/BalancerGroup.h
@@ -50,6 +50,10 @@
     // the pull of flow records.
     void startBalancer(unsigned index);
 
+    // Cuts the balancers and upstreams of each zone off from those of the others; callers reach all.
+    void cutZones();
+    void healZones();
+
     unsigned balancerCount() const { return static_cast<unsigned>(m_slots.size()); }
     // Null while the balancer is not running.
     ibisgw::balancer::Balancer* balancer(unsigned index);
