--- a/tests/support/BalancerGroup.h
+++ b/tests/support/BalancerGroup.h
@@ -21,6 +21,8 @@
     ibisgw::core::Duration joinDelay { std::chrono::milliseconds(1500) };
     // Flow records are sent to the peers; false shows what breaks without them.
     bool tellFlowRecords { true };
+    // Way of selecting upstreams for requests; the default of the balancers when empty.
+    ibisgw::balancer::SelectorFactory makeSelector;
     // Creates the balancers; those of ibisgw when empty.
     GroupMemberFactory makeMember;
     ibisgw::balancer::SafetyRules rules;
@@ -49,6 +51,10 @@
     // the pull of flow records.
     void startBalancer(unsigned index);
 
+    // Cuts the balancers and upstreams of each zone off from those of the others; callers reach all.
+    void cutZones();
+    void healZones();
+
     unsigned balancerCount() const { return static_cast<unsigned>(m_slots.size()); }
     // Null while the balancer is not running.
     ibisgw::balancer::Balancer* balancer(unsigned index);
