Show that each mechanism of the request rules is covered by a test that fails without it

Each mechanism was switched off by a one-line edit, one at a time, and the tests were run. The retry limit had survived at first; its test is new.

--- a/tests/balancer/OpenAdmissionTests.cpp
+++ b/tests/balancer/OpenAdmissionTests.cpp
@@ -17,6 +17,7 @@
 constexpr core::Endpoint otherAddress { 0xc0000202, 443 };
 constexpr core::KindId bookingKind = 2;
 constexpr core::KindId partitionedKind = 3;
+constexpr core::KindId unretriedKind = 4;
 constexpr std::uint32_t concurrencyLimit = 2;
 
 std::shared_ptr<const configuration::Document> makeDocument()
@@ -26,8 +27,10 @@
     booking.queueLimit = 1;
     configuration::RequestKind payment { partitionedKind, "payment" };
     payment.onPartition = configuration::PartitionBehaviour::Refuse;
+    configuration::RequestKind unretried { unretriedKind, "unretried" };
+    unretried.retryLimit = 0;
     configuration::Service service { "slotdesk", "peachtree", { serviceAddress } };
-    service.kinds = { booking, payment };
+    service.kinds = { booking, payment, unretried };
     configuration::Service other { "regatta-archive", "peachtree", { otherAddress } };
     return std::make_shared<const configuration::Document>(
         configuration::Document { { { "peachtree" } }, { { "a", "r" } }, { service, other } });
@@ -132,6 +135,18 @@
             fixture.fromUpstream(PacketType::Refusal, fixture.other(first), 1);
             CHECK(fixture.refusals(RefusalKind::NotRun) == 1);
         }
+        SUBCASE("a kind with retry limit 0 is not retried although the budget allows it")
+        {
+            fixture.pass(20s);
+            fixture.announce(fixture.upstreams[0], upstream::UpstreamState::Ready);
+            fixture.announce(fixture.upstreams[1], upstream::UpstreamState::Ready);
+            auto open = Fixture::packetOf(PacketType::Open, 2);
+            open.kind = unretriedKind;
+            fixture.fromCaller(open);
+            fixture.fromUpstream(PacketType::Refusal, fixture.output.toUpstreams.back().first, 2);
+            CHECK(fixture.refusals(RefusalKind::NotRun) == 1);
+            CHECK(fixture.balancer.counters().opensRetried == 1);
+        }
         SUBCASE("the budget bounds the retries")
         {
             const auto second = fixture.open(2);
@@ -266,6 +281,19 @@
         }
     }
 
+    // Guards against an upstream that works for a caller that has left.
+    TEST_CASE("a cancellation reaches the upstream and ends the request here")
+    {
+        Fixture fixture;
+        const auto first = fixture.open(1);
+        fixture.fromUpstream(PacketType::Opened, first, 1);
+        fixture.fromCaller(Fixture::packetOf(PacketType::Request, 1, 7));
+        CHECK(fixture.balancer.admission().requestsInFlight() == 1);
+        fixture.fromCaller(Fixture::packetOf(PacketType::Cancel, 1, 7));
+        CHECK(fixture.sentToUpstream(first, PacketType::Cancel) == 1);
+        CHECK(fixture.balancer.admission().requestsInFlight() == 0);
+    }
+
     // Guards against work that the operators forbid while the controllers cannot be reached.
     TEST_CASE("in a partition the kinds that ask for it are refused as not run")
     {
