--- a/src/ibisgw/balancer/FlowHomes.cpp
+++ b/src/ibisgw/balancer/FlowHomes.cpp
@@ -26,9 +26,9 @@
     return m_ring.homeOf(flow.hash(), m_zoneOf(flow));
 }
 
-std::vector<flow::PreviousHome> FlowHomes::previousHomesOf(const core::FlowKey& flow) const
+std::vector<flow::PreviousHome> FlowHomes::previousHomesOf(const core::FlowKey& flow, core::TimePoint now) const
 {
-    auto homes = m_ring.previousHomesOf(flow.hash(), m_zoneOf(flow));
+    auto homes = m_ring.previousHomesOf(flow.hash(), m_zoneOf(flow), now);
     std::erase_if(homes, [&](const auto& it) { return it.node == m_self; });
     return homes;
 }
--- a/src/ibisgw/balancer/FlowHomes.h
+++ b/src/ibisgw/balancer/FlowHomes.h
@@ -22,7 +22,7 @@
     core::NodeId homeOf(const core::FlowKey&) const;
     bool isHome(const core::FlowKey& flow) const { return homeOf(flow) == m_self; }
     // Other balancers that were the home of the flow before, newest first.
-    std::vector<flow::PreviousHome> previousHomesOf(const core::FlowKey&) const;
+    std::vector<flow::PreviousHome> previousHomesOf(const core::FlowKey&, core::TimePoint now) const;
     // True when an earlier home of the flow runs no more.
     bool hasLostHome(const core::FlowKey&, core::TimePoint now) const;
     const flow::HomeRing& ring() const { return m_ring; }
--- a/src/ibisgw/balancer/HomeHandover.cpp
+++ b/src/ibisgw/balancer/HomeHandover.cpp
@@ -33,10 +33,9 @@
 std::vector<core::NodeId> HomeHandover::previousHomes(const Packet& packet, core::TimePoint now) const
 {
     std::vector<core::NodeId> homes;
-    for (const auto& it : m_homes.previousHomesOf(packet.flow)) {
+    for (const auto& it : m_homes.previousHomesOf(packet.flow, now)) {
         const bool isOpen = packet.type == packet::PacketType::Open;
-        const auto limit = isOpen || !m_homes.ring().isRunning(it.node) ? memory : flow::HomeRing::changeRetention;
-        if (now - it.until <= limit)
+        if (isOpen ? now - it.until <= memory : m_homes.ring().isRunning(it.node))
             homes.push_back(it.node);
     }
     return homes;
--- a/src/ibisgw/balancer/HomeHandover.h
+++ b/src/ibisgw/balancer/HomeHandover.h
@@ -15,8 +15,8 @@
 // the flow forwards the packet to its upstream; one that does not sends it back with the next hop count.
 class HomeHandover {
 public:
-    // Callers repeat an open until its deadline; 5 s is the default deadline of a kind. About the packets of
-    // open flows the previous homes that still run are asked as long as the ring retains them.
+    // Callers repeat an open until its deadline; 5 s is the default deadline of a kind. About the other packets only
+    // previous homes that still run are asked, as long as the ring retains them.
     static constexpr core::Duration memory = std::chrono::seconds(5);
 
     HomeHandover(const FlowHomes&, PeerRelay&);
--- a/src/ibisgw/flow/HomeRing.cpp
+++ b/src/ibisgw/flow/HomeRing.cpp
@@ -62,7 +62,8 @@
     return winner(m_members, flowHash, zone);
 }
 
-std::vector<PreviousHome> HomeRing::previousHomesOf(std::uint64_t flowHash, const core::ZoneName* zone) const
+std::vector<PreviousHome> HomeRing::previousHomesOf(
+    std::uint64_t flowHash, const core::ZoneName* zone, core::TimePoint now) const
 {
     std::vector<PreviousHome> homes;
     const auto add = [&](core::NodeId home, core::TimePoint until) {
@@ -70,6 +71,8 @@
             homes.push_back({ home, until });
     };
     for (auto it = m_previous.rbegin(); it != m_previous.rend() && homes.size() < maxPreviousHomes; ++it) {
+        if (it->until + changeRetention < now)
+            break;
         const auto home = winner(it->members, flowHash, zone);
         add(home, it->until);
         // The home before may itself have joined shortly before. The next in rank was the home then.
--- a/src/ibisgw/flow/HomeRing.h
+++ b/src/ibisgw/flow/HomeRing.h
@@ -37,7 +37,8 @@
     // Invalid when the ring is empty. Without members in the zone, or without a zone, all members count.
     core::NodeId homeOf(std::uint64_t flowHash, const core::ZoneName* zone) const;
     // Distinct homes of the flow in the retained rings, newest first, at most maxPreviousHomes.
-    std::vector<PreviousHome> previousHomesOf(std::uint64_t flowHash, const core::ZoneName* zone) const;
+    std::vector<PreviousHome> previousHomesOf(
+        std::uint64_t flowHash, const core::ZoneName* zone, core::TimePoint now) const;
     // True when the last earlier home of the flow runs no more.
     bool hasLostHome(std::uint64_t flowHash, const core::ZoneName* zone, core::TimePoint now) const;
     const std::vector<RingMember>& members() const { return m_members; }
--- a/tests/balancer/FlowAffinityTests.cpp
+++ b/tests/balancer/FlowAffinityTests.cpp
@@ -92,7 +92,11 @@
             packet.token = tokens.issue(flow, token);
         packet.relayHops = hops;
         output.clear();
-        balancer.handleCallerPacket(packet, now, output);
+        // Only packets of other balancers carry a hop count; that of a caller is not believed.
+        if (hops > 0)
+            balancer.handleRelayedPacket(packet, now, output);
+        else
+            balancer.handleCallerPacket(packet, now, output);
     }
 
     void answer(PacketType type, const core::FlowKey& flow, core::KindId kind, core::UpstreamId from)
@@ -194,6 +198,8 @@
     TEST_CASE_FIXTURE(Fixture, "relays have a hop limit and a cap")
     {
         balancer.setPeers({ { self, "a", true }, { peer, "a" } }, now);
+        // Later than a previous home is asked about opens.
+        now += 10s;
         receive(PacketType::Open, flowNumber(1), 1);
         REQUIRE(output.toPeers.size() == 1);
         CHECK(output.toPeers.front().relayHops == 1);
--- a/tests/support/BalancerGroup.h
+++ b/tests/support/BalancerGroup.h
@@ -105,6 +105,7 @@
     std::vector<std::unique_ptr<Slot>> m_slots;
     std::vector<std::unique_ptr<FakeUpstream>> m_upstreams;
     CallerHandler m_callerHandler;
+    bool m_zonesAreCut { false };
     std::uint64_t m_worstRecordBytes { 0 };
 };
 
