Let balancers that have not joined drop questions about flows

Its open and the one of the home reached two upstreams. Change: a question that reaches a balancer which knows no other member is dropped; the asker goes on after two questions.

--- a/src/ibisgw/balancer/HomeHandover.cpp
+++ b/src/ibisgw/balancer/HomeHandover.cpp
@@ -64,6 +64,9 @@
     const bool isQuestion = packet.relayHops >= firstQuestionHop && packet.relayHops % 2 == 0;
     if (isQuestion) {
         // Not known here either. The asking balancer is the home in the present ring.
+        // The asking balancer has a group; this one has not joined it yet and must not place flows for it.
+        if (m_homes.ring().members().size() == 1 && m_homes.isHome(packet.flow))
+            return true;
         const auto home = m_homes.homeOf(packet.flow);
         if (!home.isValid() || home == m_homes.self())
             return false;
--- a/tests/balancer/HomeHandoverTests.cpp
+++ b/tests/balancer/HomeHandoverTests.cpp
@@ -80,4 +80,19 @@
         CHECK(fixture.output.toPeers.size() == 2);
         CHECK(fixture.counters.droppedRelays == 3);
     }
+
+    // Guards against a second upstream for a flow that its home asks about while the previous home restarts.
+    TEST_CASE("a balancer that has not joined its group drops questions")
+    {
+        balancer::BalancerCounters counters;
+        balancer::FlowHomes homes { { self, "a" }, [](const auto&) { return nullptr; } };
+        balancer::PeerRelay relay { homes, { 1000, 1000 }, counters };
+        balancer::HomeHandover handover { homes, relay };
+        support::RecordingOutput output;
+        Packet packet;
+        packet.flow = { { 1, 50000 }, { 2, 443 } };
+        packet.relayHops = 16;
+        CHECK(handover.relay(packet, start, output));
+        CHECK(output.toPeers.empty());
+    }
 }
