Relay answers about unknown flows to the present home

The answer "not known" came to a balancer that was no longer the home, and it placed the flow beside the new home. Change: such a packet goes to the present home as if it came from a caller.

--- a/src/ibisgw/balancer/HomeHandover.cpp
+++ b/src/ibisgw/balancer/HomeHandover.cpp
@@ -74,6 +74,12 @@
         m_relay.send(relayed, home, now, output);
         return true;
     }
+    const bool isAnswer = packet.relayHops >= firstQuestionHop;
+    if (isAnswer && !m_homes.isHome(packet.flow)) {
+        // The ring has changed since the question; only the present home may place the flow.
+        relayed.relayHops = 0;
+        return m_relay.relayToHome(relayed, now, output);
+    }
     std::size_t next = packet.relayHops < firstQuestionHop ? 0 : (packet.relayHops - firstQuestionHop + 1) / 2;
     const auto homes = previousHomes(packet, now);
     if (next > 0 && next <= homes.size())
--- a/tests/balancer/HomeHandoverTests.cpp
+++ b/tests/balancer/HomeHandoverTests.cpp
@@ -95,4 +95,15 @@
         CHECK(handover.relay(packet, start, output));
         CHECK(output.toPeers.empty());
     }
+
+    // Guards against a flow that is placed both by its home and by a balancer that was the home when it asked.
+    TEST_CASE("an answer that arrives after the home has changed goes to the present home")
+    {
+        Fixture fixture;
+        fixture.setMembers({ { self, "a", true }, { before, "a" } }, start + 2s);
+        CHECK(fixture.ask(PacketType::Open, start + 3s, 17));
+        REQUIRE(fixture.output.toPeers.size() == 1);
+        CHECK(fixture.output.toPeers.back().first == before);
+        CHECK(fixture.output.toPeers.back().second.relayHops == 1);
+    }
 }
