Reset flows of an upstream that has drained past its limit

Cause: the drain limit of a service was read but had no effect. Change: the registry keeps when a drain began; table entries, tokens, records and defaults of an upstream past the limit resolve no packet. Test seen failing: with the limit ignored, 'an upstream that drains keeps its flows' fails.

--- a/src/ibisgw/balancer/Balancer.h
+++ b/src/ibisgw/balancer/Balancer.h
@@ -109,6 +109,8 @@
     void reset(const packet::Packet&, BalancerOutput&);
     void rejectUnresolved(const packet::Packet&, BalancerOutput&);
     bool serves(core::UpstreamId, const configuration::Service&) const;
+    // False also for an upstream whose drain has exceeded the limit of the service.
+    bool keepsFlows(core::UpstreamId, const configuration::Service&, core::TimePoint now) const;
 
     BalancerOptions m_options;
     flow::FlowTokenCodec m_tokens;
--- a/src/ibisgw/balancer/BalancerFlows.cpp
+++ b/src/ibisgw/balancer/BalancerFlows.cpp
@@ -52,17 +52,23 @@
             return upstream;
         entry = m_flows.find(packet.flow, now);
     }
-    if (entry && serves(entry->upstream(), service))
+    if (entry && keepsFlows(entry->upstream(), service, now))
         return entry->upstream();
     if (entry)
         dropFlow(packet.flow, now);
     return resolveByRecord(packet, service, now);
 }
 
+bool Balancer::keepsFlows(core::UpstreamId upstream, const configuration::Service& service, core::TimePoint now) const
+{
+    return serves(upstream, service)
+        && m_upstreams.drainTime(upstream, now) <= std::chrono::milliseconds(service.drainLimitMs);
+}
+
 std::optional<core::UpstreamId> Balancer::resolveByToken(
     const Packet& packet, const configuration::Service& service, core::TimePoint now)
 {
-    if (!serves(packet.token.upstream, service) || !m_tokens.verify(packet.flow, packet.token)) {
+    if (!keepsFlows(packet.token.upstream, service, now) || !m_tokens.verify(packet.flow, packet.token)) {
         ++m_counters.droppedInvalidToken;
         return std::nullopt;
     }
@@ -82,6 +88,8 @@
         ++m_counters.droppedInvalidRecord;
         return std::nullopt;
     }
+    if (!keepsFlows(upstream, service, now))
+        return std::nullopt;
     ++m_counters.resolvedByRecord;
     learn(packet, upstream, service, now);
     return upstream;
@@ -96,7 +104,7 @@
     if (packet.type == PacketType::Request && !kind->idempotent)
         return std::nullopt;
     const auto upstream = placementOf(service).defaults().useDerivedUpstream(packet.flow.hash());
-    if (!upstream.isValid() || !serves(upstream, service))
+    if (!upstream.isValid() || !keepsFlows(upstream, service, now))
         return std::nullopt;
     ++m_counters.resolvedByDefault;
     learn(packet, upstream, service, now);
--- a/src/ibisgw/upstream/UpstreamRegistry.cpp
+++ b/src/ibisgw/upstream/UpstreamRegistry.cpp
@@ -46,8 +46,10 @@
         }
     }
     m_lastHeard[announcement.zone] = now;
-    Record record { announcement, now, now, now, now };
+    Record record { announcement, now, now, now, now, now };
     admit(record, held, now);
+    if (held && held->announcement.state == UpstreamState::Draining)
+        record.drainingSince = held->drainingSince;
     const bool isChange = !held || held->announcement.state != announcement.state
         || held->announcement.slots != announcement.slots || held->announcement.service != announcement.service
         || held->announcement.zone != announcement.zone || held->announcement.incarnation != announcement.incarnation;
@@ -132,6 +134,13 @@
     return std::clamp(warm, firstShare, 1.0);
 }
 
+core::Duration UpstreamRegistry::drainTime(core::UpstreamId upstream, core::TimePoint now) const
+{
+    const auto* record = find(upstream);
+    const bool isDraining = record && record->announcement.state == UpstreamState::Draining;
+    return isDraining ? now - record->drainingSince : core::Duration::zero();
+}
+
 bool UpstreamRegistry::isZoneSilent(const core::ZoneName& zone, core::TimePoint now) const
 {
     const auto it = m_lastHeard.find(zone);
--- a/src/ibisgw/upstream/UpstreamRegistry.h
+++ b/src/ibisgw/upstream/UpstreamRegistry.h
@@ -31,6 +31,8 @@
         core::TimePoint incarnationSince;
         // No new work before this time.
         core::TimePoint readmittedAt;
+        // When the present drain was first heard of; meaningless in other states.
+        core::TimePoint drainingSince;
         // Start of the slow start; long ago for an upstream that is warm.
         core::TimePoint warmUpSince;
     };
@@ -44,6 +46,8 @@
     std::vector<core::UpstreamId> eligible(const core::ServiceName&) const;
     // Share of new work in [0, 1]: 0 for an upstream that gets none, below 1 while it warms up.
     double newWorkShare(core::UpstreamId, core::TimePoint now) const;
+    // How long the upstream has been draining; zero when it is not.
+    core::Duration drainTime(core::UpstreamId, core::TimePoint now) const;
     // True while nothing is heard from the zone although something is heard from others.
     bool isZoneCutOff(const core::ZoneName&, core::TimePoint now) const;
     const std::map<core::UpstreamId, Record>& records() const { return m_records; }
--- a/tests/balancer/FlowAffinityTests.cpp
+++ b/tests/balancer/FlowAffinityTests.cpp
@@ -288,5 +288,15 @@
             REQUIRE(output.toUpstreams.size() == 1);
             CHECK(output.toUpstreams.front().upstream != placed);
         }
+        // After the drain limit of the service its flows are reset, with or without a token.
+        now = start + 1h;
+        balancer.handleAnnouncement({ placed, "slotdesk", "a", 1, 3, upstream::UpstreamState::Draining, 2 }, now);
+        receive(PacketType::Data, flowNumber(1), 1, placed);
+        CHECK(output.toUpstreams.size() == 1);
+        now = start + 1h + 1s;
+        receive(PacketType::Data, flowNumber(1), 1, placed);
+        CHECK(output.toUpstreams.empty());
+        REQUIRE(output.toCallers.size() == 1);
+        CHECK(output.toCallers.front().type == PacketType::Reset);
     }
 }
