--- a/benchmarks/micro/PacketBenchmarks.cpp
+++ b/benchmarks/micro/PacketBenchmarks.cpp
@@ -1,6 +1,7 @@
 #include "ibisgw/balancer/Balancer.h"
 #include "ibisgw/core/PcgRandomSource.h"
 
+#include <algorithm>
 #include <benchmark/benchmark.h>
 #include <memory>
 #include <unordered_map>
@@ -74,7 +75,7 @@
 // The comparison: the flow key in a hash map of the standard library.
 void lookUpInHashMap(benchmark::State& state)
 {
-    const auto flows = static_cast<std::uint64_t>(state.range(0));
+    const auto flows = std::max<std::uint64_t>(static_cast<std::uint64_t>(state.range(0)), 1);
     std::unordered_map<core::FlowKey, core::UpstreamId> map;
     for (std::uint64_t n = 0; n < flows; ++n)
         map.emplace(flowNumber(n), upstreamNumber(n % 14));
@@ -87,7 +88,7 @@
 
 void callerPacketOfKnownFlow(benchmark::State& state)
 {
-    const auto flows = static_cast<std::uint64_t>(state.range(0));
+    const auto flows = std::max<std::uint64_t>(static_cast<std::uint64_t>(state.range(0)), 1);
     auto& loaded = loadedBalancer(flows);
     loaded.packet.type = PacketType::Data;
     std::uint64_t n = 0;
@@ -100,7 +101,7 @@
 
 void openAndCloseOfNewFlow(benchmark::State& state, core::KindId kind)
 {
-    const auto flows = static_cast<std::uint64_t>(state.range(0));
+    const auto flows = std::max<std::uint64_t>(static_cast<std::uint64_t>(state.range(0)), 1);
     auto& loaded = loadedBalancer(flows);
     Packet packet;
     packet.kind = kind;
