--- a/src/ibisgw/balancer/ServicePlacement.h
+++ b/src/ibisgw/balancer/ServicePlacement.h
@@ -9,6 +9,7 @@
 
 #include <functional>
 #include <memory>
+#include <set>
 
 namespace ibisgw::balancer {
 
@@ -41,6 +42,7 @@
     void rebuildDefaults(core::TimePoint now);
     flow::DefaultPlacement::ShareOf shareOutside(
         const std::vector<core::UpstreamId>& excluded, core::TimePoint now) const;
+    void forgetGoneUpstreams(const std::vector<flow::ZoneUpstreams>&);
 
     core::ServiceName m_service;
     const upstream::UpstreamRegistry& m_upstreams;
@@ -49,6 +51,7 @@
     upstream::OutlierDetector m_outliers;
     std::unique_ptr<upstream::UpstreamSelector> m_selector;
     std::vector<core::UpstreamId> m_eligible;
+    std::set<core::UpstreamId> m_known;
     std::uint64_t m_appliedChange { 0 };
 };
 
--- a/src/ibisgw/flow/HomeRing.cpp
+++ b/src/ibisgw/flow/HomeRing.cpp
@@ -3,6 +3,7 @@
 #include "ibisgw/core/FlowKey.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace ibisgw::flow {
 
@@ -70,15 +71,25 @@
         if (home.isValid() && std::ranges::find(homes, home, &PreviousHome::node) == homes.end())
             homes.push_back({ home, until });
     };
+    const Previous* oldest = nullptr;
     for (auto it = m_previous.rbegin(); it != m_previous.rend() && homes.size() < maxPreviousHomes; ++it) {
         if (it->until + changeRetention < now)
             break;
+        oldest = &*it;
         const auto home = winner(it->members, flowHash, zone);
         add(home, it->until);
         // The home before may itself have joined shortly before. The next in rank was the home then.
         if (it->joined)
             add(winner(without(it->members, home), flowHash, zone), it->until);
     }
+    if (!oldest)
+        return homes;
+    // Balancers that have come back from the other side of a partition were homes among themselves.
+    std::vector<RingMember> added;
+    std::ranges::copy_if(m_members, std::back_inserter(added), [&](const auto& it) {
+        return std::ranges::find(oldest->members, it.node, &RingMember::node) == oldest->members.end();
+    });
+    add(winner(added, flowHash, zone), m_previous.back().until);
     return homes;
 }
 
--- a/src/ibisgw/upstream/UpstreamRegistry.cpp
+++ b/src/ibisgw/upstream/UpstreamRegistry.cpp
@@ -46,8 +46,10 @@
         }
     }
     m_lastHeard[announcement.zone] = now;
-    Record record { announcement, now, now, now, now };
+    Record record { announcement, now, now, now, now, now };
     admit(record, held, now);
+    if (held && held->announcement.state == UpstreamState::Draining)
+        record.drainingSince = held->drainingSince;
     const bool isChange = !held || held->announcement.state != announcement.state
         || held->announcement.slots != announcement.slots || held->announcement.service != announcement.service
         || held->announcement.zone != announcement.zone || held->announcement.incarnation != announcement.incarnation;
@@ -65,10 +67,9 @@
         return;
     }
     const auto id = record.announcement.upstream;
-    if (held && !isPlannedEnd(held->announcement.state))
-        record.readmittedAt = noteFlap(id, now);
-    else if (const auto flaps = m_flaps.find(id); !held && flaps != m_flaps.end())
-        // Its expiry was a flap.
+    // An upstream that is not held any more and has flaps has expired: that was a flap as well.
+    const bool hasFlapped = held ? !isPlannedEnd(held->announcement.state) : m_flaps.contains(id);
+    if (hasFlapped)
         record.readmittedAt = noteFlap(id, now);
     record.warmUpSince = record.readmittedAt;
     if (!held && now - m_firstHeard < learningDuration)
@@ -133,6 +134,13 @@
     return std::clamp(warm, firstShare, 1.0);
 }
 
+core::Duration UpstreamRegistry::drainTime(core::UpstreamId upstream, core::TimePoint now) const
+{
+    const auto* record = find(upstream);
+    const bool isDraining = record && record->announcement.state == UpstreamState::Draining;
+    return isDraining ? now - record->drainingSince : core::Duration::zero();
+}
+
 bool UpstreamRegistry::isZoneSilent(const core::ZoneName& zone, core::TimePoint now) const
 {
     const auto it = m_lastHeard.find(zone);
--- a/tests/flow/DefaultPlacementTests.cpp
+++ b/tests/flow/DefaultPlacementTests.cpp
@@ -182,5 +182,19 @@
             CHECK(!ring.isRunning(home));
             CHECK(ring.hasLostHome(hash, &zone, start + 4s));
         }
+        // Guards against a home that derives a default for a flow placed on the other side of a partition.
+        SUBCASE("balancers that come back are asked about flows that their side may have placed")
+        {
+            const core::ZoneName zoneB = "b";
+            ring.setMembers({ { node(3), "b" } }, start + 100s);
+            ring.setMembers({ { node(1), "a" }, { node(2), "a" }, { node(3), "b" } }, start + 200s);
+            REQUIRE(ring.homeOf(hash, &zoneB) == node(3));
+            const auto previous = ring.previousHomesOf(hash, &zoneB, start + 201s);
+            REQUIRE(previous.size() == 2);
+            // The home on this side was the same one.
+            CHECK(previous.front().node == node(3));
+            CHECK((previous.back().node == node(1) || previous.back().node == node(2)));
+            CHECK(ring.previousHomesOf(hash, &zoneB, start + 10min).empty());
+        }
     }
 }
