Test that flows which end without their caller release their capacity

Test seen failing: with the release on closes and resets of upstreams taken out, 'its upstream closes it' and 'its upstream resets it' fail. After a passed deadline the record of the open releases it.

--- a/tests/balancer/OpenAdmissionTests.cpp
+++ b/tests/balancer/OpenAdmissionTests.cpp
@@ -294,6 +294,35 @@
         CHECK(fixture.balancer.admission().requestsInFlight() == 0);
     }
 
+    // Guards against capacity that stays taken by flows whose callers do not close them.
+    TEST_CASE("a flow that ends without its caller gives its place to the next open")
+    {
+        Fixture fixture;
+        const auto first = fixture.open(1);
+        fixture.open(2);
+        fixture.fromUpstream(PacketType::Opened, first, 1);
+        fixture.output.clear();
+        SUBCASE("its upstream closes it")
+        {
+            fixture.fromCaller(Fixture::packetOf(PacketType::Open, 3));
+            REQUIRE(fixture.output.toUpstreams.empty());
+            fixture.fromUpstream(PacketType::Close, first, 1);
+        }
+        SUBCASE("its upstream resets it")
+        {
+            fixture.fromCaller(Fixture::packetOf(PacketType::Open, 3));
+            REQUIRE(fixture.output.toUpstreams.empty());
+            fixture.fromUpstream(PacketType::Reset, first, 1);
+        }
+        SUBCASE("its deadline passes")
+        {
+            fixture.pass(2100ms);
+            fixture.fromCaller(Fixture::packetOf(PacketType::Open, 3));
+        }
+        REQUIRE(fixture.output.toUpstreams.size() == 1);
+        CHECK(fixture.output.toUpstreams.back().second.flow.caller.address == 3);
+    }
+
     // Guards against work that the operators forbid while the controllers cannot be reached.
     TEST_CASE("in a partition the kinds that ask for it are refused as not run")
     {
