--- a/benchmarks/PlacementMeasures.cpp
+++ b/benchmarks/PlacementMeasures.cpp
@@ -41,12 +41,13 @@
     return static_cast<double>(totals.brokenStreams);
 }
 
-// Restarts one balancer after the other: 5 s to finish, 2 s down, then it joins.
+// Restarts one balancer after the other: 5 s to finish and some to hand over, then it joins again. The next one stops
+// while it still pulls records.
 void scheduleRollingRestart(PlacementScenario& scenario)
 {
     for (unsigned n = 0; n < scenario.group().balancerCount(); ++n) {
-        scenario.queue().after(15s * n, [&, n](auto) { scenario.group().stopBalancer(n, 5s); });
-        scenario.queue().after(15s * n + 7s, [&, n](auto) { scenario.group().startBalancer(n); });
+        scenario.queue().after(20s * n, [&, n](auto) { scenario.group().stopBalancer(n, 5s); });
+        scenario.queue().after(20s * n + 16s, [&, n](auto) { scenario.group().startBalancer(n); });
     }
 }
 
@@ -79,7 +80,7 @@
     PlacementScenario scenario(options);
     scenario.openFlows(PlacementScenario::flowCount, 60s);
     scheduleRollingRestart(scenario);
-    scenario.runFor(140s);
+    scenario.runFor(190s);
     scheduleRollingDrain(scenario);
     scenario.runFor(30s);
     scheduleRollingRestart(scenario);
@@ -131,18 +132,28 @@
     scenario.startRequests(0.7, 130s);
     scenario.runFor(10s);
     std::vector<double> samples;
+    std::vector<double> runningSamples;
     scenario.sample(120s, 50ms, [&] {
         std::size_t total = 0;
         std::size_t most = 0;
+        std::size_t running = 0;
+        std::size_t mostRunning = 0;
         for (const auto& it : scenario.group().upstreams()) {
             const auto work = it->busySlots() + it->waitingRequests();
             total += work;
             most = std::max(most, work);
+            running += it->busySlots();
+            mostRunning = std::max(mostRunning, it->busySlots());
         }
         const auto mean = static_cast<double>(total) / PlacementScenario::upstreamCount;
         samples.push_back((static_cast<double>(most) - mean) / PlacementScenario::slotsPerUpstream);
+        const auto meanRunning = static_cast<double>(running) / PlacementScenario::upstreamCount;
+        runningSamples.push_back(
+            (static_cast<double>(mostRunning) - meanRunning) / PlacementScenario::slotsPerUpstream);
     });
     std::ranges::sort(samples);
+    std::ranges::sort(runningSamples);
+    details["without_waiting"] = runningSamples[runningSamples.size() * 99 / 100];
     const auto totals = scenario.callers().totals();
     details["requests"] = totals.requests;
     details["answered"] = totals.answered;
@@ -154,6 +165,37 @@
     auto result = compare(seed, 0, runBusySlots);
     result.bound = result.details["baseline_hash"].get<double>() / 2;
     result.comparison = Comparison::Below;
+    PlacementScenarioOptions options;
+    options.seed = seed;
+    options.joinIdleQueue = true;
+    nlohmann::json ignored;
+    auto hashOptions = options;
+    hashOptions.way = PlacementWay::Hash;
+    hashOptions.joinIdleQueue = false;
+    runBusySlots(hashOptions, ignored);
+    result.details["without_waiting_hash"] = ignored["without_waiting"];
+    result.details["join_idle_queue"] = runBusySlots(options, ignored);
+    return result;
+}
+
+// Flows that come and go, a rolling restart and drains: what records and hand-over cost each balancer.
+MeasureResult measureFlowRecordBytes(std::uint64_t seed)
+{
+    PlacementScenarioOptions options;
+    options.seed = seed;
+    options.loss = 0.01;
+    PlacementScenario scenario(options);
+    scenario.openFlows(PlacementScenario::flowCount, 120s);
+    scheduleRollingRestart(scenario);
+    for (unsigned n = 0; n < 4; ++n) {
+        scenario.queue().after(30s * n, [&, n](auto) { scenario.upstream(n).drain(); });
+        scenario.queue().after(30s * n + 20s, [&, n](auto) { scenario.upstream(n).resume(); });
+    }
+    scenario.replaceFlows(static_cast<double>(PlacementScenario::flowCount) / 600, 160s);
+    MeasureResult result;
+    result.value = static_cast<double>(scenario.group().worstFlowRecordBytesPerSecond());
+    result.bound = 4096;
+    result.details["records"] = scenario.group().balancer(4)->flowRecords().size();
     return result;
 }
 
@@ -206,6 +248,7 @@
     list.push_back({ "imbalance_busy_slots", "share of slots", true, measureBusySlots });
     list.push_back({ "imbalance_misleading_reports", "share/fair", true,
         [](auto seed) { return compare(seed, 1.1, runMisleadingReports); } });
+    list.push_back({ "flow_record_bytes_per_s", "bytes/s", true, measureFlowRecordBytes });
     list.push_back({ "drain_new_work_after_s", "s", true, [](auto seed) { return compare(seed, 3, runDrain); } });
     addFlowStateMeasures(list);
 }
--- a/src/ibisgw/balancer/Balancer.cpp
+++ b/src/ibisgw/balancer/Balancer.cpp
@@ -1,5 +1,6 @@
 #include "ibisgw/balancer/Balancer.h"
 
+#include "ibisgw/balancer/Refusal.h"
 #include "ibisgw/upstream/LeastInFlightSelector.h"
 
 namespace ibisgw::balancer {
@@ -17,6 +18,12 @@
 // A caller opens a new flow from the same port later than this after the end of the last one.
 constexpr core::Duration portReuseDelay = std::chrono::seconds(1);
 
+bool isFromUpstream(PacketType type)
+{
+    return type == PacketType::Opened || type == PacketType::Answer || type == PacketType::Refusal
+        || type == PacketType::Reset;
+}
+
 } // namespace
 
 Balancer::Balancer(BalancerOptions options, flow::FlowTokenCodec tokens, core::RandomSource& random)
@@ -24,21 +31,27 @@
     , m_tokens(tokens)
     , m_random(random)
     , m_flows(m_options.flowCapacity)
-    , m_records(m_options.self, m_options.firstRecordSequence)
-    , m_relayBudget(m_options.relaysPerSecond, m_options.relaysPerSecond)
+    , m_records(m_options.self, m_options.firstRecordSequence,
+          static_cast<std::size_t>(maxRecordShare * static_cast<double>(m_options.flowCapacity)))
+    , m_homes({ m_options.self, m_options.zone }, [this](const auto& flow) { return zoneOf(flow); })
+    , m_relay(m_homes, { m_options.relaysPerSecond, m_options.relaysPerSecond }, m_counters)
+    , m_homeQuestions(m_homes, m_relay)
+    , m_admission({ m_options.rules, m_homes, m_upstreams, m_relay, m_counters, *this })
 {
     if (!m_options.makeSelector) {
         m_options.makeSelector = [](const auto& load, auto& source) {
             return std::make_unique<upstream::LeastInFlightSelector>(load, source);
         };
     }
-    m_homes.setMembers({ { m_options.self, m_options.zone } }, {});
-    m_flows.onEviction([this](const flow::FlowEntry& entry) {
+    m_flows.onEviction([this](const flow::FlowEntry& entry, core::TimePoint now) {
         auto evicted = entry;
         setCounted(evicted, false);
+        m_admission.releaseFlow(evicted.key(), now);
     });
 }
 
+Balancer::~Balancer() = default;
+
 void Balancer::applyDocument(std::shared_ptr<const configuration::Document> document, core::TimePoint now)
 {
     m_document = std::move(document);
@@ -55,6 +68,7 @@
 void Balancer::setPeers(const std::vector<core::NodeId>& balancers, core::TimePoint now)
 {
     std::vector<flow::RingMember> members;
+    members.reserve(balancers.size());
     for (const auto& it : balancers)
         members.push_back({ it, m_options.zone });
     setPeers(std::move(members), now);
@@ -63,6 +77,13 @@
 void Balancer::setPeers(std::vector<flow::RingMember> members, core::TimePoint now)
 {
     m_homes.setMembers(std::move(members), now);
+    m_homeQuestions.homesChanged();
+    m_admission.homesChanged();
+}
+
+void Balancer::setPartitioned(bool partitioned, core::TimePoint)
+{
+    m_admission.setPartitioned(partitioned);
 }
 
 void Balancer::handleAnnouncement(const upstream::Announcement& announcement, core::TimePoint now)
@@ -75,10 +96,26 @@
 
 void Balancer::handleRelayedPacket(const Packet& packet, core::TimePoint now, BalancerOutput& output)
 {
-    handleCallerPacket(packet, now, output);
+    if (isFromUpstream(packet.type))
+        handleUpstreamPacket(packet, now, output);
+    else
+        handlePacketOfCaller(packet, now, output);
 }
 
 void Balancer::handleCallerPacket(const Packet& packet, core::TimePoint now, BalancerOutput& output)
+{
+    // A caller may not speak for an upstream or for another balancer.
+    if (isFromUpstream(packet.type)) {
+        ++m_counters.droppedMisdirected;
+        return;
+    }
+    auto received = packet;
+    received.relayHops = 0;
+    received.upstream = {};
+    handlePacketOfCaller(received, now, output);
+}
+
+void Balancer::handlePacketOfCaller(const Packet& packet, core::TimePoint now, BalancerOutput& output)
 {
     const auto* service = m_document ? m_document->findService(packet.flow.service) : nullptr;
     if (!service) {
@@ -87,28 +124,93 @@
             refuse(packet, RefusalKind::NotRun, output);
         return;
     }
+    if (packet.type == PacketType::Open) {
+        handleOpen(packet, *service, now, output);
+        return;
+    }
     if (packet.type == PacketType::Close) {
         closeFlow(packet, *service, now, output);
         return;
     }
-    // An open always goes to its home: an entry here may be left over from an earlier flow of the caller.
-    if (packet.type != PacketType::Open) {
-        if (const auto upstream = resolveFlow(packet, *service, now)) {
-            noteForwarded(packet, *upstream, *service, now);
-            forward(packet, *upstream, output);
-            return;
-        }
+    if (packet.type == PacketType::Cancel)
+        m_admission.handleCancel(packet, now);
+    if (const auto upstream = resolveFlow(packet, *service, now)) {
+        forwardKnown(packet, *upstream, *service, now, output);
+        return;
     }
-    if (relayToHome(packet, now, output))
+    if (m_relay.relayToHome(packet, now, output) || askPreviousHomes(packet, now, output))
         return;
-    if (packet.type == PacketType::Open)
-        placeFlow(packet, *service, now, output);
-    else if (const auto upstream = resolveByDefault(packet, *service, now))
-        forward(packet, *upstream, output);
+    if (const auto upstream = resolveByDefault(packet, *service, now))
+        forwardKnown(packet, *upstream, *service, now, output);
     else
         rejectUnresolved(packet, output);
 }
 
+void Balancer::handleOpen(
+    const Packet& packet, const configuration::Service& service, core::TimePoint now, BalancerOutput& output)
+{
+    if (m_admission.handleOpenCopy(packet, service, now, output))
+        return;
+    // An open always goes to its home: an entry here may be left over from an earlier flow of the caller.
+    if (!m_admission.hasDecided(packet.flow) && m_relay.relayToHome(packet, now, output))
+        return;
+    if (const auto upstream = resolveOpen(packet, service, now)) {
+        forward(packet, *upstream, output);
+        return;
+    }
+    if (askPreviousHomes(packet, now, output))
+        return;
+    if (m_admission.admit(packet, service, now, output))
+        placeOpen(packet, service, now, output);
+}
+
+std::optional<core::UpstreamId> Balancer::resolveOpen(
+    const Packet& packet, const configuration::Service& service, core::TimePoint now)
+{
+    auto* entry = m_flows.find(packet.flow, now, flow::FlowTable::Touch::No);
+    if (!entry)
+        return std::nullopt;
+    // Of a flow that this balancer has not admitted, the caller may have got `opened` and sent requests. Once
+    // the flow has been quiet, the open is that of a new flow.
+    const bool mayBeNew = !m_admission.hasDecided(packet.flow) && entry->idleTime(now) > portReuseDelay;
+    if (!serves(entry->upstream(), service) || (mayBeNew && isEjected(entry->upstream(), service, now))) {
+        dropFlow(packet.flow, now);
+        return std::nullopt;
+    }
+    entry->touch(now);
+    return entry->upstream();
+}
+
+void Balancer::placeOpen(
+    const Packet& packet, const configuration::Service& service, core::TimePoint now, BalancerOutput& output)
+{
+    const auto upstream = placeFlow(packet, service, {}, now);
+    if (upstream.isValid()) {
+        ++m_counters.flowsPlaced;
+        forward(packet, upstream, output);
+    } else {
+        refuse(packet, RefusalKind::NotRun, output);
+    }
+    m_admission.recordPlacement(packet, upstream, now);
+}
+
+void Balancer::placeAdmitted(core::TimePoint now, BalancerOutput& output)
+{
+    while (const auto open = m_admission.takeAdmitted(now, output)) {
+        if (const auto* service = m_document->findService(open->flow.service)) {
+            placeOpen(*open, *service, now, output);
+        } else {
+            refuse(*open, RefusalKind::NotRun, output);
+            m_admission.recordPlacement(*open, {}, now);
+        }
+    }
+}
+
+bool Balancer::askPreviousHomes(const Packet& packet, core::TimePoint now, BalancerOutput& output)
+{
+    return m_options.rules.askPreviousHomes && m_homeQuestions.relay(packet, now, output);
+}
+
 void Balancer::handleUpstreamPacket(const Packet& packet, core::TimePoint now, BalancerOutput& output)
 {
     const auto* service = m_document ? m_document->findService(packet.flow.service) : nullptr;
@@ -116,24 +218,23 @@
         ++m_counters.droppedMisdirected;
         return;
     }
+    placementOf(*service).outliers().noteAnswer(packet.upstream, now);
+    dropLeftOver(packet, now);
+    if (m_admission.handleUpstreamPacket(packet, *service, now, output))
+        return;
     auto* entry = m_flows.find(packet.flow, now, flow::FlowTable::Touch::No);
-    if (entry && entry->upstream() != packet.upstream) {
-        // A caller may use its port again after a flow whose end this balancer has not seen.
-        const bool isNewFlow = packet.type == PacketType::Opened && entry->idleTime(now) > portReuseDelay;
-        if (!isNewFlow) {
-            ++m_counters.droppedCrossedAnswers;
-            return;
-        }
-        dropFlow(packet.flow, now);
-        entry = nullptr;
+    if (entry && entry->upstream() != packet.upstream && m_options.rules.dropCrossedAnswers) {
+        ++m_counters.droppedCrossedAnswers;
+        return;
     }
     if (packet.type == PacketType::Close || packet.type == PacketType::Reset) {
         // The home counts the flow and keeps its record.
         auto close = packet;
         close.type = PacketType::Close;
-        if (const auto home = homeOf(packet.flow.hash(), *service); home != m_options.self && home.isValid())
-            relay(close, home, now, output);
+        if (!m_relay.relayToHome(close, now, output))
+            m_admission.endFlow(packet.flow, now);
         dropFlow(packet.flow, now);
+        placeAdmitted(now, output);
     } else {
         if (!entry)
             entry = learn(packet, packet.upstream, *service, now);
@@ -147,18 +248,31 @@
     output.sendToCaller(forwarded);
 }
 
-void Balancer::tick(core::TimePoint now, BalancerOutput&)
+void Balancer::dropLeftOver(const Packet& packet, core::TimePoint now)
+{
+    // A caller may use its port again after a flow whose end this balancer has not seen.
+    if (packet.type != PacketType::Opened || m_homes.isHome(packet.flow))
+        return;
+    const auto* entry = m_flows.find(packet.flow, now, flow::FlowTable::Touch::No);
+    if (entry && entry->upstream() != packet.upstream && entry->idleTime(now) > portReuseDelay)
+        dropFlow(packet.flow, now);
+}
+
+void Balancer::tick(core::TimePoint now, BalancerOutput& output)
 {
     m_upstreams.removeExpired(now);
     for (auto& [service, placement] : m_placements)
         placement->update(now);
     m_flows.scan(
         m_flows.bucketCount() / scanTicks + 1, [&](flow::FlowEntry& entry) { return maintainFlow(entry, now); });
+    m_homeQuestions.tick(now);
+    m_admission.tick(now, output);
+    placeAdmitted(now, output);
     std::size_t streams = 0;
     for (auto& [service, placement] : m_placements)
         streams += placement->defaults().flowCount();
     // Each home has about the same number of flows.
-    const auto recordShare = static_cast<double>(streams * m_homes.homeCount()) * maxRecordShare;
+    const auto recordShare = static_cast<double>(streams * m_homes.ring().homeCount()) * maxRecordShare;
     m_records.setLimit(static_cast<std::size_t>(recordShare));
 }
 
@@ -172,15 +286,8 @@
 
 void Balancer::refuse(const Packet& packet, RefusalKind kind, BalancerOutput& output)
 {
-    Packet refusal;
-    refusal.type = PacketType::Refusal;
-    refusal.flow = packet.flow;
-    refusal.kind = packet.kind;
-    refusal.request = packet.request;
-    refusal.refusal = kind;
-    refusal.trace = packet.trace;
     ++(kind == RefusalKind::NotRun ? m_counters.refusedNotRun : m_counters.refusedOutcomeUnknown);
-    output.sendToCaller(refusal);
+    output.sendToCaller(makeRefusal(packet, kind));
 }
 
 void Balancer::reset(const Packet& packet, BalancerOutput& output)
@@ -197,7 +304,7 @@
 {
     // Another balancer may have forwarded a copy of the request, so its outcome is not known here.
     if (packet.type == PacketType::Request)
-        refuse(packet, RefusalKind::OutcomeUnknown, output);
+        refuse(packet, m_options.rules.requestRefusal(), output);
     else if (packet.type == PacketType::Data)
         reset(packet, output);
 }
--- a/src/ibisgw/balancer/ServicePlacement.cpp
+++ b/src/ibisgw/balancer/ServicePlacement.cpp
@@ -1,11 +1,21 @@
 #include "ibisgw/balancer/ServicePlacement.h"
 
+#include <algorithm>
 #include <map>
 
 namespace ibisgw::balancer {
 
 using upstream::UpstreamState;
 
+namespace {
+
+// An upstream whose report is within this excess over the mean needs no exceptions yet. The absolute part
+// keeps a group with few flows from making exceptions for what is only chance.
+constexpr double reportedExcess = 1.015;
+constexpr double smallExcess = 10;
+
+} // namespace
+
 ServicePlacement::ServicePlacement(core::ServiceName service, const upstream::UpstreamRegistry& upstreams,
     const SelectorFactory& makeSelector, core::RandomSource& random)
     : m_service(std::move(service))
@@ -38,11 +48,28 @@
         zone.upstreams.push_back(id);
     }
     std::vector<flow::ZoneUpstreams> list;
+    list.reserve(zones.size());
     for (auto& [name, zone] : zones)
         list.push_back(std::move(zone));
+    forgetGoneUpstreams(list);
     m_defaults.setUpstreams(std::move(list), now);
 }
 
+void ServicePlacement::forgetGoneUpstreams(const std::vector<flow::ZoneUpstreams>& zones)
+{
+    std::set<core::UpstreamId> present;
+    for (const auto& zone : zones)
+        present.insert(zone.upstreams.begin(), zone.upstreams.end());
+    for (const auto& it : m_known) {
+        if (present.contains(it))
+            continue;
+        m_load.forget(it);
+        m_outliers.forget(it);
+        m_selector->forget(it);
+    }
+    m_known = std::move(present);
+}
+
 double ServicePlacement::newWorkShare(core::UpstreamId upstream, core::TimePoint now) const
 {
     const auto* record = m_upstreams.find(upstream);
@@ -52,15 +79,37 @@
     return m_upstreams.newWorkShare(upstream, now);
 }
 
-core::UpstreamId ServicePlacement::placeStream(std::uint64_t flowHash, core::TimePoint now)
+flow::DefaultPlacement::ShareOf ServicePlacement::shareOutside(
+    const std::vector<core::UpstreamId>& excluded, core::TimePoint now) const
+{
+    return [this, &excluded, now](core::UpstreamId it) {
+        return std::ranges::find(excluded, it) == excluded.end() ? newWorkShare(it, now) : 0.0;
+    };
+}
+
+core::UpstreamId ServicePlacement::placeStream(
+    std::uint64_t flowHash, const std::vector<core::UpstreamId>& excluded, bool hasRoom, core::TimePoint now)
 {
-    return m_defaults.place(flowHash, [&](auto it) { return newWorkShare(it, now); });
+    std::uint64_t total = 0;
+    for (const auto& it : m_eligible) {
+        const auto* record = m_upstreams.find(it);
+        total += record ? record->announcement.openFlows : 0;
+    }
+    const auto isNearMean = [&](core::UpstreamId it) {
+        const auto* record = m_upstreams.find(it);
+        const auto mean = static_cast<double>(total) / static_cast<double>(m_eligible.size());
+        return record && record->announcement.openFlows <= reportedExcess * mean + smallExcess;
+    };
+    return m_defaults.place(flowHash, shareOutside(excluded, now), isNearMean, hasRoom);
 }
 
-core::UpstreamId ServicePlacement::placeRequest(std::uint64_t flowHash, core::TimePoint now)
+core::UpstreamId ServicePlacement::placeRequest(
+    std::uint64_t flowHash, const std::vector<core::UpstreamId>& excluded, core::TimePoint now)
 {
+    const auto upstreams = m_defaults.candidatesFor(flowHash, shareOutside(excluded, now));
     std::vector<upstream::SelectionCandidate> candidates;
-    for (const auto& it : m_defaults.candidatesFor(flowHash, [&](auto it) { return newWorkShare(it, now); }))
+    candidates.reserve(upstreams.size());
+    for (const auto& it : upstreams)
         candidates.push_back({ it, newWorkShare(it, now) });
     return m_selector->select(candidates, now);
 }
--- a/src/ibisgw/balancer/ServicePlacement.h
+++ b/src/ibisgw/balancer/ServicePlacement.h
@@ -9,6 +9,7 @@
 
 #include <functional>
 #include <memory>
+#include <set>
 
 namespace ibisgw::balancer {
 
@@ -23,8 +24,12 @@
     // Takes over changes of the upstreams and ejects those that do not answer.
     void update(core::TimePoint now);
 
-    core::UpstreamId placeStream(std::uint64_t flowHash, core::TimePoint now);
-    core::UpstreamId placeRequest(std::uint64_t flowHash, core::TimePoint now);
+    // None of the excluded upstreams; invalid when there is no other. Without room for more flow records the default is
+    // taken although it is above the load bound.
+    core::UpstreamId placeStream(
+        std::uint64_t flowHash, const std::vector<core::UpstreamId>& excluded, bool hasRoom, core::TimePoint now);
+    core::UpstreamId placeRequest(
+        std::uint64_t flowHash, const std::vector<core::UpstreamId>& excluded, core::TimePoint now);
     // 0 when the upstream gets no new work.
     double newWorkShare(core::UpstreamId, core::TimePoint now) const;
 
@@ -35,6 +40,9 @@
 
 private:
     void rebuildDefaults(core::TimePoint now);
+    flow::DefaultPlacement::ShareOf shareOutside(
+        const std::vector<core::UpstreamId>& excluded, core::TimePoint now) const;
+    void forgetGoneUpstreams(const std::vector<flow::ZoneUpstreams>&);
 
     core::ServiceName m_service;
     const upstream::UpstreamRegistry& m_upstreams;
@@ -43,6 +51,7 @@
     upstream::OutlierDetector m_outliers;
     std::unique_ptr<upstream::UpstreamSelector> m_selector;
     std::vector<core::UpstreamId> m_eligible;
+    std::set<core::UpstreamId> m_known;
     std::uint64_t m_appliedChange { 0 };
 };
 
--- a/src/ibisgw/flow/FlowTable.h
+++ b/src/ibisgw/flow/FlowTable.h
@@ -23,7 +23,7 @@
     };
     using Visitor = std::function<Visit(FlowEntry&)>;
     // Called with each entry that is removed to make room.
-    using EvictionHandler = std::function<void(const FlowEntry&)>;
+    using EvictionHandler = std::function<void(const FlowEntry&, core::TimePoint now)>;
 
     explicit FlowTable(std::size_t capacity);
 
--- a/src/ibisgw/flow/HomeRing.cpp
+++ b/src/ibisgw/flow/HomeRing.cpp
@@ -3,12 +3,13 @@
 #include "ibisgw/core/FlowKey.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace ibisgw::flow {
 
 namespace {
 
-constexpr std::size_t maxPrevious = 8;
+constexpr std::size_t maxPrevious = 16;
 
 core::NodeId winner(const std::vector<RingMember>& members, std::uint64_t flowHash, const core::ZoneName* zone)
 {
@@ -26,18 +27,35 @@
     return !home.isValid() && zone ? winner(members, flowHash, nullptr) : home;
 }
 
+std::vector<RingMember> without(std::vector<RingMember> members, core::NodeId node)
+{
+    std::erase_if(members, [&](const auto& it) { return it.node == node; });
+    return members;
+}
+
 } // namespace
 
 void HomeRing::setMembers(std::vector<RingMember> members, core::TimePoint now)
 {
     if (members == m_members)
         return;
-    std::erase_if(m_previous, [&](const auto& it) { return it.until < now; });
-    if (!m_members.empty())
-        m_previous.push_back({ std::move(m_members), now + changeRetention });
+    retain(std::move(m_members), now, false);
+    m_members = std::move(members);
+}
+
+void HomeRing::join(std::vector<RingMember> members, core::NodeId self, core::TimePoint now)
+{
+    m_members = std::move(members);
+    retain(without(m_members, self), now, true);
+}
+
+void HomeRing::retain(std::vector<RingMember> members, core::TimePoint now, bool joined)
+{
+    std::erase_if(m_previous, [&](const auto& it) { return it.until + changeRetention < now; });
+    if (!members.empty())
+        m_previous.push_back({ std::move(members), now, joined });
     if (m_previous.size() > maxPrevious)
         m_previous.erase(m_previous.begin());
-    m_members = std::move(members);
 }
 
 core::NodeId HomeRing::homeOf(std::uint64_t flowHash, const core::ZoneName* zone) const
@@ -45,24 +63,41 @@
     return winner(m_members, flowHash, zone);
 }
 
-core::NodeId HomeRing::previousHomeOf(std::uint64_t flowHash, const core::ZoneName* zone, core::TimePoint now) const
+std::vector<PreviousHome> HomeRing::previousHomesOf(
+    std::uint64_t flowHash, const core::ZoneName* zone, core::TimePoint now) const
 {
-    const auto home = homeOf(flowHash, zone);
-    for (auto it = m_previous.rbegin(); it != m_previous.rend(); ++it) {
-        if (it->until < now)
+    std::vector<PreviousHome> homes;
+    const auto add = [&](core::NodeId home, core::TimePoint until) {
+        if (home.isValid() && std::ranges::find(homes, home, &PreviousHome::node) == homes.end())
+            homes.push_back({ home, until });
+    };
+    const Previous* oldest = nullptr;
+    for (auto it = m_previous.rbegin(); it != m_previous.rend() && homes.size() < maxPreviousHomes; ++it) {
+        if (it->until + changeRetention < now)
             break;
-        const auto previous = winner(it->members, flowHash, zone);
-        if (previous != home && isRunning(previous))
-            return previous;
+        oldest = &*it;
+        const auto home = winner(it->members, flowHash, zone);
+        add(home, it->until);
+        // The home before may itself have joined shortly before. The next in rank was the home then.
+        if (it->joined)
+            add(winner(without(it->members, home), flowHash, zone), it->until);
     }
-    return {};
+    if (!oldest)
+        return homes;
+    // Balancers that have come back from the other side of a partition were homes among themselves.
+    std::vector<RingMember> added;
+    std::ranges::copy_if(m_members, std::back_inserter(added), [&](const auto& it) {
+        return std::ranges::find(oldest->members, it.node, &RingMember::node) == oldest->members.end();
+    });
+    add(winner(added, flowHash, zone), m_previous.back().until);
+    return homes;
 }
 
 bool HomeRing::hasLostHome(std::uint64_t flowHash, const core::ZoneName* zone, core::TimePoint now) const
 {
     return std::ranges::any_of(m_previous, [&](const auto& it) {
         const auto previous = winner(it.members, flowHash, zone);
-        return it.until >= now && previous.isValid() && !isRunning(previous);
+        return it.until + changeRetention >= now && previous.isValid() && !isRunning(previous);
     });
 }
 
--- a/tests/support/BalancerGroup.h
+++ b/tests/support/BalancerGroup.h
@@ -21,8 +21,11 @@
     ibisgw::core::Duration joinDelay { std::chrono::milliseconds(1500) };
     // Flow records are sent to the peers; false shows what breaks without them.
     bool tellFlowRecords { true };
+    // Way of selecting upstreams for requests; the default of the balancers when empty.
+    ibisgw::balancer::SelectorFactory makeSelector;
     // Creates the balancers; those of ibisgw when empty.
     GroupMemberFactory makeMember;
+    ibisgw::balancer::SafetyRules rules;
 };
 
 // A group of balancers behind a fabric, with fake upstreams, in virtual time. Membership and gossip
@@ -41,11 +44,17 @@
     void onCallerPacket(CallerHandler handler) { m_callerHandler = std::move(handler); }
 
     void killBalancer(unsigned index);
-    // Planned: the fabric and the peers are told, then the process ends after the given time.
+    // Planned: the fabric and the peers are told, then the process ends after the given time, once it
+    // has handed over its flows.
     void stopBalancer(unsigned index, ibisgw::core::Duration grace);
-    // Joins: the fabric and the peers use it after the join delay.
+    // Joins once an earlier process has stopped: the fabric and the peers use it after the join delay and
+    // the pull of flow records.
     void startBalancer(unsigned index);
 
+    // Cuts the balancers and upstreams of each zone off from those of the others; callers reach all.
+    void cutZones();
+    void healZones();
+
     unsigned balancerCount() const { return static_cast<unsigned>(m_slots.size()); }
     // Null while the balancer is not running.
     ibisgw::balancer::Balancer* balancer(unsigned index);
@@ -72,16 +81,19 @@
 
     using RecordList = std::vector<ibisgw::flow::FlowRecord>;
     void publishFlowRecords(Slot&);
-    void compareFlowRecordHeads();
+    void startNextSecond();
+    void repairGap(Slot& from, Slot& to, std::uint64_t head);
     void sendFlowRecords(Slot& from, Slot& to, const RecordList&);
-    void adoptFlowRecords(Slot& joining);
+    void publishHandOvers(Slot&);
+    void continueJoin(unsigned index, unsigned starts, const RecordList&, std::size_t adopted);
 
     void deliverToBalancer(unsigned index, const std::function<void(Slot&)>& deliver);
     void sendFromUpstream(const ibisgw::packet::Packet&);
-    std::optional<unsigned> pickFabricTarget();
+    std::optional<unsigned> pickFabricTarget(MessageQueue::Machine sender);
     void announce(FakeUpstream&);
     void schedulePeriodicWork();
     void tellPeers();
+    void finishStop(unsigned index, unsigned starts);
     void createMember(Slot&);
     ibisgw::core::ZoneName zoneOf(const Slot&) const;
 
@@ -93,6 +105,7 @@
     std::vector<std::unique_ptr<Slot>> m_slots;
     std::vector<std::unique_ptr<FakeUpstream>> m_upstreams;
     CallerHandler m_callerHandler;
+    bool m_zonesAreCut { false };
     std::uint64_t m_worstRecordBytes { 0 };
 };
 
