Hand flows over to their new homes, note partitions and charge streams in the daemon

Cause: the integration of placement left hand-overs, setPartitioned() and the bytes of streams to the daemon.

--- a/src/ibisgw/adapters/ControlRpc.cpp
+++ b/src/ibisgw/adapters/ControlRpc.cpp
@@ -14,6 +14,7 @@
 // Bounds what a malformed message can make the decoder build; a list carries no documents.
 constexpr std::size_t maxRevisions = 1024;
 constexpr std::size_t maxSpans = 4096;
+constexpr std::size_t maxFlows = 1024;
 
 json revisionToJson(const configuration::AcceptedRevision& revision)
 {
@@ -50,6 +51,27 @@
     return span;
 }
 
+std::uint64_t packEndpoint(const core::Endpoint& endpoint)
+{
+    return core::UpstreamId::fromEndpoint(endpoint).value;
+}
+
+json handOverToJson(const flow::FlowHandOver& handOver)
+{
+    return json::array({ packEndpoint(handOver.flow.caller), packEndpoint(handOver.flow.service),
+        handOver.upstream.value, handOver.isSticky });
+}
+
+flow::FlowHandOver handOverFromJson(const json& value)
+{
+    flow::FlowHandOver handOver;
+    handOver.flow.caller = core::UpstreamId { value.at(0).get<std::uint64_t>() }.endpoint();
+    handOver.flow.service = core::UpstreamId { value.at(1).get<std::uint64_t>() }.endpoint();
+    handOver.upstream.value = value.at(2).get<std::uint64_t>();
+    handOver.isSticky = value.at(3).get<bool>();
+    return handOver;
+}
+
 std::optional<json> parse(std::span<const std::byte> body, std::uint64_t form)
 {
     const auto* first = reinterpret_cast<const std::uint8_t*>(body.data());
@@ -78,9 +100,12 @@
 std::vector<std::uint8_t> encodeControlRequest(const ControlRequest& request)
 {
     const auto& submission = request.submission;
-    return json::to_cbor(json::array(
-        { requestForm, request.number, static_cast<std::uint64_t>(request.call), submission.id, submission.author,
-            submission.base, submission.document, request.revision, request.limit, request.traceId }));
+    auto flows = json::array();
+    for (const auto& it : request.flows)
+        flows.push_back(handOverToJson(it));
+    return json::to_cbor(json::array({ requestForm, request.number, static_cast<std::uint64_t>(request.call),
+        submission.id, submission.author, submission.base, submission.document, request.revision, request.limit,
+        request.traceId, std::move(flows) }));
 }
 
 std::vector<std::uint8_t> encodeControlReply(const ControlReply& reply)
@@ -110,8 +135,13 @@
         request.revision = value.at(7).get<core::Revision>();
         request.limit = value.at(8).get<std::uint64_t>();
         request.traceId = value.at(9).get<std::string>();
+        const auto& flows = value.at(10);
+        if (!flows.is_array() || flows.size() > maxFlows)
+            return std::optional<ControlRequest>();
+        for (const auto& it : flows)
+            request.flows.push_back(handOverFromJson(it));
         request.call = static_cast<ControlCall>(call);
-        const bool isKnown = call <= static_cast<std::uint64_t>(ControlCall::FindSpans);
+        const bool isKnown = call <= static_cast<std::uint64_t>(ControlCall::HandOver);
         return isKnown ? std::optional(request) : std::nullopt;
     });
 }
--- a/src/ibisgw/adapters/ControlRpc.h
+++ b/src/ibisgw/adapters/ControlRpc.h
@@ -4,6 +4,7 @@
 #include "ibisgw/configuration/AcceptedRevision.h"
 #include "ibisgw/configuration/Submission.h"
 #include "ibisgw/configuration/SubmissionOutcome.h"
+#include "ibisgw/flow/FlowHandOver.h"
 
 #include <cstddef>
 #include <optional>
@@ -19,6 +20,7 @@
     ListRevisions, // the newest first, without documents
     DrainBalancer, // starts a graceful shutdown of the daemon that is asked
     FindSpans, // of one trace, from the trace file of the daemon that is asked
+    HandOver, // flows of which the daemon that is asked is the new home
 };
 
 // What a daemon asks a controller or another daemon, on the stream channel.
@@ -32,6 +34,8 @@
     std::uint64_t limit { 0 };
     // Of FindSpans.
     std::string traceId;
+    // Of HandOver.
+    std::vector<flow::FlowHandOver> flows;
 };
 
 struct ControlReply {
--- a/src/ibisgwd/ControllerRole.cpp
+++ b/src/ibisgwd/ControllerRole.cpp
@@ -91,6 +91,7 @@
         break;
     case ControlCall::DrainBalancer:
     case ControlCall::FindSpans:
+    case ControlCall::HandOver:
         // The daemon answers these itself.
         return;
     }
--- a/src/ibisgwd/Daemon.cpp
+++ b/src/ibisgwd/Daemon.cpp
@@ -23,7 +23,7 @@
 constexpr auto tickPeriod = std::chrono::duration_cast<std::chrono::milliseconds>(membership::tickInterval);
 
 // A planned stop ends after this time even when packets still arrive.
-constexpr core::Duration shutdownLimit = std::chrono::seconds(10);
+constexpr core::Duration shutdownLimit = std::chrono::seconds(60);
 
 // Flow records handed to gossip at a time; its budget carries fewer in a tick.
 constexpr std::size_t maxRecordsPerTick = 32;
@@ -114,6 +114,7 @@
         BOOST_LEAF_ASSIGN(m_balancer,
             BalancerRole::create(m_settings, makeTokenCodec(keys), m_random, m_loop, m_network,
                 [this](const auto& announcement) { m_membership.publish(announcement, m_loop.now()); }));
+        m_handOvers = std::make_unique<HandOverSender>(m_client, m_balancer->balancer());
     }
     if (m_settings.controller) {
         BOOST_LEAF_ASSIGN(m_controller,
@@ -153,15 +154,13 @@
     m_client.tick(now);
     if (m_controller)
         m_controller->tick();
-    if (m_balancer) {
-        updateRing();
-        m_balancer->tick();
-        publishFlowRecords();
-    }
+    chargeStreams();
+    if (m_balancer)
+        tickBalancer();
     if (!m_shutdownAt)
         return;
     const auto elapsed = now - *m_shutdownAt;
-    const bool isQuiet = !m_balancer || m_balancer->isQuiet();
+    const bool isQuiet = !m_balancer || (m_balancer->isQuiet() && m_handOvers->isIdle());
     if (elapsed > shutdownLimit || (elapsed > leaveGossipTime && isQuiet))
         m_loop.stop();
 }
@@ -172,6 +171,7 @@
     m_shutdownAt = m_loop.now();
     m_membership.leave(*m_shutdownAt);
     if (m_balancer) {
+        updateRing();
         m_balancer->balancer().handOver(*m_shutdownAt);
         m_balancer->withdraw();
     }
@@ -210,6 +210,36 @@
         m_membership.publish(adapters::encodeFlowRecord(it), m_loop.now());
 }
 
+void Daemon::tickBalancer()
+{
+    const auto now = m_loop.now();
+    updateRing();
+    updatePartition();
+    m_balancer->tick();
+    m_handOvers->tick(now);
+    publishFlowRecords();
+}
+
+void Daemon::updatePartition()
+{
+    bool isControllerAlive = false;
+    for (const auto& [id, record] : m_membership.members().records()) {
+        const bool isController = (record.member.roles & membership::controllerRole) != 0;
+        isControllerAlive |= isController && record.member.state == membership::MemberState::Alive;
+    }
+    m_hasSeenController |= isControllerAlive;
+    // Controllers of other scopes are not in the member list, so a daemon that never saw one cannot tell.
+    const bool isCutOff = m_membership.isIsolated() || (m_hasSeenController && !isControllerAlive);
+    m_balancer->balancer().setPartitioned(isCutOff, m_loop.now());
+}
+
+void Daemon::chargeStreams()
+{
+    const auto sent = m_network.streamBytesSent();
+    m_membership.noteSpent(static_cast<std::size_t>(sent - m_chargedStreamBytes), m_loop.now());
+    m_chargedStreamBytes = sent;
+}
+
 void Daemon::updateRing()
 {
     std::vector<flow::RingMember> ring;
@@ -268,6 +298,11 @@
             beginShutdown();
     } else if (request.call == adapters::ControlCall::FindSpans) {
         reply.spans = adapters::readTrace({ m_settings.traceFile }, request.traceId);
+    } else if (request.call == adapters::ControlCall::HandOver) {
+        for (const auto& it : request.flows) {
+            if (m_balancer)
+                m_balancer->balancer().adoptFlow(it, m_loop.now());
+        }
     } else {
         if (m_controller)
             m_controller->handleRequest(sender, request);
--- a/src/ibisgwd/Daemon.h
+++ b/src/ibisgwd/Daemon.h
@@ -9,6 +9,7 @@
 #include "ibisgwd/ControlClient.h"
 #include "ibisgwd/ControllerRole.h"
 #include "ibisgwd/DaemonBackend.h"
+#include "ibisgwd/HandOverSender.h"
 #include "ibisgwd/PeerNetwork.h"
 
 namespace ibisgwd {
@@ -33,6 +34,9 @@
     void receive(ibisgw::core::NodeId sender, ibisgw::adapters::Channel, std::span<const std::byte> body);
     void tick();
     void updateRing();
+    void updatePartition();
+    void chargeStreams();
+    void tickBalancer();
     void publishFlowRecords();
     void beginShutdown();
     void handleControlMessage(ibisgw::core::NodeId sender, std::span<const std::byte> body);
@@ -47,10 +51,13 @@
     ibisgw::membership::MembershipNode m_membership;
     ControlClient m_client;
     std::unique_ptr<BalancerRole> m_balancer;
+    std::unique_ptr<HandOverSender> m_handOvers;
     std::unique_ptr<ControllerRole> m_controller;
     DaemonBackend m_backend;
     std::unique_ptr<ibisgw::adapters::AdminApi> m_api;
     std::vector<ibisgw::flow::RingMember> m_ring;
+    bool m_hasSeenController { false };
+    std::uint64_t m_chargedStreamBytes { 0 };
     std::optional<ibisgw::core::TimePoint> m_shutdownAt;
 };
 
--- a/tests/processes/test_system.py
+++ b/tests/processes/test_system.py
@@ -33,6 +33,13 @@
         # With fewer voters the loss of one controller leaves no majority.
         wait_for(lambda: all(self.is_voter(it) for it in CONTROLLERS), "all controllers as voters")
 
+    def describe_daemons(self):
+        """Status and last log lines of each daemon, for the report of a failed test."""
+        for name in BALANCERS + CONTROLLERS:
+            log = (self.system.folder / f"{name}.out").read_text().splitlines()[-5:]
+            exit_status = self.system.processes[name].poll()
+            print(name, exit_status, self.system.api(name, "/api/v1/status"), *log, sep="\n  ", file=sys.stderr)
+
     def submit_first(self):
         return self.submit(local_system.peachtree_document(), 0)[0] == 0
 
@@ -51,7 +58,11 @@
             answers = [self.system.api(it, "/api/v1/status") for it in daemons]
             return all(it and it["revision_in_force"] >= revision for it in answers)
 
-        wait_for(is_in_force, f"revision {revision} on {daemons}")
+        try:
+            wait_for(is_in_force, f"revision {revision} on {daemons}")
+        except AssertionError:
+            self.describe_daemons()
+            raise
 
     def is_voter(self, controller):
         return "ibisgw_raft_voter 1" in self.system.metrics(controller).splitlines()
