--- a/scripts/local_system.py
+++ b/scripts/local_system.py
@@ -66,6 +66,8 @@
         self.key_file.touch(mode=0o600)
         self.key_file.write_text(json.dumps({"signing_key": 1, "keys": {"1": secrets.token_hex(32)}}))
         self.fabric = None
+        # Spans of all flows would slow the demo; tests that read them raise the rate.
+        self.trace_sampling_rate = 0.01
 
     def start(self, name, program, *arguments):
         self.commands[name] = [str(self.binaries / program), *map(str, arguments)]
@@ -123,6 +125,8 @@
             "seeds": seeds,
             "controllers": [self.control_address(it) for it in controller_names],
             "key_file": str(self.key_file),
+            "trace_file": str(self.folder / f"{name}.trace"),
+            "trace_sampling_rate": self.trace_sampling_rate,
         }
         if is_balancer:
             settings["caller_side"] = settings["upstream_side"] = f"{self.host(name)}:0"
--- a/src/ibisgwd/BalancerRole.cpp
+++ b/src/ibisgwd/BalancerRole.cpp
@@ -36,19 +36,24 @@
 {
     BOOST_LEAF_AUTO(callerSide, adapters::UdpSocket::bind(settings.callerSide));
     BOOST_LEAF_AUTO(upstreamSide, adapters::UdpSocket::bind(settings.upstreamSide));
-    return std::unique_ptr<BalancerRole>(new BalancerRole(
-        settings, Sockets { callerSide, upstreamSide }, tokens, random, loop, network, std::move(announcementHandler)));
+    std::unique_ptr<adapters::TraceWriter> traceWriter;
+    if (!settings.traceFile.empty()) {
+        BOOST_LEAF_ASSIGN(traceWriter, adapters::TraceWriter::open(settings.traceFile, settings.traceSamplingRate));
+    }
+    return std::unique_ptr<BalancerRole>(new BalancerRole(settings, Sockets { callerSide, upstreamSide }, tokens,
+        random, loop, network, std::move(announcementHandler), std::move(traceWriter)));
 }
 
 BalancerRole::BalancerRole(const settings::DaemonSettings& settings, Sockets sockets,
     const flow::FlowTokenCodec& tokens, core::RandomSource& random, adapters::EventLoop& loop, PeerNetwork& network,
-    AnnouncementHandler announcementHandler)
+    AnnouncementHandler announcementHandler, std::unique_ptr<adapters::TraceWriter> traceWriter)
     : m_loop(loop)
     , m_network(network)
     , m_announcementHandler(std::move(announcementHandler))
     , m_fabrics(settings.fabrics)
     , m_sockets(sockets)
     , m_balancer(makeOptions(settings, network.self()), tokens, random)
+    , m_tracer(settings.name, std::move(traceWriter), random)
 {
 }
 
@@ -92,7 +97,7 @@
         return;
     }
     m_lastPacketAt = m_loop.now();
-    m_balancer.handleRelayedPacket(*packet, m_lastPacketAt, *this);
+    m_tracer.trace("balancer", *packet, [&] { m_balancer.handleRelayedPacket(*packet, m_lastPacketAt, *this); });
 }
 
 void BalancerRole::receiveFromCallers(std::span<const std::byte> datagram)
@@ -103,14 +108,14 @@
         return;
     }
     m_lastPacketAt = m_loop.now();
-    m_balancer.handleCallerPacket(*packet, m_lastPacketAt, *this);
+    m_tracer.trace("caller", *packet, [&] { m_balancer.handleCallerPacket(*packet, m_lastPacketAt, *this); });
 }
 
 void BalancerRole::receiveFromUpstreams(std::span<const std::byte> datagram)
 {
     if (const auto packet = adapters::decodePacket(datagram)) {
         m_lastPacketAt = m_loop.now();
-        m_balancer.handleUpstreamPacket(*packet, m_lastPacketAt, *this);
+        m_tracer.trace("upstream", *packet, [&] { m_balancer.handleUpstreamPacket(*packet, m_lastPacketAt, *this); });
     } else if (const auto announcement = adapters::decodeAnnouncement(datagram)) {
         m_balancer.handleAnnouncement(*announcement, m_loop.now());
         m_announcementHandler(*announcement);
@@ -121,22 +126,29 @@
 
 void BalancerRole::sendToUpstream(core::UpstreamId upstream, const packet::Packet& packet)
 {
-    if (adapters::encodePacket(packet, m_packetBuffer))
+    if (encode(packet))
         m_sockets.upstreamSide.send(m_packetBuffer, upstream.endpoint());
 }
 
 void BalancerRole::sendToCaller(const packet::Packet& packet)
 {
-    if (adapters::encodePacket(packet, m_packetBuffer))
+    if (encode(packet))
         m_sockets.callerSide.send(m_packetBuffer, packet.flow.caller);
 }
 
 void BalancerRole::sendToPeer(core::NodeId peer, const packet::Packet& packet)
 {
-    if (adapters::encodePacket(packet, m_packetBuffer))
+    if (encode(packet))
         m_network.sendDatagram(peer, adapters::Channel::Relay, m_packetBuffer);
 }
 
+bool BalancerRole::encode(const packet::Packet& packet)
+{
+    auto marked = packet;
+    m_tracer.mark(marked);
+    return adapters::encodePacket(marked, m_packetBuffer);
+}
+
 void BalancerRole::sendPresence(adapters::FrameKind kind)
 {
     const adapters::BalancerPresence presence {
--- a/src/ibisgwd/BalancerRole.h
+++ b/src/ibisgwd/BalancerRole.h
@@ -4,6 +4,7 @@
 #include "ibisgw/adapters/UdpSocket.h"
 #include "ibisgw/balancer/Balancer.h"
 #include "ibisgw/settings/DaemonSettings.h"
+#include "ibisgwd/HopTracer.h"
 
 #include <functional>
 
@@ -45,7 +46,8 @@
     };
 
     BalancerRole(const ibisgw::settings::DaemonSettings&, Sockets, const ibisgw::flow::FlowTokenCodec&,
-        ibisgw::core::RandomSource&, ibisgw::adapters::EventLoop&, PeerNetwork&, AnnouncementHandler);
+        ibisgw::core::RandomSource&, ibisgw::adapters::EventLoop&, PeerNetwork&, AnnouncementHandler,
+        std::unique_ptr<ibisgw::adapters::TraceWriter>);
 
     void sendToUpstream(ibisgw::core::UpstreamId, const ibisgw::packet::Packet&) override;
     void sendToCaller(const ibisgw::packet::Packet&) override;
@@ -53,6 +55,8 @@
 
     void receiveFromCallers(std::span<const std::byte>);
     void receiveFromUpstreams(std::span<const std::byte>);
+    // Encodes the packet with the trace of the packet that caused it; false when it is too large.
+    bool encode(const ibisgw::packet::Packet&);
     void sendPresence(ibisgw::adapters::FrameKind);
 
     ibisgw::adapters::EventLoop& m_loop;
@@ -61,6 +65,7 @@
     std::vector<ibisgw::core::Endpoint> m_fabrics;
     Sockets m_sockets;
     ibisgw::balancer::Balancer m_balancer;
+    HopTracer m_tracer;
     ibisgw::adapters::Datagram m_packetBuffer;
     ibisgw::core::TimePoint m_lastPacketAt;
     std::uint64_t m_malformedDatagrams { 0 };
--- /dev/null
+++ b/src/ibisgwd/HopTracer.cpp
@@ -0,0 +1,61 @@
+#include "ibisgwd/HopTracer.h"
+
+#include "ibisgw/adapters/TraceIds.h"
+
+#include <chrono>
+
+namespace ibisgwd {
+
+using namespace ibisgw;
+
+namespace {
+
+std::uint64_t wallClockMicroseconds()
+{
+    using namespace std::chrono;
+    return static_cast<std::uint64_t>(duration_cast<microseconds>(system_clock::now().time_since_epoch()).count());
+}
+
+} // namespace
+
+HopTracer::HopTracer(std::string daemon, std::unique_ptr<adapters::TraceWriter> writer, core::RandomSource& random)
+    : m_daemon(std::move(daemon))
+    , m_writer(std::move(writer))
+    , m_random(random)
+{
+}
+
+bool HopTracer::isSampled(const packet::Packet& packet) const
+{
+    return m_writer && m_writer->isSampled(packet.flow.hash());
+}
+
+void HopTracer::begin()
+{
+    m_span = m_random.next() | 1;
+    m_startUs = wallClockMicroseconds();
+}
+
+void HopTracer::end(std::string_view side, const packet::Packet& packet)
+{
+    adapters::Span span;
+    span.traceId = adapters::traceIdOfFlow(packet.flow.hash());
+    span.spanId = adapters::spanIdOf(m_span);
+    if (packet.trace.parentSpan != 0)
+        span.parentId = adapters::spanIdOf(packet.trace.parentSpan);
+    span.hop = m_daemon + "." + std::string(packet::nameOf(packet.type)) + "-from-" + std::string(side);
+    span.startUs = m_startUs;
+    span.durationUs = wallClockMicroseconds() - m_startUs;
+    m_writer->write(span);
+    m_span = 0;
+}
+
+void HopTracer::mark(packet::Packet& packet) const
+{
+    if (m_span == 0)
+        return;
+    packet.trace.traceLow = packet.flow.hash();
+    packet.trace.parentSpan = m_span;
+}
+
+} // namespace ibisgwd
--- a/tests/processes/test_system.py
+++ b/tests/processes/test_system.py
@@ -27,6 +27,7 @@
         self.system = LocalSystem(BINARIES)
         self.addCleanup(shutil.rmtree, self.system.folder)
         self.addCleanup(self.system.stop_all)
+        self.system.trace_sampling_rate = 1.0
         self.system.start_fabric()
         self.system.start_daemons(len(CONTROLLERS), len(BALANCERS))
         wait_for(self.submit_first, "the first revision")
@@ -150,6 +151,22 @@
         os.kill(self.system.processes["balancer-2"].pid, signal.SIGCONT)
         self.wait_in_force(2, BALANCERS)
 
+    # Guards against a request whose way through the balancers cannot be followed.
+    def test_trace_joins_the_hops_of_a_flow(self):
+        self.system.start_upstream("slotdesk-0", "slotdesk", ZONES[0])
+        wait_for(lambda: all(self.system.upstream_count(it) == 1 for it in BALANCERS), "the upstream")
+        self.system.start_callers("callers", "slotdesk", "--requests-per-second", 10, "--duration-ms", 500)
+        self.assertGreater(self.system.report("callers")["answered"], 0)
+        spans = [json.loads(it) for name in BALANCERS for it in self.trace_lines(name)]
+        trace = next(it["trace"] for it in spans if "request-from-caller" in it["hop"])
+        status, output = self.system.cli("balancer-0", "trace", trace, "--output", "json")
+        self.assertEqual(status, 0, output)
+        self.assertIn("request-from-caller", output)
+        self.assertIn("answer-from-upstream", output)
+
+    def trace_lines(self, daemon):
+        return (self.system.folder / f"{daemon}.trace").read_text().splitlines()
+
     # Guards against an upstream that keeps getting flows although an operator has drained it.
     def test_operator_drains_an_upstream(self):
         for n in range(2):
