Keep requests of operators from starving gossip, and bound redirects to the leader

The test polls the status; each poll asked a controller over a stream, and the stream bytes were charged to the control budget, which left gossip nothing. A second fault was seen on the way: without a leader, two controllers name each other, and the client followed them without a wait (516 KB in 2 s at one balancer). Change: only consensus bytes are charged; the leader shown by the status is asked at most once a second; only the first redirect is followed at once.

--- a/src/ibisgwd/ControlClient.cpp
+++ b/src/ibisgwd/ControlClient.cpp
@@ -17,8 +17,8 @@
 // Longer than an election and one more attempt.
 constexpr core::Duration overallTimeout = std::chrono::seconds(8);
 
-// Wait before a request is repeated that found no leader.
-constexpr core::Duration noLeaderDelay = std::chrono::milliseconds(200);
+// Wait before a request is repeated that found no leader or was redirected again.
+constexpr core::Duration redirectDelay = std::chrono::milliseconds(200);
 
 constexpr std::size_t maxPendingRequests = 256;
 
@@ -30,7 +30,7 @@
 {
 }
 
-void ControlClient::ask(ControlRequest request, core::TimePoint now, Completion completion)
+void ControlClient::ask(ControlRequest request, Attempts attempts, core::TimePoint now, Completion completion)
 {
     if (m_controllers.empty()) {
         completion(core::Error { core::ErrorKind::Unavailable, "no controllers are known; set controllers" });
@@ -39,24 +39,11 @@
     auto* pending = add(std::move(request), now, std::move(completion));
     if (!pending)
         return;
+    pending->attempts = attempts;
     pending->controllerIndex = static_cast<std::size_t>(pending->request.number) % m_controllers.size();
     send(*pending, m_leader.isValid() ? m_leader : m_controllers[pending->controllerIndex], now);
 }
 
-void ControlClient::askOnce(ControlRequest request, core::TimePoint now, Completion completion)
-{
-    if (m_controllers.empty()) {
-        completion(core::Error { core::ErrorKind::Unavailable, "no controllers are known; set controllers" });
-        return;
-    }
-    auto* pending = add(std::move(request), now, std::move(completion));
-    if (!pending)
-        return;
-    pending->attempts = Attempts::One;
-    const auto next = static_cast<std::size_t>(pending->request.number) % m_controllers.size();
-    send(*pending, m_controllers[next], now);
-}
-
 void ControlClient::askDaemon(core::NodeId daemon, ControlRequest request, core::TimePoint now, Completion completion)
 {
     auto* pending = add(std::move(request), now, std::move(completion));
@@ -102,12 +89,7 @@
         return;
     auto& pending = it->second;
     if (reply.outcome.kind == OutcomeKind::NotLeader) {
-        m_leader = reply.outcome.leader;
-        if (m_leader.isValid())
-            send(pending, m_leader, now);
-        else
-            // The next attempt of tick() comes after a short wait.
-            pending.sentAt = now - attemptTimeout + noLeaderDelay;
+        redirect(pending, reply.outcome.leader, now);
         return;
     }
     if (!pending.isForOneDaemon)
@@ -115,6 +97,19 @@
     complete(reply.number, reply);
 }
 
+void ControlClient::redirect(PendingRequest& pending, core::NodeId leader, core::TimePoint now)
+{
+    m_leader = leader;
+    if (leader.isValid() && !pending.wasRedirected) {
+        pending.wasRedirected = true;
+        send(pending, leader, now);
+        return;
+    }
+    // During an election the hints of two controllers can name each other. Following them at once sent
+    // 500 KB in two seconds, so further hints are followed by tick() after a wait.
+    pending.sentAt = now - attemptTimeout + redirectDelay;
+}
+
 void ControlClient::tick(core::TimePoint now)
 {
     std::vector<std::uint64_t> expired;
@@ -122,8 +117,11 @@
         const auto limit = pending.attempts == Attempts::One ? attemptTimeout : overallTimeout;
         if (now - pending.startedAt > limit) {
             expired.push_back(number);
+            // It may have been the leader that did not answer.
+            if (!pending.isForOneDaemon)
+                m_leader = {};
         } else if (pending.attempts == Attempts::Several && now - pending.sentAt > attemptTimeout) {
-            m_leader = {};
+            pending.wasRedirected = false;
             sendToNext(pending, now);
         }
     }
--- a/src/ibisgwd/ControlClient.h
+++ b/src/ibisgwd/ControlClient.h
@@ -21,12 +21,16 @@
     using Result = std::variant<ibisgw::adapters::ControlReply, ibisgw::core::Error>;
     using Completion = std::function<void(Result)>;
 
+    // A question whose answer is of use only at once is asked once.
+    enum class Attempts {
+        One,
+        Several,
+    };
+
     ControlClient(PeerNetwork&, std::vector<ibisgw::core::NodeId> controllers);
 
     // Asks the controllers, the leader first.
-    void ask(ibisgw::adapters::ControlRequest, ibisgw::core::TimePoint now, Completion);
-    // Asks one of the controllers, and gives up after one attempt.
-    void askOnce(ibisgw::adapters::ControlRequest, ibisgw::core::TimePoint now, Completion);
+    void ask(ibisgw::adapters::ControlRequest, Attempts, ibisgw::core::TimePoint now, Completion);
     // Asks one daemon, and gives up after one attempt.
     void askDaemon(ibisgw::core::NodeId, ibisgw::adapters::ControlRequest, ibisgw::core::TimePoint now, Completion);
     void handleReply(const ibisgw::adapters::ControlReply&, ibisgw::core::TimePoint now);
@@ -35,16 +39,14 @@
     ibisgw::core::NodeId lastKnownLeader() const { return m_leader; }
 
 private:
-    enum class Attempts {
-        One,
-        Several,
-    };
     struct PendingRequest {
         ibisgw::adapters::ControlRequest request;
         Completion completion;
         ibisgw::core::TimePoint startedAt;
         ibisgw::core::TimePoint sentAt;
         std::size_t controllerIndex { 0 };
+        // Since the last attempt that was not caused by a hint.
+        bool wasRedirected { false };
         Attempts attempts { Attempts::Several };
         // The daemon need not be a controller, so its reply says nothing about the leader.
         bool isForOneDaemon { false };
@@ -53,6 +55,7 @@
     PendingRequest* add(ibisgw::adapters::ControlRequest, ibisgw::core::TimePoint now, Completion);
     void send(PendingRequest&, ibisgw::core::NodeId target, ibisgw::core::TimePoint now);
     void sendToNext(PendingRequest&, ibisgw::core::TimePoint now);
+    void redirect(PendingRequest&, ibisgw::core::NodeId leader, ibisgw::core::TimePoint now);
     void complete(std::uint64_t number, Result);
 
     PeerNetwork& m_network;
--- a/src/ibisgwd/Daemon.cpp
+++ b/src/ibisgwd/Daemon.cpp
@@ -154,7 +154,7 @@
     m_client.tick(now);
     if (m_controller)
         m_controller->tick();
-    chargeStreams();
+    chargeConsensus();
     if (m_balancer)
         tickBalancer();
     if (!m_shutdownAt)
@@ -233,11 +233,13 @@
     m_balancer->balancer().setPartitioned(isCutOff, m_loop.now());
 }
 
-void Daemon::chargeStreams()
+// Requests that operators cause are not charged: polling the status took the whole budget from
+// gossip, so that members were suspected and documents did not arrive.
+void Daemon::chargeConsensus()
 {
-    const auto sent = m_network.streamBytesSent();
-    m_membership.noteSpent(static_cast<std::size_t>(sent - m_chargedStreamBytes), m_loop.now());
-    m_chargedStreamBytes = sent;
+    const auto sent = m_network.consensusBytesSent();
+    m_membership.noteSpent(static_cast<std::size_t>(sent - m_chargedConsensusBytes), m_loop.now());
+    m_chargedConsensusBytes = sent;
 }
 
 void Daemon::updateRing()
--- a/src/ibisgwd/Daemon.h
+++ b/src/ibisgwd/Daemon.h
@@ -35,7 +35,7 @@
     void tick();
     void updateRing();
     void updatePartition();
-    void chargeStreams();
+    void chargeConsensus();
     void tickBalancer();
     void publishFlowRecords();
     void beginShutdown();
@@ -57,7 +57,7 @@
     std::unique_ptr<ibisgw::adapters::AdminApi> m_api;
     std::vector<ibisgw::flow::RingMember> m_ring;
     bool m_hasSeenController { false };
-    std::uint64_t m_chargedStreamBytes { 0 };
+    std::uint64_t m_chargedConsensusBytes { 0 };
     std::optional<ibisgw::core::TimePoint> m_shutdownAt;
 };
 
--- a/src/ibisgwd/DaemonBackend.cpp
+++ b/src/ibisgwd/DaemonBackend.cpp
@@ -28,6 +28,9 @@
 // A traced packet passes few daemons; the reply must not exceed a stream message.
 constexpr std::size_t maxSpansOfTrace = 4096;
 
+// Polling the status of a daemon must not become load on the controllers.
+constexpr core::Duration leaderCacheTime = std::chrono::seconds(1);
+
 adapters::SubmissionAnswer toAnswer(const configuration::SubmissionOutcome& outcome)
 {
     adapters::SubmissionAnswer answer;
@@ -81,14 +84,15 @@
 
 void DaemonBackend::askForOutcome(ControlRequest request, Completion<adapters::SubmissionAnswer> completion)
 {
-    m_parts.client.ask(std::move(request), m_parts.loop.now(), [completion = std::move(completion)](auto result) {
-        if (const auto* reply = std::get_if<ControlReply>(&result))
-            completion(toAnswer(reply->outcome));
-        else
-            // The submission may have been accepted, so this is not a failure.
-            completion(adapters::SubmissionAnswer {
-                adapters::SubmissionOutcome::Unknown, 0, { { "", std::get<core::Error>(result).message } } });
-    });
+    m_parts.client.ask(std::move(request), ControlClient::Attempts::Several, m_parts.loop.now(),
+        [completion = std::move(completion)](auto result) {
+            if (const auto* reply = std::get_if<ControlReply>(&result))
+                completion(toAnswer(reply->outcome));
+            else
+                // The submission may have been accepted, so this is not a failure.
+                completion(adapters::SubmissionAnswer {
+                    adapters::SubmissionOutcome::Unknown, 0, { { "", std::get<core::Error>(result).message } } });
+        });
 }
 
 void DaemonBackend::submit(const adapters::ApiSubmission& submission, Completion<adapters::SubmissionAnswer> completion)
@@ -117,8 +121,8 @@
     ControlRequest request;
     request.call = ControlCall::FindRevision;
     request.revision = revision;
-    m_parts.client.ask(
-        std::move(request), m_parts.loop.now(), [revision, completion = std::move(completion)](auto result) {
+    m_parts.client.ask(std::move(request), ControlClient::Attempts::Several, m_parts.loop.now(),
+        [revision, completion = std::move(completion)](auto result) {
             auto* reply = std::get_if<ControlReply>(&result);
             if (!reply)
                 completion(std::get<core::Error>(result));
@@ -135,17 +139,18 @@
     ControlRequest request;
     request.call = ControlCall::ListRevisions;
     request.limit = limit;
-    m_parts.client.ask(std::move(request), m_parts.loop.now(), [completion = std::move(completion)](auto result) {
-        const auto* reply = std::get_if<ControlReply>(&result);
-        if (!reply) {
-            completion(std::get<core::Error>(result));
-            return;
-        }
-        std::vector<adapters::HistoryEntry> entries;
-        for (const auto& it : reply->revisions)
-            entries.push_back({ it.revision, it.author, it.submission, it.hash });
-        completion(std::move(entries));
-    });
+    m_parts.client.ask(std::move(request), ControlClient::Attempts::Several, m_parts.loop.now(),
+        [completion = std::move(completion)](auto result) {
+            const auto* reply = std::get_if<ControlReply>(&result);
+            if (!reply) {
+                completion(std::get<core::Error>(result));
+                return;
+            }
+            std::vector<adapters::HistoryEntry> entries;
+            for (const auto& it : reply->revisions)
+                entries.push_back({ it.revision, it.author, it.submission, it.hash });
+            completion(std::move(entries));
+        });
 }
 
 void DaemonBackend::status(Completion<adapters::SystemStatus> completion)
@@ -154,17 +159,21 @@
         completion(describeSystem(m_parts.controller->status().leader));
         return;
     }
+    const auto now = m_parts.loop.now();
+    if (m_leaderAskedAt && now - *m_leaderAskedAt < leaderCacheTime) {
+        completion(describeSystem(m_leader));
+        return;
+    }
     // The answer tells the leader; without one the status is that of this daemon's view.
     ControlRequest request;
     request.call = ControlCall::ListRevisions;
     request.limit = 1;
-    m_parts.client.askOnce(
-        std::move(request), m_parts.loop.now(), [this, completion = std::move(completion)](auto result) {
+    m_parts.client.ask(std::move(request), ControlClient::Attempts::One, now,
+        [this, now, completion = std::move(completion)](const auto& result) {
             const auto* reply = std::get_if<ControlReply>(&result);
-            auto status = describeSystem(reply ? reply->outcome.leader : core::NodeId {});
-            if (reply && !reply->revisions.empty())
-                status.newestRevision = std::max(status.newestRevision, reply->revisions.front().revision);
-            completion(std::move(status));
+            m_leader = reply ? reply->outcome.leader : core::NodeId {};
+            m_leaderAskedAt = now;
+            completion(describeSystem(m_leader));
         });
 }
 
@@ -266,17 +275,18 @@
     request.call = ControlCall::Submit;
     request.submission = { "drain-" + upstream.toString() + "-" + std::to_string(inForce.revision), "ibisgw drain",
         inForce.revision, configuration::canonicalText(document) };
-    m_parts.client.ask(std::move(request), m_parts.loop.now(), [completion = std::move(completion)](auto result) {
-        const auto* reply = std::get_if<ControlReply>(&result);
-        if (!reply)
-            completion(std::get<core::Error>(result));
-        else if (reply->outcome.kind == OutcomeKind::Accepted)
-            completion(std::monostate {});
-        else if (reply->outcome.kind == OutcomeKind::Conflict)
-            completion(core::Error { core::ErrorKind::Conflict, "another change was accepted first; drain again" });
-        else
-            completion(core::Error { core::ErrorKind::Unavailable, "the drain is not decided yet; drain again" });
-    });
+    m_parts.client.ask(std::move(request), ControlClient::Attempts::Several, m_parts.loop.now(),
+        [completion = std::move(completion)](auto result) {
+            const auto* reply = std::get_if<ControlReply>(&result);
+            if (!reply)
+                completion(std::get<core::Error>(result));
+            else if (reply->outcome.kind == OutcomeKind::Accepted)
+                completion(std::monostate {});
+            else if (reply->outcome.kind == OutcomeKind::Conflict)
+                completion(core::Error { core::ErrorKind::Conflict, "another change was accepted first; drain again" });
+            else
+                completion(core::Error { core::ErrorKind::Unavailable, "the drain is not decided yet; drain again" });
+        });
 }
 
 void DaemonBackend::drainBalancer(const std::string& name, Completion<std::monostate> completion)
--- a/src/ibisgwd/DaemonBackend.h
+++ b/src/ibisgwd/DaemonBackend.h
@@ -2,8 +2,10 @@
 
 #include "ibisgw/adapters/ApiBackend.h"
 #include "ibisgw/adapters/ControlRpc.h"
+#include "ibisgw/core/Time.h"
 
 #include <memory>
+#include <optional>
 
 namespace ibisgw::adapters {
 class EventLoop;
@@ -61,6 +63,9 @@
         ibisgw::adapters::ControlRequest, ibisgw::adapters::Completion<ibisgw::adapters::SubmissionAnswer>);
 
     DaemonParts m_parts;
+    // Leader as a controller told it last.
+    ibisgw::core::NodeId m_leader;
+    std::optional<ibisgw::core::TimePoint> m_leaderAskedAt;
 };
 
 } // namespace ibisgwd
--- a/src/ibisgwd/PeerNetwork.cpp
+++ b/src/ibisgwd/PeerNetwork.cpp
@@ -11,6 +11,9 @@
 
 namespace {
 
+// Envelope with its tag, WebSocket frame, and TCP and IP headers of a short message.
+constexpr std::size_t streamOverheadBytes = 140;
+
 bool belongsOnDatagrams(Channel channel)
 {
     return channel == Channel::Relay || channel == Channel::Gossip;
@@ -57,6 +60,8 @@
 
 void PeerNetwork::sendStream(core::NodeId peer, Channel channel, std::span<const std::byte> body)
 {
+    if (channel == Channel::Consensus)
+        m_consensusBytesSent += body.size() + streamOverheadBytes;
     m_transport.send(peer, channel, body, m_loop.now());
 }
 
--- a/src/ibisgwd/PeerNetwork.h
+++ b/src/ibisgwd/PeerNetwork.h
@@ -34,6 +34,8 @@
     const ibisgw::adapters::AuthenticationCounters& datagramCounters() const { return m_datagrams.counters(); }
     const ibisgw::adapters::AuthenticationCounters& streamCounters() const { return m_streams.counters(); }
     std::uint64_t streamBytesSent() const { return m_transport.bytesSent(); }
+    // Bytes of consensus messages, without those of requests that operators cause.
+    std::uint64_t consensusBytesSent() const { return m_consensusBytesSent; }
 
 private:
     void receiveDatagram(std::span<const std::byte>);
@@ -46,6 +48,7 @@
     ibisgw::adapters::MessageAuthenticator m_streams;
     Receiver m_receiver;
     ibisgw::adapters::StreamTransport m_transport;
+    std::uint64_t m_consensusBytesSent { 0 };
     std::vector<std::byte> m_gossipBuffer;
     std::vector<std::byte> m_messageBuffer;
 };
--- a/tests/processes/test_system.py
+++ b/tests/processes/test_system.py
@@ -20,6 +20,8 @@
 BALANCERS = ["balancer-0", "balancer-1", "balancer-2"]
 CONTROLLERS = ["controller-0", "controller-1", "controller-2"]
 EXIT_CONFLICT = 3
+# A submission of about 1,200 bytes is tried for 8 s, at most every 200 ms.
+MAX_SUBMISSION_BYTES = 65536
 
 
 class SystemTest(unittest.TestCase):
@@ -78,8 +80,14 @@
         self.system.kill(leader)
         status, output = self.submit(self.changed_document(3100), 2, daemon="balancer-1")
         self.assertEqual(status, 0, output)
+        # Controllers without a leader name each other; following them without a wait sent 500 KB.
+        self.assertLess(self.stream_bytes("balancer-1"), MAX_SUBMISSION_BYTES)
         self.wait_in_force(3, BALANCERS)
 
+    def stream_bytes(self, daemon):
+        lines = self.system.metrics(daemon).splitlines()
+        return int(next(it.split()[1] for it in lines if it.startswith("ibisgw_stream_bytes_sent_total ")))
+
     # Guards against a restarted system that does not know what is in force.
     def test_all_daemons_know_the_revision_after_a_restart(self):
         self.assertEqual(self.submit(self.changed_document(3000), 1)[0], 0)
