Take packets only once the document and the flow records are there

A balancer announced itself to the fabric at its start, before it held a document, and acted as a home before it held the records of its group. Change: heartbeats start, and the ring is set, when membership reports the daemon as synchronized and a revision is in force; both end while a paused daemon rejoins.

--- a/src/ibisgwd/BalancerRole.cpp
+++ b/src/ibisgwd/BalancerRole.cpp
@@ -64,7 +64,7 @@
     m_sockets.callerSide.receive(m_loop, [this](auto datagram, auto) { receiveFromCallers(datagram); });
     m_sockets.upstreamSide.receive(m_loop, [this](auto datagram, auto) { receiveFromUpstreams(datagram); });
     m_loop.addPeriodic(presencePeriod, [this] {
-        if (!m_isWithdrawn)
+        if (m_isReady && !m_isWithdrawn)
             sendPresence(adapters::FrameKind::Heartbeat);
     });
     adapters::log(adapters::LogLevel::Info, "balancer started",
@@ -72,6 +72,14 @@
             { "upstream_side", m_sockets.upstreamSide.localEndpoint().toString() } });
 }
 
+void BalancerRole::setReady(bool isReady)
+{
+    if (m_isReady == isReady || m_isWithdrawn)
+        return;
+    m_isReady = isReady;
+    sendPresence(isReady ? adapters::FrameKind::Heartbeat : adapters::FrameKind::Withdrawal);
+}
+
 void BalancerRole::withdraw()
 {
     m_isWithdrawn = true;
--- a/src/ibisgwd/BalancerRole.h
+++ b/src/ibisgwd/BalancerRole.h
@@ -28,6 +28,9 @@
     ~BalancerRole() override;
 
     void start();
+    // Whether the fabric may send packets here: false until this balancer knows the document in force and
+    // the flow records of its group.
+    void setReady(bool);
     // Withdraws from the fabric; packets that still arrive are handled as before.
     void withdraw();
     // True once no packet has arrived for a while after the withdrawal.
@@ -69,6 +72,7 @@
     ibisgw::adapters::Datagram m_packetBuffer;
     ibisgw::core::TimePoint m_lastPacketAt;
     std::uint64_t m_malformedDatagrams { 0 };
+    bool m_isReady { false };
     bool m_isWithdrawn { false };
 };
 
--- a/src/ibisgwd/Daemon.cpp
+++ b/src/ibisgwd/Daemon.cpp
@@ -215,6 +215,7 @@
     const auto now = m_loop.now();
     updateRing();
     updatePartition();
+    m_balancer->setReady(m_membership.self().isSynchronized && m_membership.revisionInForce().revision > 0);
     m_balancer->tick();
     m_handOvers->tick(now);
     publishFlowRecords();
@@ -244,8 +245,11 @@
 
 void Daemon::updateRing()
 {
-    std::vector<flow::RingMember> ring;
     const auto& self = m_membership.self();
+    // A balancer that does not hold the records of its group yet must not act as a home.
+    if (!self.isSynchronized && !m_shutdownAt)
+        return;
+    std::vector<flow::RingMember> ring;
     ring.push_back({ self.id, self.zone, m_shutdownAt.has_value() });
     for (const auto& [id, record] : m_membership.members().records()) {
         const auto& member = record.member;
