--- a/standins/callers/CallerPool.cpp
+++ b/standins/callers/CallerPool.cpp
@@ -87,7 +87,7 @@
 void CallerPool::driveStream(CallerFlow& flow, core::TimePoint now)
 {
     if (now - flow.lastHeard > streamTimeout) {
-        flow.broken = true;
+        breakFlow(flow, flow.phase == Phase::Opening ? "never opened" : "no answer");
         flow.phase = Phase::Ended;
         return;
     }
@@ -121,17 +121,23 @@
         flow.phase = flow.isStream ? Phase::Established : Phase::Requesting;
         send(flow, flow.isStream ? PacketType::Data : PacketType::Request);
     } else if (packet.type == PacketType::Data && sender != flow.upstream) {
-        flow.broken = true;
+        breakFlow(flow, "answered by another upstream");
     } else if (packet.type == PacketType::Answer && packet.request == onlyRequest) {
         endRequest(flow, Outcome::Answered);
     } else if (packet.type == PacketType::Refusal && !flow.isStream && refersToPhase(flow, packet)) {
         endRequest(flow, packet.refusal == RefusalKind::NotRun ? Outcome::NotRun : Outcome::Unknown);
     } else if (packet.type == PacketType::Reset) {
-        flow.broken = true;
+        breakFlow(flow, "reset");
         endRequest(flow, Outcome::Unknown);
     }
 }
 
+void CallerPool::breakFlow(CallerFlow& flow, const char* reason)
+{
+    flow.broken = true;
+    flow.breakReason = reason;
+}
+
 void CallerPool::endRequest(CallerFlow& flow, Outcome outcome)
 {
     flow.outcome = outcome;
@@ -167,6 +173,7 @@
 {
     std::uint64_t answered = 0, notRun = 0, unknown = 0, broken = 0, requests = 0, streams = 0;
     std::map<std::string, std::uint64_t> flowsByUpstream;
+    std::map<std::string, std::uint64_t> breakReasons;
     auto notRunCallers = nlohmann::json::array();
     for (const auto& [key, flow] : m_flows) {
         if (!flow.upstream.empty())
@@ -174,6 +181,8 @@
         if (flow.isStream) {
             ++streams;
             broken += flow.broken || flow.phase != Phase::Established;
+            if (flow.broken)
+                ++breakReasons[flow.breakReason];
             continue;
         }
         ++requests;
@@ -186,7 +195,8 @@
     }
     return { { "requests", requests }, { "answered", answered }, { "not_run", notRun }, { "outcome_unknown", unknown },
         { "streams", streams }, { "broken_streams", broken }, { "unexpected_replies", m_unexpectedReplies },
-        { "flows_by_upstream", flowsByUpstream }, { "not_run_callers", notRunCallers } };
+        { "break_reasons", breakReasons }, { "flows_by_upstream", flowsByUpstream },
+        { "not_run_callers", notRunCallers } };
 }
 
 } // namespace standins
--- a/standins/callers/CallerPool.h
+++ b/standins/callers/CallerPool.h
@@ -54,6 +54,8 @@
         Phase phase { Phase::Opening };
         Outcome outcome { Outcome::Pending };
         bool broken { false };
+        // Why the flow counts as broken; for the report.
+        std::string breakReason;
         std::string upstream;
         ibisgw::packet::FlowToken token;
         ibisgw::core::TimePoint startedAt;
@@ -69,6 +71,7 @@
     void driveStream(CallerFlow&, ibisgw::core::TimePoint now);
     void send(CallerFlow&, ibisgw::packet::PacketType);
     void endRequest(CallerFlow&, Outcome);
+    static void breakFlow(CallerFlow&, const char* reason);
     static bool refersToPhase(const CallerFlow&, const ibisgw::packet::Packet& refusal);
 
     CallerPoolOptions m_options;
