--- a/tests/support/TemporaryFile.h
+++ b/tests/support/TemporaryFile.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdlib>
+#include <filesystem>
 #include <fstream>
 #include <string>
 #include <sys/stat.h>
@@ -25,7 +26,7 @@
     const std::string& path() const { return m_path; }
 
 private:
-    std::string m_path { "/tmp/ibisgw-test-XXXXXX" };
+    std::string m_path { (std::filesystem::temp_directory_path() / "ibisgw-test-XXXXXX").string() };
 };
 
 } // namespace support
