Read the wall clock in one place; copy only sampled packets

Cause: read-through of the change. The same conversion of the wall clock stood in Daemon, HopTracer, BalancerRole and the upstream stand-in, and tracing copied every packet that a balancer sends, also without a trace file. Change: adapters::wallClockMicroseconds(); a packet is copied only inside a span. Behaviour is the same.

--- a/src/ibisgwd/BalancerRole.cpp
+++ b/src/ibisgwd/BalancerRole.cpp
@@ -2,6 +2,7 @@
 
 #include "ibisgw/adapters/EventLoop.h"
 #include "ibisgw/adapters/Log.h"
+#include "ibisgw/adapters/WallClock.h"
 #include "ibisgwd/PeerNetwork.h"
 
 namespace ibisgwd {
@@ -18,13 +19,11 @@
 
 balancer::BalancerOptions makeOptions(const settings::DaemonSettings& settings, core::NodeId self)
 {
-    using namespace std::chrono;
     balancer::BalancerOptions options;
     options.self = self;
     options.zone = settings.zone;
     options.flowCapacity = settings.flowCapacity;
-    options.firstRecordSequence
-        = static_cast<std::uint64_t>(duration_cast<microseconds>(system_clock::now().time_since_epoch()).count());
+    options.firstRecordSequence = adapters::wallClockMicroseconds();
     return options;
 }
 
@@ -152,6 +151,9 @@
 
 bool BalancerRole::encode(const packet::Packet& packet)
 {
+    // Packets of flows that are not sampled are not copied.
+    if (!m_tracer.isInSpan())
+        return adapters::encodePacket(packet, m_packetBuffer);
     auto marked = packet;
     m_tracer.mark(marked);
     return adapters::encodePacket(marked, m_packetBuffer);
--- a/src/ibisgwd/Daemon.cpp
+++ b/src/ibisgwd/Daemon.cpp
@@ -5,6 +5,7 @@
 #include "ibisgw/adapters/KeyFile.h"
 #include "ibisgw/adapters/Log.h"
 #include "ibisgw/adapters/TraceReader.h"
+#include "ibisgw/adapters/WallClock.h"
 #include "ibisgw/configuration/DocumentReader.h"
 #include "ibisgw/membership/GossipMessage.h"
 
@@ -31,12 +32,6 @@
 // How long a leaving daemon goes on gossiping, so that its peers learn of it.
 constexpr core::Duration leaveGossipTime = std::chrono::seconds(1);
 
-std::uint64_t wallClockMicroseconds()
-{
-    using namespace std::chrono;
-    return static_cast<std::uint64_t>(duration_cast<microseconds>(system_clock::now().time_since_epoch()).count());
-}
-
 // Differs between daemons and starts: controllers draw the identity of their disk from this source.
 std::uint64_t randomSeed()
 {
@@ -64,7 +59,7 @@
     result.self.group = settings.group;
     result.self.roles = static_cast<std::uint8_t>(
         (settings.balancer ? membership::balancerRole : 0) | (settings.controller ? membership::controllerRole : 0));
-    result.self.incarnation = wallClockMicroseconds() / 1000;
+    result.self.incarnation = adapters::wallClockMicroseconds() / 1000;
     for (const auto& it : settings.seeds) {
         if (core::NodeId::fromEndpoint(it) != self)
             result.seeds.push_back(core::NodeId::fromEndpoint(it));
@@ -98,7 +93,7 @@
 Daemon::Daemon(settings::DaemonSettings settings, adapters::UdpSocket control, const adapters::KeyRing& keys)
     : m_settings(std::move(settings))
     , m_random(randomSeed())
-    , m_network(m_loop, control, keys, wallClockMicroseconds(),
+    , m_network(m_loop, control, keys, adapters::wallClockMicroseconds(),
           [this](auto sender, auto channel, auto body) { receive(sender, channel, body); })
     , m_membership(makeMembershipSettings(m_settings, m_network.self()), m_random, *this)
     , m_client(m_network, toNodes(m_settings.controllers))
--- a/src/ibisgwd/HopTracer.cpp
+++ b/src/ibisgwd/HopTracer.cpp
@@ -1,23 +1,12 @@
 #include "ibisgwd/HopTracer.h"
 
 #include "ibisgw/adapters/TraceIds.h"
-
-#include <chrono>
+#include "ibisgw/adapters/WallClock.h"
 
 namespace ibisgwd {
 
 using namespace ibisgw;
 
-namespace {
-
-std::uint64_t wallClockMicroseconds()
-{
-    using namespace std::chrono;
-    return static_cast<std::uint64_t>(duration_cast<microseconds>(system_clock::now().time_since_epoch()).count());
-}
-
-} // namespace
-
 HopTracer::HopTracer(std::string daemon, std::unique_ptr<adapters::TraceWriter> writer, core::RandomSource& random)
     : m_daemon(std::move(daemon))
     , m_writer(std::move(writer))
@@ -33,7 +22,7 @@
 void HopTracer::begin()
 {
     m_span = m_random.next() | 1;
-    m_startUs = wallClockMicroseconds();
+    m_startUs = adapters::wallClockMicroseconds();
 }
 
 void HopTracer::end(std::string_view side, const packet::Packet& packet)
@@ -45,15 +34,13 @@
         span.parentId = adapters::spanIdOf(packet.trace.parentSpan);
     span.hop = m_daemon + "." + std::string(packet::nameOf(packet.type)) + "-from-" + std::string(side);
     span.startUs = m_startUs;
-    span.durationUs = wallClockMicroseconds() - m_startUs;
+    span.durationUs = adapters::wallClockMicroseconds() - m_startUs;
     m_writer->write(span);
     m_span = 0;
 }
 
 void HopTracer::mark(packet::Packet& packet) const
 {
-    if (m_span == 0)
-        return;
     packet.trace.traceLow = packet.flow.hash();
     packet.trace.parentSpan = m_span;
 }
--- a/src/ibisgwd/HopTracer.h
+++ b/src/ibisgwd/HopTracer.h
@@ -29,6 +29,8 @@
         end(side, packet);
     }
 
+    // True while a packet of a sampled flow is handled.
+    bool isInSpan() const { return m_span != 0; }
     // Marks a packet that is sent inside a span.
     void mark(ibisgw::packet::Packet&) const;
 
--- a/standins/upstream/UpstreamHost.cpp
+++ b/standins/upstream/UpstreamHost.cpp
@@ -1,5 +1,7 @@
 #include "upstream/UpstreamHost.h"
 
+#include "ibisgw/adapters/WallClock.h"
+
 #include <algorithm>
 #include <csignal>
 
@@ -24,19 +26,13 @@
     drainSignal = 1;
 }
 
-std::uint64_t wallClockMicroseconds()
-{
-    using namespace std::chrono;
-    return static_cast<std::uint64_t>(duration_cast<microseconds>(system_clock::now().time_since_epoch()).count());
-}
-
 } // namespace
 
 UpstreamHost::UpstreamHost(UpstreamHostOptions options, adapters::UdpSocket socket)
     : m_options(std::move(options))
     , m_socket(socket)
     , m_id(core::UpstreamId::fromEndpoint(socket.localEndpoint()))
-    , m_incarnation(wallClockMicroseconds())
+    , m_incarnation(adapters::wallClockMicroseconds())
     , m_name(socket.localEndpoint().toString())
     , m_startedAt(m_loop.now())
     , m_journal(m_options.journalFile, std::ios::app)
