--- a/src/ibisgw/adapters/EventLoop.cpp
+++ b/src/ibisgw/adapters/EventLoop.cpp
@@ -13,6 +13,13 @@
 
 volatile std::sig_atomic_t terminationSignal = 0;
 
+volatile std::sig_atomic_t reloadRequested = 0;
+
+void recordReload(int)
+{
+    reloadRequested = 1;
+}
+
 void recordSignal(int number)
 {
     terminationSignal = number;
@@ -111,4 +118,16 @@
     std::signal(SIGPIPE, SIG_IGN);
 }
 
+bool takeReloadRequest()
+{
+    static const bool isInstalled = [] {
+        struct sigaction action { };
+        action.sa_handler = recordReload;
+        return sigaction(SIGHUP, &action, nullptr) == 0;
+    }();
+    const bool isRequested = isInstalled && reloadRequested != 0;
+    reloadRequested = 0;
+    return isRequested;
+}
+
 } // namespace ibisgw::adapters
--- a/src/ibisgw/adapters/EventLoop.h
+++ b/src/ibisgw/adapters/EventLoop.h
@@ -53,4 +53,7 @@
 // Installs handlers for SIGTERM and SIGINT that only record the signal.
 void installTerminationSignals();
 
+// Whether SIGHUP asked for new settings since the last call. Installs the handler at the first call.
+bool takeReloadRequest();
+
 } // namespace ibisgw::adapters
--- a/src/ibisgw/adapters/HttpServer.cpp
+++ b/src/ibisgw/adapters/HttpServer.cpp
@@ -56,6 +56,8 @@
 {
     if (status < 300)
         return "OK";
+    if (status < 400)
+        return "Redirect";
     return status < 500 ? "Request Refused" : "Server Error";
 }
 
@@ -134,6 +136,11 @@
         const auto type = h2o_strdup(&target->pool, response.contentType.data(), response.contentType.size());
         h2o_add_header(&target->pool, &target->res.headers, H2O_TOKEN_CONTENT_TYPE, nullptr, type.base, type.len);
         h2o_add_header(&target->pool, &target->res.headers, H2O_TOKEN_CACHE_CONTROL, nullptr, H2O_STRLIT("no-store"));
+        if (!response.location.empty()) {
+            const auto location = h2o_strdup(&target->pool, response.location.data(), response.location.size());
+            h2o_add_header(
+                &target->pool, &target->res.headers, H2O_TOKEN_LOCATION, nullptr, location.base, location.len);
+        }
         addHeader(*target, "content-security-policy", contentSecurityPolicy);
         addHeader(*target, "x-content-type-options", "nosniff");
         h2o_send_inline(target, response.body.data(), response.body.size());
@@ -144,7 +151,8 @@
         auto* pending = reinterpret_cast<PendingAnswer*>(entry);
         pending->send({ 504, "application/json",
             R"({"error":"unavailable","message":"no answer from the daemon in time; the outcome is unknown, ask again",)"
-            R"("problems":[]})" });
+            R"("problems":[]})",
+            {} });
     }
 };
 
--- a/src/ibisgw/adapters/HttpServer.h
+++ b/src/ibisgw/adapters/HttpServer.h
@@ -28,6 +28,8 @@
     int status { 200 };
     std::string contentType { "application/json" };
     std::string body;
+    // Target of a redirect; no header when empty.
+    std::string location;
 };
 
 struct HttpLimits {
--- /dev/null
+++ b/src/ibisgw/adapters/PeerDatagrams.cpp
@@ -0,0 +1,113 @@
+#include "ibisgw/adapters/PeerDatagrams.h"
+
+#include "ibisgw/adapters/EventLoop.h"
+#include "ibisgw/adapters/detail/CborReader.h"
+#include "ibisgw/adapters/detail/CborWriter.h"
+
+#include <algorithm>
+#include <numeric>
+
+namespace ibisgw::adapters {
+
+namespace {
+
+constexpr std::uint64_t peerProtocolVersion = 1;
+
+// Fits into one Ethernet frame with the headers of IP, UDP and a fragment.
+constexpr std::size_t maxFragmentBytes = 1300;
+constexpr std::size_t maxHeaderBytes = 40;
+
+// The rest of a message follows its first fragment within this time or not at all.
+constexpr core::Duration reassemblyTimeout = std::chrono::seconds(1);
+constexpr std::size_t maxPartials = 64;
+
+} // namespace
+
+PeerDatagrams::PeerDatagrams(EventLoop& loop, UdpSocket socket, std::uint32_t firstNumber, Receiver receiver)
+    : m_loop(loop)
+    , m_socket(socket)
+    , m_nextNumber(firstNumber)
+    , m_receiver(std::move(receiver))
+{
+}
+
+void PeerDatagrams::start()
+{
+    m_socket.receive(m_loop, [this](auto datagram, auto sender) { receive(datagram, sender, m_loop.now()); });
+}
+
+void PeerDatagrams::send(core::NodeId peer, PeerChannel channel, std::string_view body)
+{
+    if (body.size() > maxMessageBytes)
+        return;
+    const auto number = m_nextNumber++;
+    const auto count = std::max<std::size_t>(1, (body.size() + maxFragmentBytes - 1) / maxFragmentBytes);
+    ++m_counters.messagesSent;
+    for (std::size_t n = 0; n < count; ++n) {
+        const auto fragment = body.substr(n * maxFragmentBytes, maxFragmentBytes);
+        detail::CborWriter writer(m_buffer, maxHeaderBytes + maxFragmentBytes);
+        writer.arrayOf(6);
+        writer.number(peerProtocolVersion);
+        writer.number(static_cast<std::uint64_t>(channel));
+        writer.number(number);
+        writer.number(n);
+        writer.number(count);
+        writer.bytes(std::as_bytes(std::span(fragment)));
+        if (!writer.finish())
+            return;
+        m_counters.bytesSent += m_buffer.size();
+        m_socket.send(m_buffer, peer.endpoint());
+    }
+}
+
+void PeerDatagrams::receive(std::span<const std::byte> datagram, core::Endpoint sender, core::TimePoint now)
+{
+    constexpr std::size_t maxFragments = maxMessageBytes / maxFragmentBytes + 1;
+    detail::CborReader reader(datagram);
+    const bool isCurrent = reader.arrayStart() == 6 && reader.number() == peerProtocolVersion;
+    const auto channel = static_cast<PeerChannel>(reader.number(2));
+    const auto number = static_cast<std::uint32_t>(reader.number(0xffff'ffff));
+    const auto index = reader.number(maxFragments);
+    const auto count = reader.number(maxFragments);
+    const auto data = reader.bytes();
+    if (!isCurrent || !reader.finished() || index >= count || static_cast<int>(channel) == 0) {
+        ++m_counters.malformed;
+        return;
+    }
+    const std::string_view text(reinterpret_cast<const char*>(data.data()), data.size());
+    const auto node = core::NodeId::fromEndpoint(sender);
+    if (count == 1) {
+        ++m_counters.messagesReceived;
+        m_receiver(node, channel, text);
+        return;
+    }
+    auto& partial = m_partials[{ sender, number }];
+    if (partial.fragments.size() != count)
+        partial = { number, std::vector<std::string>(count), count, now };
+    auto& slot = partial.fragments[index];
+    if (!slot.empty())
+        return;
+    slot = text;
+    if (--partial.missing > 0) {
+        dropOldPartials(now);
+        return;
+    }
+    const auto body = std::accumulate(partial.fragments.begin(), partial.fragments.end(), std::string());
+    m_partials.erase({ sender, number });
+    ++m_counters.messagesReceived;
+    m_receiver(node, channel, body);
+}
+
+void PeerDatagrams::dropOldPartials(core::TimePoint now)
+{
+    m_counters.incomplete
+        += std::erase_if(m_partials, [now](const auto& it) { return now - it.second.startedAt > reassemblyTimeout; });
+    while (m_partials.size() > maxPartials) {
+        const auto oldest
+            = std::ranges::min_element(m_partials, {}, [](const auto& it) { return it.second.startedAt; });
+        m_partials.erase(oldest);
+        ++m_counters.incomplete;
+    }
+}
+
+} // namespace ibisgw::adapters
--- a/src/ibisgw/adapters/RaftCodec.cpp
+++ b/src/ibisgw/adapters/RaftCodec.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-constexpr std::uint64_t raftProtocolVersion = 1;
+constexpr std::uint64_t raftProtocolVersion = 2;
 
 using Json = nlohmann::json;
 using Body = decltype(RaftMessage::body);
@@ -65,6 +65,10 @@
     json.push_back(body.voter);
     json.push_back(body.membershipIndex);
     json.push_back(body.majority);
+    auto members = Json::array();
+    for (const auto& it : body.members)
+        members.push_back(it.value);
+    json.push_back(std::move(members));
 }
 
 void read(detail::JsonArrayReader& reader, VoteRequest& body)
@@ -126,6 +130,13 @@
     body.voter = reader.boolean();
     body.membershipIndex = reader.number();
     body.majority = reader.number();
+    for (const auto& it : reader.array()) {
+        if (!it.is_number_unsigned()) {
+            reader.fail();
+            return;
+        }
+        body.members.push_back({ it.get<std::uint64_t>() });
+    }
 }
 
 // Reads the alternative of the body with the given number.
--- /dev/null
+++ b/src/ibisgw/adapters/SyncCodec.cpp
@@ -0,0 +1,188 @@
+#include "ibisgw/adapters/SyncCodec.h"
+
+#include "ibisgw/adapters/detail/JsonArrayReader.h"
+#include "ibisgw/adapters/detail/RaftJson.h"
+
+namespace ibisgw::adapters {
+
+using namespace sync;
+
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr std::uint64_t syncProtocolVersion = 1;
+constexpr std::uint64_t maxAgeMs = 86'400'000;
+
+std::int64_t toMs(core::Duration duration)
+{
+    return std::max<std::int64_t>(0, std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
+}
+
+core::Duration fromMs(std::uint64_t ms)
+{
+    return std::chrono::milliseconds(ms);
+}
+
+std::uint64_t toNumber(core::Endpoint endpoint)
+{
+    return core::NodeId::fromEndpoint(endpoint).value;
+}
+
+Json toJson(const InstanceItem& item)
+{
+    const auto& report = item.report;
+    return Json::array(
+        { report.id.value, report.incarnation, report.sequence, static_cast<unsigned>(report.state), report.service,
+            report.zone, toNumber(report.address), report.slots, toMs(report.coldRemaining), toMs(item.age) });
+}
+
+InstanceItem readItem(const Json& json, detail::JsonArrayReader& parent)
+{
+    detail::JsonArrayReader reader(json);
+    InstanceItem item;
+    item.report.id.value = reader.number();
+    item.report.incarnation = reader.number();
+    item.report.sequence = reader.number();
+    item.report.state = static_cast<upstream::InstanceState>(reader.number(2));
+    item.report.service = reader.text();
+    item.report.zone = reader.text();
+    item.report.address = core::NodeId { reader.number() }.endpoint();
+    item.report.slots = static_cast<std::uint32_t>(reader.number(0xffff));
+    item.report.coldRemaining = fromMs(reader.number(maxAgeMs));
+    item.age = fromMs(reader.number(maxAgeMs));
+    if (!reader.finished())
+        parent.fail();
+    return item;
+}
+
+InstanceRenewal readRenewal(const Json& json, detail::JsonArrayReader& parent)
+{
+    detail::JsonArrayReader reader(json);
+    InstanceRenewal renewal;
+    renewal.id.value = reader.number();
+    renewal.incarnation = reader.number();
+    renewal.sequence = reader.number();
+    if (!reader.finished())
+        parent.fail();
+    return renewal;
+}
+
+void write(const Subscription& message, Json& json)
+{
+    json.push_back(message.subscriber);
+    json.push_back(message.isController);
+    json.push_back(message.feed);
+    json.push_back(message.acknowledged);
+}
+
+void write(const DirectoryUpdate& message, Json& json)
+{
+    auto items = Json::array();
+    for (const auto& it : message.items)
+        items.push_back(toJson(it));
+    auto renewals = Json::array();
+    for (const auto& it : message.renewals)
+        renewals.push_back(Json::array({ it.id.value, it.incarnation, it.sequence }));
+    auto controllers = Json::array();
+    for (const auto& it : message.controllers)
+        controllers.push_back(it.value);
+    json.push_back(message.feed);
+    json.push_back(message.from);
+    json.push_back(message.to);
+    json.push_back(std::move(items));
+    json.push_back(std::move(renewals));
+    json.push_back(message.version);
+    json.push_back(std::move(controllers));
+    json.push_back(message.membershipIndex);
+}
+
+void write(const ConfigurationRequest& message, Json& json)
+{
+    json.push_back(message.newerThan);
+}
+
+void write(const ConfigurationTransfer& message, Json& json)
+{
+    json.push_back(message.version);
+    json.push_back(detail::binaryJson(message.compressedText));
+}
+
+void read(detail::JsonArrayReader& reader, Subscription& message)
+{
+    message.subscriber = reader.number();
+    message.isController = reader.boolean();
+    message.feed = reader.number();
+    message.acknowledged = reader.number();
+}
+
+void read(detail::JsonArrayReader& reader, DirectoryUpdate& message)
+{
+    message.feed = reader.number();
+    message.from = reader.number();
+    message.to = reader.number();
+    for (const auto& it : reader.array())
+        message.items.push_back(readItem(it, reader));
+    for (const auto& it : reader.array())
+        message.renewals.push_back(readRenewal(it, reader));
+    message.version = reader.number();
+    for (const auto& it : reader.array()) {
+        if (!it.is_number_unsigned()) {
+            reader.fail();
+            return;
+        }
+        message.controllers.push_back({ it.get<std::uint64_t>() });
+    }
+    message.membershipIndex = reader.number();
+}
+
+void read(detail::JsonArrayReader& reader, ConfigurationRequest& message)
+{
+    message.newerThan = reader.number();
+}
+
+void read(detail::JsonArrayReader& reader, ConfigurationTransfer& message)
+{
+    message.version = reader.number();
+    message.compressedText = reader.bytes();
+}
+
+// Reads the alternative with the given number.
+template <std::size_t index = 0>
+void readMessage(detail::JsonArrayReader& reader, std::size_t type, SyncMessage& message)
+{
+    if constexpr (index < std::variant_size_v<SyncMessage>) {
+        if (type == index)
+            read(reader, message.emplace<index>());
+        else
+            readMessage<index + 1>(reader, type, message);
+    } else {
+        reader.fail();
+    }
+}
+
+} // namespace
+
+std::string encodeSyncMessage(const SyncMessage& message)
+{
+    auto json = Json::array({ syncProtocolVersion, message.index() });
+    std::visit([&json](const auto& it) { write(it, json); }, message);
+    return detail::writeCbor(json);
+}
+
+std::optional<SyncMessage> decodeSyncMessage(std::string_view bytes)
+{
+    const auto json = detail::parseCbor(bytes);
+    detail::JsonArrayReader reader(json);
+    if (reader.number() != syncProtocolVersion)
+        return std::nullopt;
+    const auto type = reader.number();
+    SyncMessage message;
+    if (!reader.failed())
+        readMessage(reader, type, message);
+    if (!reader.finished())
+        return std::nullopt;
+    return message;
+}
+
+} // namespace ibisgw::adapters
--- /dev/null
+++ b/src/ibisgw/configuration/ConfigurationRegister.cpp
@@ -0,0 +1,81 @@
+#include "ibisgw/configuration/ConfigurationRegister.h"
+
+namespace ibisgw::configuration {
+
+namespace {
+
+// A disk that was full or refused a write is tried again this often.
+constexpr core::Duration restartInterval = std::chrono::milliseconds(500);
+
+} // namespace
+
+ConfigurationRegister::ConfigurationRegister(RaftOptions options, LogStore& store, core::RandomSource& random)
+    : m_raft(std::move(options), store, m_state, random)
+{
+}
+
+core::Result<void> ConfigurationRegister::start(core::TimePoint now)
+{
+    return m_raft.start(now);
+}
+
+void ConfigurationRegister::handleMessage(
+    core::NodeId from, const RaftMessage& message, core::TimePoint now, RaftOutput& output)
+{
+    m_raft.handleMessage(from, message, now, output);
+}
+
+void ConfigurationRegister::tick(core::TimePoint now, RaftOutput& output)
+{
+    if (m_raft.role() == RaftRole::Halted)
+        restartAfterFailure(now);
+    m_raft.tick(now, output);
+    std::erase_if(m_pending, [this](const auto& it) { return it.first <= m_state.version(); });
+}
+
+// The store is read again, because what is on the disk after a failed write is not known.
+void ConfigurationRegister::restartAfterFailure(core::TimePoint now)
+{
+    if (now < m_nextRestart)
+        return;
+    m_nextRestart = now + restartInterval;
+    boost::leaf::try_handle_all([&]() -> core::Result<void> { return m_raft.start(now); },
+        // The node stays halted and tells why; the next attempt follows.
+        [](const core::Error&) {}, [] {});
+}
+
+ReplaceStatus ConfigurationRegister::replace(
+    std::uint64_t version, const std::string& text, core::TimePoint now, RaftOutput& output)
+{
+    if (version <= m_state.version())
+        return ReplaceStatus::Accepted;
+    if (!m_raft.isAccepting())
+        return ReplaceStatus::Unknown;
+    if (m_pendingTerm != m_raft.term()) {
+        m_pending.clear();
+        m_pendingTerm = m_raft.term();
+    }
+    if (!m_pending.contains(version)) {
+        const auto index = m_raft.propose(RegisterState::encode(version, text), now, output);
+        if (!index)
+            return ReplaceStatus::Unknown;
+        m_pending.emplace(version, *index);
+    }
+    return statusOf(version);
+}
+
+ReplaceStatus ConfigurationRegister::statusOf(std::uint64_t version) const
+{
+    if (version <= m_state.version())
+        return ReplaceStatus::Accepted;
+    const bool isProposed
+        = m_raft.role() == RaftRole::Leader && m_raft.term() == m_pendingTerm && m_pending.contains(version);
+    return isProposed ? ReplaceStatus::Pending : ReplaceStatus::Unknown;
+}
+
+std::optional<ReadTicket> ConfigurationRegister::beginRead(core::TimePoint now, RaftOutput& output)
+{
+    return m_raft.beginRead(now, output);
+}
+
+} // namespace ibisgw::configuration
--- a/src/ibisgw/configuration/RaftMembership.cpp
+++ b/src/ibisgw/configuration/RaftMembership.cpp
@@ -4,12 +4,6 @@
 
 namespace ibisgw::configuration {
 
-namespace {
-
-constexpr core::Duration diskCheckInterval = std::chrono::milliseconds(300);
-
-} // namespace
-
 // Raft takes it for granted that a voter's disk keeps its state (ATC 2014, figure 2). After a
 // start a controller therefore asks its peers whether they have seen later state of this disk, and
 // neither votes nor acknowledges before they have answered.
@@ -21,11 +15,36 @@
         = !self || self->disk != m_disk || (!self->voter && now - m_lastLeaderContact > 2 * m_options.electionTimeout);
     if (now < m_nextDiskCheck || (m_diskConfirmed && m_log.membership().group != 0 && !isForgotten))
         return;
-    m_nextDiskCheck = now + diskCheckInterval;
-    for (const auto& it : m_options.controllers) {
-        if (it != m_options.self)
-            post(it, DiskCheckRequest { m_startNonce, m_log.lastIndex() });
+    m_nextDiskCheck = now + m_options.diskCheckInterval;
+    for (const auto& it : contacts())
+        post(it, DiskCheckRequest { m_startNonce, m_log.lastIndex() });
+}
+
+// The controllers of the settings; with an open membership also the members of the own log and those that
+// other controllers have named.
+std::set<core::NodeId> RaftNode::contacts() const
+{
+    std::set<core::NodeId> nodes(m_options.controllers.begin(), m_options.controllers.end());
+    if (m_options.membershipMode == MembershipMode::Open) {
+        nodes.insert(m_namedControllers.begin(), m_namedControllers.end());
+        for (const auto& it : m_log.membership().members)
+            nodes.insert(it.node);
     }
+    nodes.erase(m_options.self);
+    return nodes;
+}
+
+bool RaftNode::mayFoundGroup() const
+{
+    const auto& listed = m_options.controllers;
+    if (!m_options.mayFoundGroup || m_options.self != std::ranges::min(listed))
+        return false;
+    const auto isNew = [this](core::NodeId node) {
+        const auto answer = m_diskAnswers.find(node);
+        return node == m_options.self || (answer != m_diskAnswers.end() && !answer->second.hasGroup);
+    };
+    return std::ranges::all_of(listed, isNew)
+        && std::ranges::none_of(m_diskAnswers, [](const auto& it) { return it.second.hasGroup; });
 }
 
 void RaftNode::concludeDiskCheck(core::TimePoint now)
@@ -33,14 +52,11 @@
     const auto& membership = m_log.membership();
     if (membership.group == 0) {
         m_problem = "no group found yet; a new group needs all controllers of the settings, an existing one a leader";
-        const bool isFirst = m_options.self == std::ranges::min(m_options.controllers);
-        const bool allNew = m_diskAnswers.size() + 1 >= m_options.controllers.size()
-            && std::ranges::none_of(m_diskAnswers, [](const auto& it) { return it.second.hasGroup; });
         const bool isOver
             = m_diskAnswers.size() + 1 >= m_options.controllers.size() || now - m_startedAt >= m_options.diskCheckWait;
         m_diskConfirmed = m_options.disabledRules.diskAge
             || (isOver && std::ranges::any_of(m_diskAnswers, [](const auto& it) { return it.second.hasGroup; }));
-        if (isFirst && allNew)
+        if (mayFoundGroup())
             foundGroup(now);
         return;
     }
@@ -110,7 +126,8 @@
 void RaftNode::admit(
     core::NodeId node, const RaftMessage& message, const DiskCheckRequest& request, core::TimePoint now)
 {
-    if (m_role != RaftRole::Leader || std::ranges::find(m_options.controllers, node) == m_options.controllers.end())
+    const bool isListed = std::ranges::find(m_options.controllers, node) != m_options.controllers.end();
+    if (m_role != RaftRole::Leader || (!isListed && m_options.membershipMode == MembershipMode::Listed))
         return;
     const auto* member = m_log.membership().find(node);
     const Member current { node, message.disk, member && member->voter, message.generation, request.startNonce };
@@ -147,7 +164,7 @@
 void RaftNode::promoteLearners(core::TimePoint now)
 {
     recordStart({ m_options.self, m_disk, isSelfVoter(), m_generation, m_startNonce }, now);
-    if (!canChangeMembership())
+    if (!canChangeMembership() || m_log.membership().voterCount() >= m_options.maxVoters)
         return;
     for (const auto& it : m_log.membership().members) {
         const auto progress = m_progress.find(it.node);
@@ -164,6 +181,28 @@
     }
 }
 
+// With an open membership nobody tells the group that a controller is gone for good. One that is only silent
+// for a while comes back as a learner as soon as it asks. The voters never become fewer than a group needs
+// that loses the tolerated number of disks.
+void RaftNode::removeSilentMembers(core::TimePoint now)
+{
+    if (m_options.membershipMode != MembershipMode::Open || !canChangeMembership())
+        return;
+    const std::size_t minVoters = 2 * m_options.toleratedDiskLosses + 1;
+    const auto voters = m_log.membership().voterCount();
+    for (const auto& it : m_log.membership().members) {
+        const auto progress = m_progress.find(it.node);
+        if (progress == m_progress.end() || now - progress->second.lastContact < m_options.removalTimeout)
+            continue;
+        if (it.voter && voters <= minVoters)
+            continue;
+        auto membership = m_log.membership();
+        membership.remove(it.node);
+        changeMembership(std::move(membership), now);
+        return;
+    }
+}
+
 // A controller that is still in the settings of the leader comes back as a learner as soon as it asks.
 core::Result<void> RaftNode::removeMember(core::NodeId node, core::TimePoint now, RaftOutput& output)
 {
@@ -182,6 +221,14 @@
     return {};
 }
 
+std::vector<core::NodeId> RaftNode::memberNodes() const
+{
+    std::vector<core::NodeId> nodes;
+    for (const auto& it : m_log.membership().members)
+        nodes.push_back(it.node);
+    return nodes;
+}
+
 // One change at a time, and only after an entry of the own term is committed (dissertation, 4.1,
 // with the correction of Ongaro, "bug in single-server membership changes", raft-dev 2015).
 bool RaftNode::canChangeMembership() const
@@ -264,7 +311,7 @@
     const auto& membership = m_log.membership();
     post(from,
         DiskCheckReply { message.disk, request.startNonce, isOutdated, isSelfVoter(), m_log.membershipIndex(),
-            membership.majority() });
+            membership.majority(), memberNodes() });
     if (!isOutdated)
         admit(from, message, request, now);
 }
@@ -286,6 +333,7 @@
     answer.isVoter = answer.hasSameGroup && (reply.voter || m_log.membership().isVoter(from, message.disk));
     answer.membershipIndex = reply.membershipIndex;
     answer.majority = reply.majority;
+    m_namedControllers.insert(reply.members.begin(), reply.members.end());
 }
 
 } // namespace ibisgw::configuration
--- a/src/ibisgw/configuration/RaftMessage.h
+++ b/src/ibisgw/configuration/RaftMessage.h
@@ -71,6 +71,8 @@
     // Newest membership of the peer: its index and the size of a majority.
     LogIndex membershipIndex { 0 };
     std::uint64_t majority { 0 };
+    // Nodes of that membership, so that a controller that knows only some of them finds the leader.
+    std::vector<core::NodeId> members;
 
     bool operator==(const DiskCheckReply&) const = default;
 };
--- a/src/ibisgw/configuration/RaftNode.cpp
+++ b/src/ibisgw/configuration/RaftNode.cpp
@@ -58,6 +58,7 @@
         checkQuorum(now);
         if (m_role == RaftRole::Leader) {
             promoteLearners(now);
+            removeSilentMembers(now);
             if (now >= m_nextHeartbeat)
                 broadcastEntries(now, true);
         }
@@ -83,9 +84,13 @@
 
 bool RaftNode::isAccepting() const
 {
+    if (m_role != RaftRole::Leader)
+        return false;
+    if (m_options.membershipMode == MembershipMode::Open)
+        return m_log.membership().majority() > m_options.toleratedDiskLosses;
     // With fewer voters than a majority of the controllers in the settings an accepted revision
     // would be on too few disks.
-    return m_role == RaftRole::Leader && m_log.membership().voterCount() >= m_options.controllers.size() / 2 + 1;
+    return m_log.membership().voterCount() >= m_options.controllers.size() / 2 + 1;
 }
 
 std::optional<ReadTicket> RaftNode::beginRead(core::TimePoint now, RaftOutput& output)
--- a/src/ibisgw/configuration/RaftNode.h
+++ b/src/ibisgw/configuration/RaftNode.h
@@ -134,6 +134,10 @@
     void admit(core::NodeId, const RaftMessage&, const DiskCheckRequest&, core::TimePoint now);
     void recordStart(const Member&, core::TimePoint now);
     void promoteLearners(core::TimePoint now);
+    void removeSilentMembers(core::TimePoint now);
+    std::set<core::NodeId> contacts() const;
+    std::vector<core::NodeId> memberNodes() const;
+    bool mayFoundGroup() const;
     bool canChangeMembership() const;
     void changeMembership(Membership, core::TimePoint now);
     void syncProgress(core::TimePoint now);
@@ -172,6 +176,8 @@
 
     std::map<std::pair<core::NodeId, DiskIdentity>, PeerRecord> m_peerRecords;
     std::map<core::NodeId, DiskAnswer> m_diskAnswers;
+    // Controllers that others have named as members.
+    std::set<core::NodeId> m_namedControllers;
     bool m_diskConfirmed { false };
     core::TimePoint m_startedAt;
     core::TimePoint m_nextDiskCheck;
--- a/src/ibisgw/configuration/RaftOptions.h
+++ b/src/ibisgw/configuration/RaftOptions.h
@@ -3,6 +3,7 @@
 #include "ibisgw/core/Ids.h"
 #include "ibisgw/core/Time.h"
 
+#include <cstdint>
 #include <vector>
 
 namespace ibisgw::configuration {
@@ -21,10 +22,28 @@
     bool readConfirmation { false };
 };
 
+enum class MembershipMode : std::uint8_t {
+    Listed, // the settings list all controllers
+    Open, // controllers come, go and are replaced while the group runs
+};
+
 struct RaftOptions {
     core::NodeId self;
-    // All controllers from the settings, this one included.
+    // All controllers from the settings, this one included. With an open membership these are only the first
+    // contacts: the group takes up every controller that asks and drops those that stay silent.
     std::vector<core::NodeId> controllers;
+    MembershipMode membershipMode { MembershipMode::Listed };
+    // Whether this controller may found a group together with the listed ones. False once the deployment has run:
+    // an empty disk then is a lost disk, and a second group would forget what the first one accepted.
+    bool mayFoundGroup { true };
+    // Disks that may be lost at the same moment without losing what was accepted. An entry is accepted only by
+    // a majority of more than this many voters. Open membership only.
+    std::size_t toleratedDiskLosses { 1 };
+    // A voter that is silent for this long is removed if enough others remain. Open membership only.
+    core::Duration removalTimeout { std::chrono::milliseconds(3000) };
+    // More voters make each change slower and add no tolerance; further controllers stay learners.
+    std::size_t maxVoters { 7 };
+    core::Duration diskCheckInterval { std::chrono::milliseconds(300) };
     // Six followers at 2.5 heartbeats a second stay under half of the 4,096 bytes/s for control.
     core::Duration heartbeatInterval { std::chrono::milliseconds(400) };
     // An election starts after this time without a leader plus a random part of the same
--- /dev/null
+++ b/src/ibisgw/configuration/RegisterState.cpp
@@ -0,0 +1,67 @@
+#include "ibisgw/configuration/RegisterState.h"
+
+#include <optional>
+
+namespace ibisgw::configuration {
+
+namespace {
+
+constexpr std::size_t versionBytes = sizeof(std::uint64_t);
+
+// Big-endian version, then the text.
+std::string write(std::uint64_t version, const std::string& text)
+{
+    std::string bytes(versionBytes, '\0');
+    for (std::size_t n = 0; n < versionBytes; ++n)
+        bytes[n] = static_cast<char>(version >> (8 * (versionBytes - 1 - n)));
+    return bytes + text;
+}
+
+std::optional<std::uint64_t> readVersion(const std::string& bytes)
+{
+    if (bytes.size() < versionBytes)
+        return std::nullopt;
+    std::uint64_t version = 0;
+    for (std::size_t n = 0; n < versionBytes; ++n)
+        version = (version << 8) | static_cast<unsigned char>(bytes[n]);
+    return version;
+}
+
+} // namespace
+
+std::string RegisterState::encode(std::uint64_t version, const std::string& text)
+{
+    return write(version, text);
+}
+
+void RegisterState::apply(const std::string& command)
+{
+    const auto version = readVersion(command);
+    if (!version || *version <= m_version)
+        return;
+    m_version = *version;
+    m_text = command.substr(versionBytes);
+}
+
+std::string RegisterState::takeSnapshot() const
+{
+    return m_version == 0 ? std::string() : write(m_version, m_text);
+}
+
+core::Result<void> RegisterState::restore(const std::string& state)
+{
+    m_version = 0;
+    m_text.clear();
+    if (state.empty())
+        return {};
+    const auto version = readVersion(state);
+    if (!version || *version == 0)
+        return core::fail(core::ErrorKind::DataCorrupted,
+            "the snapshot of the configuration is malformed; empty the data folder of this controller and restart it: "
+            "it rejoins as a learner");
+    m_version = *version;
+    m_text = state.substr(versionBytes);
+    return {};
+}
+
+} // namespace ibisgw::configuration
--- /dev/null
+++ b/src/ibisgw/direct/FlowForwarder.cpp
@@ -0,0 +1,295 @@
+#include "ibisgw/direct/FlowForwarder.h"
+
+#include "ibisgw/core/NameTable.h"
+
+#include <numeric>
+
+namespace ibisgw::direct {
+
+namespace {
+
+using upstream::InstanceRecord;
+using upstream::InstanceState;
+
+constexpr core::NameTable<ForwardReason, forwardReasonCount> reasonNames { {
+    { ForwardReason::Placed, "placed" },
+    { ForwardReason::PlacedAgain, "placed_again" },
+    { ForwardReason::OpenFlow, "open_flow" },
+    { ForwardReason::NoConfiguration, "no_configuration" },
+    { ForwardReason::NoRoute, "no_route" },
+    { ForwardReason::NoUpstream, "no_upstream" },
+    { ForwardReason::UnknownToken, "unknown_token" },
+    { ForwardReason::UpstreamGone, "upstream_gone" },
+    { ForwardReason::LateCopy, "late_copy" },
+} };
+
+// An upstream that has said that it leaves still ends what it is doing; its flows are reset after this time.
+constexpr core::Duration leavingTime = std::chrono::milliseconds(500);
+
+constexpr core::Duration expiryInterval = std::chrono::milliseconds(500);
+
+// A flow whose caller has closed it or whose opening packet stayed unanswered; later packets use the token.
+constexpr core::Duration unopenedFlowAge = std::chrono::seconds(2);
+
+// Work that is not seen to end counts for this long when the route states no latency objective.
+constexpr core::Duration defaultExpectedWork = std::chrono::milliseconds(100);
+
+// Sequence numbers wrap around (RFC 1982).
+bool isAfter(std::uint32_t a, std::uint32_t b)
+{
+    return static_cast<std::int32_t>(a - b) > 0;
+}
+
+ForwardDecision forwardTo(const InstanceRecord& record, ForwardReason reason)
+{
+    return { ForwardAction::Forward, reason, record.report.address, record.report.id, record.token };
+}
+
+} // namespace
+
+std::string_view nameOf(ForwardReason reason)
+{
+    return reasonNames.nameOf(reason);
+}
+
+FlowForwarder::FlowForwarder(ForwarderOptions options, const upstream::InstanceDirectory& directory,
+    const InstanceSelector& selector, core::RandomSource& random)
+    : m_options(std::move(options))
+    , m_directory(directory)
+    , m_selector(selector)
+    , m_random(random)
+{
+}
+
+bool FlowForwarder::apply(std::shared_ptr<const RouteConfiguration> configuration, core::TimePoint)
+{
+    if (configuration->version <= version())
+        return false;
+    m_configuration = std::move(configuration);
+    m_routes.clear();
+    for (const auto& it : m_configuration->routes)
+        m_routes.emplace(it.address, &it);
+    return true;
+}
+
+const InstanceLoad* FlowForwarder::loadOf(upstream::InstanceId id) const
+{
+    const auto found = m_loads.find(id);
+    return found == m_loads.end() ? nullptr : &found->second;
+}
+
+ForwardDecision FlowForwarder::handle(const FlowSegment& segment, core::TimePoint now)
+{
+    const auto decision = decide(segment, now);
+    ++m_counts[static_cast<std::size_t>(decision.reason)];
+    return decision;
+}
+
+ForwardDecision FlowForwarder::decide(const FlowSegment& segment, core::TimePoint now)
+{
+    const auto found = m_routes.find(segment.flow.service);
+    const auto* route = found == m_routes.end() ? nullptr : found->second;
+    if (!segment.isOpening)
+        return continueFlow(segment, route, now);
+    if (!m_configuration)
+        return { ForwardAction::Drop, ForwardReason::NoConfiguration };
+    if (!route)
+        return { ForwardAction::Reset, ForwardReason::NoRoute };
+    return open(segment, *route, now);
+}
+
+// A caller repeats its opening packet when no upstream has answered. The first choice is then full, gone or cut
+// off, so a copy goes to another one; whichever the caller acknowledges has the flow.
+ForwardDecision FlowForwarder::open(const FlowSegment& segment, const Route& route, core::TimePoint now)
+{
+    std::optional<upstream::InstanceId> excluded;
+    const auto found = m_flows.find(segment.flow);
+    if (found != m_flows.end()) {
+        auto& flow = found->second;
+        if (flow.isOpen && now - flow.openedAt < unopenedFlowAge)
+            return { ForwardAction::Drop, ForwardReason::LateCopy };
+        if (!flow.isOpen && segment.acknowledged > 0) {
+            load(flow.instance).unanswered(now);
+            excluded = flow.instance;
+        }
+        forget(found);
+    }
+    const auto* record = choose(route, excluded, now);
+    if (!record)
+        return { ForwardAction::Reset, ForwardReason::NoUpstream };
+    auto& flow = remember(segment.flow, *record, &route, now);
+    flow.acknowledged = 0;
+    startWork(segment.flow, flow, now);
+    return forwardTo(*record, excluded ? ForwardReason::PlacedAgain : ForwardReason::Placed);
+}
+
+ForwardDecision FlowForwarder::continueFlow(const FlowSegment& segment, const Route* route, core::TimePoint now)
+{
+    const auto found = m_flows.find(segment.flow);
+    if (found == m_flows.end() || !found->second.isOpen)
+        return resolveToken(segment, route, now);
+    auto& flow = found->second;
+    // A second upstream may have answered a copy of the opening packet later; the flow stays with the first.
+    const auto* record = m_directory.findByToken(flow.token);
+    if (!record)
+        return resolveToken(segment, route, now);
+    observe(flow, segment, now);
+    const auto decision = forwardTo(*record, ForwardReason::OpenFlow);
+    if (segment.isReset)
+        forget(found);
+    return decision;
+}
+
+ForwardDecision FlowForwarder::resolveToken(const FlowSegment& segment, const Route* route, core::TimePoint now)
+{
+    const auto* record = segment.token == 0 ? nullptr : m_directory.findByToken(segment.token);
+    if (!record) {
+        if (!m_directory.isRetired(segment.token) || now - m_directory.retiredAt(segment.token) < leavingTime)
+            return { ForwardAction::Drop, ForwardReason::UnknownToken };
+        if (const auto found = m_flows.find(segment.flow); found != m_flows.end())
+            forget(found);
+        return { segment.isReset ? ForwardAction::Drop : ForwardAction::Reset, ForwardReason::UpstreamGone };
+    }
+    if (const auto found = m_flows.find(segment.flow);
+        found != m_flows.end() && found->second.instance != record->report.id)
+        forget(found);
+    auto& flow = remember(segment.flow, *record, route, now);
+    if (!flow.isOpen)
+        load(record->report.id).answered();
+    flow.isOpen = true;
+    flow.token = record->token;
+    observe(flow, segment, now);
+    return forwardTo(*record, ForwardReason::OpenFlow);
+}
+
+// Work starts with data of the caller and has ended once the caller acknowledges new data of the upstream.
+void FlowForwarder::observe(Flow& flow, const FlowSegment& segment, core::TimePoint now)
+{
+    flow.lastSeenAt = now;
+    const bool isFirst = flow.acknowledged == 0;
+    const bool hasNewAnswer = !isFirst && segment.isAcknowledging && isAfter(segment.acknowledged, flow.acknowledged);
+    if (segment.isAcknowledging && (isFirst || hasNewAnswer))
+        flow.acknowledged = segment.acknowledged;
+    if (hasNewAnswer || segment.isFinishing || segment.isReset)
+        endWork(flow);
+    if (segment.payloadBytes > 0 && !flow.isWorking && !segment.isFinishing)
+        startWork(segment.flow, flow, now);
+}
+
+void FlowForwarder::startWork(const core::FlowKey& key, Flow& flow, core::TimePoint now)
+{
+    if (flow.isWorking)
+        return;
+    flow.isWorking = true;
+    flow.workNumber = ++m_workCount;
+    load(flow.instance).workStarted(now);
+    m_workDeadlines.push({ now + flow.expectedWork, key, flow.workNumber });
+}
+
+void FlowForwarder::endWork(Flow& flow)
+{
+    if (!flow.isWorking)
+        return;
+    flow.isWorking = false;
+    load(flow.instance).workEnded();
+}
+
+FlowForwarder::Flow& FlowForwarder::remember(
+    const core::FlowKey& key, const InstanceRecord& record, const Route* route, core::TimePoint now)
+{
+    // The packets of a forgotten flow still carry its token.
+    if (m_flows.size() >= m_options.maxFlows && !m_flows.contains(key))
+        forget(m_flows.begin());
+    const auto [entry, isNew] = m_flows.try_emplace(key);
+    auto& flow = entry->second;
+    if (!isNew)
+        return flow;
+    flow.instance = record.report.id;
+    flow.token = record.token;
+    flow.openedAt = flow.lastSeenAt = now;
+    const bool hasObjective = route && route->latencyObjective > core::Duration::zero();
+    flow.expectedWork = hasObjective ? route->latencyObjective : defaultExpectedWork;
+    load(flow.instance).flowOpened();
+    return flow;
+}
+
+void FlowForwarder::forget(FlowMap::iterator entry)
+{
+    endWork(entry->second);
+    load(entry->second.instance).flowClosed();
+    m_flows.erase(entry);
+}
+
+const core::ServiceName& FlowForwarder::drawService(const Route& route)
+{
+    const auto total = std::accumulate(route.targets.begin(), route.targets.end(), std::uint64_t { 0 },
+        [](std::uint64_t sum, const RouteTarget& it) { return sum + it.weight; });
+    auto point = m_random.below(total);
+    for (const auto& it : route.targets) {
+        if (point < it.weight)
+            return it.service;
+        point -= it.weight;
+    }
+    return route.targets.back().service;
+}
+
+const InstanceRecord* FlowForwarder::choose(
+    const Route& route, std::optional<upstream::InstanceId> excluded, core::TimePoint now)
+{
+    const auto& service = drawService(route);
+    collectCandidates(service, excluded, now);
+    if (m_candidates.empty() && excluded)
+        collectCandidates(service, std::nullopt, now);
+    const auto* candidate = m_selector.select(m_candidates, now);
+    return candidate ? candidate->record : nullptr;
+}
+
+void FlowForwarder::collectCandidates(
+    const core::ServiceName& service, std::optional<upstream::InstanceId> excluded, core::TimePoint now)
+{
+    m_candidates.clear();
+    for (const auto& [id, record] : m_directory.records()) {
+        const auto& report = record.report;
+        if (report.state != InstanceState::Ready || report.service != service || id == excluded)
+            continue;
+        if (m_directory.sharesToken(record))
+            continue;
+        m_candidates.push_back({ &record, &load(id), report.zone == m_options.zone, isDoubtful(record, now) });
+    }
+}
+
+bool FlowForwarder::isDoubtful(const InstanceRecord& record, core::TimePoint now) const
+{
+    const auto* load = loadOf(record.report.id);
+    return now - record.renewedAt > m_options.reportTimeout || (load && load->isAvoided(now));
+}
+
+void FlowForwarder::tick(core::TimePoint now)
+{
+    while (!m_workDeadlines.empty() && m_workDeadlines.top().at <= now) {
+        const auto& deadline = m_workDeadlines.top();
+        const auto found = m_flows.find(deadline.flow);
+        if (found != m_flows.end() && found->second.workNumber == deadline.workNumber)
+            endWork(found->second);
+        m_workDeadlines.pop();
+    }
+    if (now >= m_nextExpiry)
+        expireFlows(now);
+}
+
+void FlowForwarder::expireFlows(core::TimePoint now)
+{
+    m_nextExpiry = now + expiryInterval;
+    const auto idleTimeout = m_configuration ? m_configuration->idleTimeout : m_options.maxFlowAge;
+    for (auto it = m_flows.begin(); it != m_flows.end();) {
+        const auto& flow = it->second;
+        const bool isOver = now - flow.lastSeenAt > (flow.isOpen ? idleTimeout : unopenedFlowAge)
+            || now - flow.openedAt > m_options.maxFlowAge;
+        const auto entry = it++;
+        if (isOver)
+            forget(entry);
+    }
+    std::erase_if(m_loads, [this](const auto& it) { return !m_directory.find(it.first); });
+}
+
+} // namespace ibisgw::direct
--- /dev/null
+++ b/src/ibisgw/direct/FlowForwarder.h
@@ -0,0 +1,130 @@
+#pragma once
+
+#include "ibisgw/core/RandomSource.h"
+#include "ibisgw/direct/FlowSegment.h"
+#include "ibisgw/direct/InstanceSelector.h"
+#include "ibisgw/direct/RouteConfiguration.h"
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <queue>
+#include <string_view>
+#include <unordered_map>
+
+namespace ibisgw::direct {
+
+enum class ForwardAction : std::uint8_t {
+    Forward,
+    Reset, // tell the caller that the flow is not open
+    Drop,
+};
+
+// Why a segment was handled as it was.
+enum class ForwardReason : std::uint8_t {
+    Placed,
+    PlacedAgain, // the first choice did not answer
+    OpenFlow,
+    NoConfiguration,
+    NoRoute,
+    NoUpstream,
+    UnknownToken,
+    UpstreamGone,
+    LateCopy,
+};
+constexpr std::size_t forwardReasonCount = 9;
+
+std::string_view nameOf(ForwardReason);
+
+struct ForwardDecision {
+    ForwardAction action { ForwardAction::Drop };
+    ForwardReason reason { ForwardReason::UnknownToken };
+    // Forward only: where to, and the token to put into the packet.
+    core::Endpoint target;
+    upstream::InstanceId instance;
+    std::uint32_t token { 0 };
+};
+
+struct ForwarderOptions {
+    core::ZoneName zone;
+    // An upstream is doubtful after this time without a report.
+    core::Duration reportTimeout { std::chrono::milliseconds(2600) };
+    core::Duration maxFlowAge { std::chrono::seconds(60) };
+    std::size_t maxFlows { 400'000 };
+};
+
+// Decides for each packet of a caller where it goes, when upstreams answer callers directly. An open flow is
+// forwarded by the token in its packets, so any balancer carries it; the table of flows only serves to estimate
+// load and to place repeated opening packets elsewhere.
+class FlowForwarder {
+public:
+    FlowForwarder(ForwarderOptions, const upstream::InstanceDirectory&, const InstanceSelector&, core::RandomSource&);
+
+    ForwardDecision handle(const FlowSegment&, core::TimePoint now);
+    // Ignores a version that is not higher than the one in force.
+    bool apply(std::shared_ptr<const RouteConfiguration>, core::TimePoint now);
+    // Call ten times a second or more often.
+    void tick(core::TimePoint now);
+
+    ConfigurationVersion version() const { return m_configuration ? m_configuration->version : 0; }
+    std::size_t openFlows() const { return m_flows.size(); }
+    const InstanceLoad* loadOf(upstream::InstanceId) const;
+    std::uint64_t count(ForwardReason reason) const { return m_counts[static_cast<std::size_t>(reason)]; }
+
+private:
+    struct Flow {
+        upstream::InstanceId instance;
+        std::uint32_t token { 0 };
+        // A packet after the opening one was seen: the caller has an answer of the upstream.
+        bool isOpen { false };
+        bool isWorking { false };
+        std::uint32_t acknowledged { 0 };
+        core::TimePoint openedAt;
+        core::TimePoint lastSeenAt;
+        core::Duration expectedWork { 0 };
+        std::uint64_t workNumber { 0 };
+    };
+    struct WorkDeadline {
+        core::TimePoint at;
+        core::FlowKey flow;
+        std::uint64_t workNumber { 0 };
+
+        bool operator>(const WorkDeadline& other) const { return at > other.at; }
+    };
+    using FlowMap = std::unordered_map<core::FlowKey, Flow>;
+
+    ForwardDecision decide(const FlowSegment&, core::TimePoint now);
+    ForwardDecision open(const FlowSegment&, const Route&, core::TimePoint now);
+    ForwardDecision continueFlow(const FlowSegment&, const Route*, core::TimePoint now);
+    ForwardDecision resolveToken(const FlowSegment&, const Route*, core::TimePoint now);
+    const upstream::InstanceRecord* choose(
+        const Route&, std::optional<upstream::InstanceId> excluded, core::TimePoint now);
+    const core::ServiceName& drawService(const Route&);
+    void collectCandidates(const core::ServiceName&, std::optional<upstream::InstanceId> excluded, core::TimePoint now);
+    bool isDoubtful(const upstream::InstanceRecord&, core::TimePoint now) const;
+
+    Flow& remember(const core::FlowKey&, const upstream::InstanceRecord&, const Route*, core::TimePoint now);
+    void observe(Flow&, const FlowSegment&, core::TimePoint now);
+    void startWork(const core::FlowKey&, Flow&, core::TimePoint now);
+    void endWork(Flow&);
+    void forget(FlowMap::iterator);
+    void expireFlows(core::TimePoint now);
+    InstanceLoad& load(upstream::InstanceId id) { return m_loads[id]; }
+
+    ForwarderOptions m_options;
+    const upstream::InstanceDirectory& m_directory;
+    const InstanceSelector& m_selector;
+    core::RandomSource& m_random;
+    std::shared_ptr<const RouteConfiguration> m_configuration;
+    std::unordered_map<core::Endpoint, const Route*> m_routes;
+    FlowMap m_flows;
+    std::unordered_map<upstream::InstanceId, InstanceLoad> m_loads;
+    std::priority_queue<WorkDeadline, std::vector<WorkDeadline>, std::greater<>> m_workDeadlines;
+    std::vector<Candidate> m_candidates;
+    std::uint64_t m_workCount { 0 };
+    core::TimePoint m_startedAt {};
+    core::TimePoint m_nextExpiry {};
+    std::uint64_t m_counts[forwardReasonCount] {};
+};
+
+} // namespace ibisgw::direct
--- /dev/null
+++ b/src/ibisgw/direct/InstanceSelector.cpp
@@ -0,0 +1,7 @@
+#include "ibisgw/direct/InstanceSelector.h"
+
+namespace ibisgw::direct {
+
+InstanceSelector::~InstanceSelector() = default;
+
+} // namespace ibisgw::direct
--- /dev/null
+++ b/src/ibisgw/direct/RouteConfiguration.cpp
@@ -0,0 +1,45 @@
+#include "ibisgw/direct/RouteConfiguration.h"
+
+#include <algorithm>
+#include <numeric>
+#include <set>
+
+namespace ibisgw::direct {
+
+namespace {
+
+void checkTargets(const Route& route, const std::string& path, const std::set<core::ServiceName>& services,
+    std::vector<core::Problem>& problems)
+{
+    const auto weight = std::accumulate(route.targets.begin(), route.targets.end(), std::uint64_t { 0 },
+        [](std::uint64_t sum, const RouteTarget& it) { return sum + it.weight; });
+    if (weight == 0)
+        problems.push_back({ path, "sends new flows nowhere; name a service with a weight above 0" });
+    for (const auto& it : route.targets) {
+        if (!services.contains(it.service))
+            problems.push_back({ path, "names the unknown service '" + it.service + "'; add it to the services" });
+    }
+}
+
+} // namespace
+
+std::vector<core::Problem> findProblems(const RouteConfiguration& configuration)
+{
+    std::vector<core::Problem> problems;
+    if (configuration.version == 0)
+        problems.push_back({ "/version", "is 0; versions start at 1" });
+    const std::set<core::ServiceName> services(configuration.services.begin(), configuration.services.end());
+    std::set<core::Endpoint> addresses;
+    std::size_t index = 0;
+    for (const auto& it : configuration.routes) {
+        const auto path = "/routes/" + std::to_string(index++);
+        if (!addresses.insert(it.address).second)
+            problems.push_back({ path, "has the address of another route; remove one of them" });
+        if (it.timeout <= core::Duration::zero())
+            problems.push_back({ path, "has no timeout; set one above 0" });
+        checkTargets(it, path, services, problems);
+    }
+    return problems;
+}
+
+} // namespace ibisgw::direct
--- /dev/null
+++ b/src/ibisgw/runtime/DirectBalancer.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include "ibisgw/adapters/EventLoop.h"
+#include "ibisgw/adapters/PeerDatagrams.h"
+#include "ibisgw/core/PcgRandomSource.h"
+#include "ibisgw/direct/FlowForwarder.h"
+#include "ibisgw/direct/LeastWorkSelector.h"
+#include "ibisgw/runtime/ConfigurationFormat.h"
+#include "ibisgw/runtime/PacketFormat.h"
+#include "ibisgw/settings/DirectSettings.h"
+#include "ibisgw/sync/DirectorySubscriber.h"
+
+#include <array>
+#include <memory>
+#include <optional>
+
+namespace ibisgw::runtime {
+
+// Connects a FlowForwarder to its sockets, to the controllers and to the clock.
+class DirectBalancer final : private sync::SyncOutput {
+public:
+    static core::Result<std::unique_ptr<DirectBalancer>> create(const settings::DirectSettings&, adapters::EventLoop&,
+        const PacketFormat&, const ConfigurationFormat&, std::uint64_t seed);
+
+    void start();
+    // Whether new flows may come: there is a configuration and the upstreams are known.
+    bool isReady() const;
+    // Stops taking new flows, goes on forwarding and ends the loop before the grace period is over.
+    void beginShutdown();
+    void reload(const settings::DirectSettings&);
+
+private:
+    DirectBalancer(const settings::DirectSettings&, adapters::EventLoop&, const PacketFormat&,
+        const ConfigurationFormat&, std::uint64_t seed, adapters::UdpSocket packets, adapters::UdpSocket peer);
+
+    void send(core::NodeId, const sync::SyncMessage&) override;
+    void receivePacket(std::span<const std::byte>);
+    void receiveMessage(core::NodeId sender, std::string_view body);
+    void adopt(const sync::ConfigurationTransfer&, core::TimePoint now);
+    void tick();
+    bool isShutdownOver(core::TimePoint now) const;
+
+    settings::DirectSettings m_settings;
+    adapters::EventLoop& m_loop;
+    const PacketFormat& m_packetFormat;
+    const ConfigurationFormat& m_configurationFormat;
+    core::PcgRandomSource m_random;
+    upstream::InstanceDirectory m_directory;
+    direct::LeastWorkSelector m_selector;
+    direct::FlowForwarder m_forwarder;
+    adapters::UdpSocket m_packets;
+    adapters::PeerDatagrams m_peers;
+    sync::DirectorySubscriber m_subscriber;
+    std::array<std::byte, 2048> m_out;
+    core::TimePoint m_nextExpiry {};
+    core::TimePoint m_lastPacketAt {};
+    std::optional<core::TimePoint> m_shutdownAt;
+    std::uint64_t m_malformedPackets { 0 };
+};
+
+} // namespace ibisgw::runtime
--- /dev/null
+++ b/src/ibisgw/runtime/DirectController.cpp
@@ -0,0 +1,263 @@
+#include "ibisgw/runtime/DirectController.h"
+
+#include "ibisgw/adapters/Log.h"
+#include "ibisgw/adapters/RaftCodec.h"
+#include "ibisgw/adapters/SyncCodec.h"
+#include "ibisgw/configuration/DocumentCompression.h"
+
+#include <algorithm>
+
+namespace ibisgw::runtime {
+
+namespace {
+
+using adapters::LogLevel;
+using adapters::PeerChannel;
+using configuration::ReplaceStatus;
+
+constexpr std::chrono::milliseconds tickPeriod { 20 };
+constexpr core::Duration expiryInterval = std::chrono::seconds(1);
+
+// Upstreams and operators wait for a second before they ask another controller.
+constexpr core::Duration answerLimit = std::chrono::milliseconds(850);
+
+// Enough for the answers that are due when the process is asked to stop.
+constexpr core::Duration shutdownTime = std::chrono::milliseconds(300);
+
+configuration::RaftOptions raftOptions(const settings::DirectSettings& settings, core::NodeId self)
+{
+    configuration::RaftOptions options;
+    options.self = self;
+    options.controllers = settings.seedNodes();
+    options.membershipMode = configuration::MembershipMode::Open;
+    options.mayFoundGroup = settings.firstStart;
+    options.toleratedDiskLosses = settings.toleratedDiskLosses;
+    options.heartbeatInterval = std::chrono::milliseconds(120);
+    options.electionTimeout = std::chrono::milliseconds(500);
+    options.diskCheckWait = std::chrono::milliseconds(300);
+    options.diskCheckInterval = std::chrono::milliseconds(100);
+    return options;
+}
+
+sync::SubscriberOptions subscriberOptions(
+    const settings::DirectSettings& settings, core::NodeId self, core::RandomSource& random)
+{
+    sync::SubscriberOptions options;
+    options.self = self;
+    options.process = random.next();
+    options.isController = true;
+    options.seeds = settings.seedNodes();
+    return options;
+}
+
+} // namespace
+
+core::Result<std::unique_ptr<DirectController>> DirectController::create(
+    const settings::DirectSettings& settings, adapters::EventLoop& loop, std::uint64_t seed)
+{
+    BOOST_LEAF_AUTO(peer, adapters::UdpSocket::bind(settings.peer));
+    auto random = std::make_unique<core::PcgRandomSource>(seed);
+    BOOST_LEAF_AUTO(store, adapters::FileLogStore::open(settings.dataFolder, *random));
+    return std::unique_ptr<DirectController>(
+        new DirectController(settings, loop, std::move(random), peer, std::move(store)));
+}
+
+DirectController::DirectController(const settings::DirectSettings& settings, adapters::EventLoop& loop,
+    std::unique_ptr<core::PcgRandomSource> random, adapters::UdpSocket peer,
+    std::unique_ptr<adapters::FileLogStore> store)
+    : m_settings(settings)
+    , m_loop(loop)
+    , m_random(std::move(random))
+    , m_store(std::move(store))
+    , m_peers(loop, peer, static_cast<std::uint32_t>(m_random->next()),
+          [this](core::NodeId sender, PeerChannel channel, std::string_view body) { receive(sender, channel, body); })
+    , m_register(raftOptions(settings, m_peers.self()), *m_store, *m_random)
+    , m_feed(m_random->next() | 1, m_directory)
+    , m_subscriber(subscriberOptions(settings, m_peers.self(), *m_random), m_directory)
+{
+}
+
+core::Result<void> DirectController::start()
+{
+    BOOST_LEAF_CHECK(m_register.start(m_loop.now()));
+    m_peers.start();
+    m_loop.addPeriodic(tickPeriod, [this] { tick(); });
+    tick();
+    return {};
+}
+
+void DirectController::tick()
+{
+    const auto now = m_loop.now();
+    m_register.tick(now, *this);
+    m_subscriber.tick(now, *this);
+    m_feed.publish(feedHead(), now, *this);
+    settle(now);
+    if (now >= m_nextExpiry) {
+        m_nextExpiry = now + expiryInterval;
+        m_directory.expire(now);
+    }
+    if (m_shutdownAt && now - *m_shutdownAt > shutdownTime)
+        m_loop.stop();
+}
+
+void DirectController::beginShutdown()
+{
+    m_shutdownAt = m_loop.now();
+    adapters::log(LogLevel::Info, "stopping");
+}
+
+void DirectController::reload(const settings::DirectSettings& settings)
+{
+    m_settings.seeds = settings.seeds;
+    m_subscriber.setSeeds(settings.seedNodes());
+}
+
+core::Incarnation DirectController::incarnationOf(upstream::InstanceId id) const
+{
+    const auto* record = m_directory.find(id);
+    return record ? record->report.incarnation : 0;
+}
+
+void DirectController::report(const upstream::InstanceReport& report, Answerer answer)
+{
+    const auto now = m_loop.now();
+    const auto outcome = m_directory.apply(report, {}, now);
+    if (outcome == upstream::ReportOutcome::Changed)
+        m_feed.publish(feedHead(), now, *this);
+    const auto* record = m_directory.find(report.id);
+    const bool isLeaving = report.state != upstream::InstanceState::Ready;
+    if (!isLeaving || !record || isConfirmed(record->lastChange)) {
+        answer({ AnswerKind::Done, {}, {} });
+        return;
+    }
+    m_waitingReports.push_back({ record->lastChange, now + answerLimit, std::move(answer) });
+}
+
+// A balancer in contact with the controllers hears each of them; with a majority at least one that still runs
+// after a failure knows that the upstream leaves.
+bool DirectController::isConfirmed(std::uint64_t change) const
+{
+    const auto nodes = controllerNodes();
+    const auto isMember = std::ranges::find(nodes, m_peers.self()) != nodes.end() ? 1U : 0U;
+    return m_feed.confirmations(change, nodes) + isMember >= nodes.size() / 2 + 1;
+}
+
+std::vector<core::NodeId> DirectController::controllerNodes() const
+{
+    std::vector<core::NodeId> nodes;
+    for (const auto& it : m_register.membership().members)
+        nodes.push_back(it.node);
+    return nodes.empty() ? m_settings.seedNodes() : nodes;
+}
+
+sync::FeedHead DirectController::feedHead() const
+{
+    return { m_register.version(), controllerNodes(), m_register.raft().log().membershipIndex() };
+}
+
+void DirectController::replaceConfiguration(
+    direct::ConfigurationVersion version, const std::string& text, Answerer answer)
+{
+    const auto now = m_loop.now();
+    const auto status = m_register.replace(version, configuration::compressDocument(text), now, *this);
+    if (status == ReplaceStatus::Unknown)
+        answer(askElsewhere());
+    else
+        m_waitingChanges.push_back({ version, now + answerLimit, std::move(answer) });
+    settle(now);
+}
+
+void DirectController::readConfiguration(Answerer answer)
+{
+    const auto now = m_loop.now();
+    const auto ticket = m_register.beginRead(now, *this);
+    if (!ticket) {
+        answer(askElsewhere());
+        return;
+    }
+    m_waitingReads.push_back({ *ticket, now + answerLimit, std::move(answer) });
+    settle(now);
+}
+
+ControlAnswer DirectController::askElsewhere() const
+{
+    const auto leader = m_register.raft().leader();
+    if (!leader.isValid() || leader == m_peers.self())
+        return { AnswerKind::AskAgain, {}, {} };
+    return { AnswerKind::AskLeader, core::Endpoint { leader.endpoint().address, m_settings.control.port }, {} };
+}
+
+void DirectController::settle(core::TimePoint now)
+{
+    std::erase_if(m_waitingReports, [&](const WaitingReport& it) {
+        const bool isDone = isConfirmed(it.change);
+        if (isDone || now >= it.deadline)
+            it.answer({ isDone ? AnswerKind::Done : AnswerKind::AskAgain, {}, {} });
+        return isDone || now >= it.deadline;
+    });
+    std::erase_if(m_waitingChanges, [&](const WaitingChange& it) {
+        const auto status = m_register.statusOf(it.version);
+        if (status == ReplaceStatus::Pending && now < it.deadline)
+            return false;
+        it.answer({ status == ReplaceStatus::Accepted ? AnswerKind::Done : AnswerKind::AskAgain, {}, {} });
+        return true;
+    });
+    std::erase_if(m_waitingReads, [&](const WaitingRead& it) {
+        const auto state = m_register.readState(it.ticket);
+        if (state == configuration::ReadState::Pending && now < it.deadline)
+            return false;
+        const auto text = state == configuration::ReadState::Ready && m_register.version() > 0
+            ? configuration::decompressDocument(m_register.text())
+            : std::nullopt;
+        it.answer({ text ? AnswerKind::Done : AnswerKind::AskAgain, {}, text.value_or("") });
+        return true;
+    });
+}
+
+void DirectController::receive(core::NodeId sender, PeerChannel channel, std::string_view body)
+{
+    const auto now = m_loop.now();
+    if (channel == PeerChannel::Consensus) {
+        if (const auto message = adapters::decodeRaftMessage(body))
+            m_register.handleMessage(sender, *message, now, *this);
+        m_feed.publish(feedHead(), now, *this);
+        settle(now);
+        return;
+    }
+    const auto message = adapters::decodeSyncMessage(body);
+    if (!message)
+        return;
+    if (const auto* subscription = std::get_if<sync::Subscription>(&*message))
+        handle(sender, *subscription, now);
+    else if (const auto* update = std::get_if<sync::DirectoryUpdate>(&*message))
+        m_subscriber.handle(sender, *update, now, *this);
+    else if (const auto* request = std::get_if<sync::ConfigurationRequest>(&*message))
+        handle(sender, *request);
+}
+
+void DirectController::handle(core::NodeId sender, const sync::Subscription& subscription, core::TimePoint now)
+{
+    if (subscription.isController)
+        m_subscriber.addController(sender);
+    m_feed.handle(sender, subscription, feedHead(), now, *this);
+    settle(now);
+}
+
+void DirectController::handle(core::NodeId sender, const sync::ConfigurationRequest& request)
+{
+    if (m_register.version() > request.newerThan)
+        send(sender, sync::ConfigurationTransfer { m_register.version(), m_register.text() });
+}
+
+void DirectController::send(core::NodeId peer, const configuration::RaftMessage& message)
+{
+    m_peers.send(peer, PeerChannel::Consensus, adapters::encodeRaftMessage(message));
+}
+
+void DirectController::send(core::NodeId peer, const sync::SyncMessage& message)
+{
+    m_peers.send(peer, PeerChannel::Sync, adapters::encodeSyncMessage(message));
+}
+
+} // namespace ibisgw::runtime
--- /dev/null
+++ b/src/ibisgw/runtime/DirectController.h
@@ -0,0 +1,102 @@
+#pragma once
+
+#include "ibisgw/adapters/EventLoop.h"
+#include "ibisgw/adapters/FileLogStore.h"
+#include "ibisgw/adapters/PeerDatagrams.h"
+#include "ibisgw/configuration/ConfigurationRegister.h"
+#include "ibisgw/configuration/RaftOutput.h"
+#include "ibisgw/core/PcgRandomSource.h"
+#include "ibisgw/settings/DirectSettings.h"
+#include "ibisgw/sync/DirectoryFeed.h"
+#include "ibisgw/sync/DirectorySubscriber.h"
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <vector>
+
+namespace ibisgw::runtime {
+
+enum class AnswerKind : std::uint8_t {
+    Done,
+    AskLeader, // the answer names its control address
+    AskAgain, // not certain here at the moment
+};
+
+struct ControlAnswer {
+    AnswerKind kind { AnswerKind::AskAgain };
+    std::optional<core::Endpoint> leader;
+    // The configuration, for a read.
+    std::string text;
+};
+
+// A controller: takes reports of upstreams and configurations of operators, agrees with the other controllers and
+// feeds the balancers.
+class DirectController final : private configuration::RaftOutput, private sync::SyncOutput {
+public:
+    using Answerer = std::function<void(const ControlAnswer&)>;
+
+    static core::Result<std::unique_ptr<DirectController>> create(
+        const settings::DirectSettings&, adapters::EventLoop&, std::uint64_t seed);
+
+    core::Result<void> start();
+    // An upstream that leaves gets its answer once a majority of the controllers knows of it.
+    void report(const upstream::InstanceReport&, Answerer);
+    // The text must have been checked.
+    void replaceConfiguration(direct::ConfigurationVersion, const std::string& text, Answerer);
+    void readConfiguration(Answerer);
+    void beginShutdown();
+    void reload(const settings::DirectSettings&);
+    // The incarnation that is known for an upstream; 0 when there is none.
+    core::Incarnation incarnationOf(upstream::InstanceId) const;
+
+private:
+    struct WaitingReport {
+        std::uint64_t change { 0 };
+        core::TimePoint deadline;
+        Answerer answer;
+    };
+    struct WaitingChange {
+        direct::ConfigurationVersion version { 0 };
+        core::TimePoint deadline;
+        Answerer answer;
+    };
+    struct WaitingRead {
+        configuration::ReadTicket ticket;
+        core::TimePoint deadline;
+        Answerer answer;
+    };
+
+    DirectController(const settings::DirectSettings&, adapters::EventLoop&, std::unique_ptr<core::PcgRandomSource>,
+        adapters::UdpSocket peer, std::unique_ptr<adapters::FileLogStore>);
+
+    void send(core::NodeId, const configuration::RaftMessage&) override;
+    void send(core::NodeId, const sync::SyncMessage&) override;
+    void receive(core::NodeId sender, adapters::PeerChannel, std::string_view body);
+    void handle(core::NodeId sender, const sync::Subscription&, core::TimePoint now);
+    void handle(core::NodeId sender, const sync::ConfigurationRequest&);
+    void tick();
+    void settle(core::TimePoint now);
+    bool isConfirmed(std::uint64_t change) const;
+    ControlAnswer askElsewhere() const;
+    std::vector<core::NodeId> controllerNodes() const;
+    sync::FeedHead feedHead() const;
+
+    settings::DirectSettings m_settings;
+    adapters::EventLoop& m_loop;
+    // The store keeps a reference to it.
+    std::unique_ptr<core::PcgRandomSource> m_random;
+    std::unique_ptr<adapters::FileLogStore> m_store;
+    adapters::PeerDatagrams m_peers;
+    configuration::ConfigurationRegister m_register;
+    upstream::InstanceDirectory m_directory;
+    sync::DirectoryFeed m_feed;
+    sync::DirectorySubscriber m_subscriber;
+    std::vector<WaitingReport> m_waitingReports;
+    std::vector<WaitingChange> m_waitingChanges;
+    std::vector<WaitingRead> m_waitingReads;
+    core::TimePoint m_nextExpiry {};
+    std::optional<core::TimePoint> m_shutdownAt;
+};
+
+} // namespace ibisgw::runtime
--- /dev/null
+++ b/src/ibisgw/sync/DirectoryFeed.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "ibisgw/sync/SyncMessage.h"
+#include "ibisgw/upstream/InstanceDirectory.h"
+
+#include <map>
+#include <span>
+
+namespace ibisgw::sync {
+
+// What a controller says about itself in each update.
+struct FeedHead {
+    direct::ConfigurationVersion version { 0 };
+    std::vector<core::NodeId> controllers;
+    std::uint64_t membershipIndex { 0 };
+};
+
+// Spreads the directory of one controller to balancers and to the other controllers. A change is sent at once and
+// again with each subscription until it is acknowledged.
+class DirectoryFeed {
+public:
+    // `feed` is a random number that is new with each start.
+    DirectoryFeed(std::uint64_t feed, const upstream::InstanceDirectory&);
+
+    void handle(core::NodeId from, const Subscription&, const FeedHead&, core::TimePoint now, SyncOutput&);
+    // Sends what has changed since the last call to all subscribers.
+    void publish(const FeedHead&, core::TimePoint now, SyncOutput&);
+
+    // How many of the given controllers hold the change; the caller counts itself.
+    std::size_t confirmations(std::uint64_t change, std::span<const core::NodeId> controllers) const;
+    // Controllers that have subscribed lately.
+    std::vector<core::NodeId> subscribedControllers() const;
+    std::size_t subscriberCount() const { return m_subscribers.size(); }
+
+private:
+    struct Subscriber {
+        std::uint64_t process { 0 };
+        bool isController { false };
+        std::uint64_t acknowledged { 0 };
+        core::TimePoint heardAt;
+    };
+
+    void sendUpdate(core::NodeId, const Subscriber&, const FeedHead&, core::TimePoint now, SyncOutput&) const;
+
+    std::uint64_t m_feed;
+    const upstream::InstanceDirectory& m_directory;
+    std::map<core::NodeId, Subscriber> m_subscribers;
+    std::uint64_t m_publishedChange { 0 };
+    direct::ConfigurationVersion m_publishedVersion { 0 };
+};
+
+} // namespace ibisgw::sync
--- /dev/null
+++ b/src/ibisgw/sync/DirectorySubscriber.cpp
@@ -0,0 +1,131 @@
+#include "ibisgw/sync/DirectorySubscriber.h"
+
+#include <algorithm>
+
+namespace ibisgw::sync {
+
+namespace {
+
+// A transfer that has not arrived by then is asked of the next controller.
+constexpr core::Duration requestTimeout = std::chrono::milliseconds(300);
+
+// A controller that has not answered for this long is asked less often.
+constexpr core::Duration silenceLimit = std::chrono::seconds(10);
+constexpr core::Duration silentInterval = std::chrono::seconds(1);
+
+} // namespace
+
+DirectorySubscriber::DirectorySubscriber(SubscriberOptions options, upstream::InstanceDirectory& directory)
+    : m_options(std::move(options))
+    , m_directory(directory)
+{
+}
+
+void DirectorySubscriber::tick(core::TimePoint now, SyncOutput& output)
+{
+    dropUnknownFeeds();
+    for (const auto* nodes : { &m_options.seeds, &m_members, &m_contacts }) {
+        for (const auto& it : *nodes) {
+            if (it != m_options.self)
+                m_feeds.try_emplace(it);
+        }
+    }
+    for (auto& [node, feed] : m_feeds) {
+        if (now >= feed.nextSubscription)
+            subscribe(node, feed, now, output);
+    }
+}
+
+void DirectorySubscriber::subscribe(core::NodeId node, Feed& feed, core::TimePoint now, SyncOutput& output)
+{
+    const bool isSilent = feed.heardAt && now - *feed.heardAt > silenceLimit;
+    feed.nextSubscription = now + (isSilent ? silentInterval : m_options.interval);
+    output.send(node, Subscription { m_options.process, m_options.isController, feed.feed, feed.acknowledged });
+}
+
+void DirectorySubscriber::handle(
+    core::NodeId from, const DirectoryUpdate& update, core::TimePoint now, SyncOutput& output)
+{
+    const auto found = m_feeds.find(from);
+    if (found == m_feeds.end())
+        return;
+    auto& feed = found->second;
+    feed.heardAt = now;
+    feed.version = update.version;
+    if (update.feed != feed.feed) {
+        // Another process: everything is new. An update that builds on an earlier one cannot be used.
+        feed.feed = update.feed;
+        feed.acknowledged = 0;
+    }
+    adoptControllers(update);
+    if (update.from > feed.acknowledged)
+        return;
+    merge(update, now);
+    const bool isNew = update.to > feed.acknowledged;
+    feed.acknowledged = std::max(feed.acknowledged, update.to);
+    m_isSynchronized = true;
+    // Other controllers wait for the acknowledgement before they answer an upstream that leaves.
+    if (m_options.isController && isNew && !update.items.empty())
+        subscribe(from, feed, now, output);
+}
+
+void DirectorySubscriber::merge(const DirectoryUpdate& update, core::TimePoint now)
+{
+    for (const auto& it : update.items)
+        m_directory.apply(it.report, it.age, now);
+    for (const auto& it : update.renewals)
+        m_directory.renew(it.id, it.incarnation, it.sequence, now);
+}
+
+void DirectorySubscriber::adoptControllers(const DirectoryUpdate& update)
+{
+    if (update.membershipIndex < m_membershipIndex || update.controllers.empty())
+        return;
+    m_membershipIndex = update.membershipIndex;
+    m_members = update.controllers;
+}
+
+void DirectorySubscriber::addController(core::NodeId node)
+{
+    constexpr std::size_t maxContacts = 16;
+    if (std::ranges::find(m_contacts, node) != m_contacts.end())
+        return;
+    if (m_contacts.size() >= maxContacts)
+        m_contacts.erase(m_contacts.begin());
+    m_contacts.push_back(node);
+}
+
+void DirectorySubscriber::dropUnknownFeeds()
+{
+    std::erase_if(m_feeds, [this](const auto& it) {
+        const auto names = [&it](const std::vector<core::NodeId>& nodes) {
+            return std::ranges::find(nodes, it.first) != nodes.end();
+        };
+        return !names(m_options.seeds) && !names(m_members) && !names(m_contacts);
+    });
+}
+
+void DirectorySubscriber::fetchConfiguration(direct::ConfigurationVersion held, core::TimePoint now, SyncOutput& output)
+{
+    if (now < m_nextRequest)
+        return;
+    std::vector<core::NodeId> holders;
+    for (const auto& [node, feed] : m_feeds) {
+        if (feed.version > held)
+            holders.push_back(node);
+    }
+    if (holders.empty())
+        return;
+    const auto next = std::ranges::upper_bound(holders, m_lastAsked);
+    m_lastAsked = next == holders.end() ? holders.front() : *next;
+    m_nextRequest = now + requestTimeout;
+    output.send(m_lastAsked, ConfigurationRequest { held });
+}
+
+std::size_t DirectorySubscriber::reachableControllers(core::Duration within, core::TimePoint now) const
+{
+    return static_cast<std::size_t>(std::ranges::count_if(
+        m_feeds, [&](const auto& it) { return it.second.heardAt && now - *it.second.heardAt <= within; }));
+}
+
+} // namespace ibisgw::sync
--- /dev/null
+++ b/src/ibisgw/sync/DirectorySubscriber.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include "ibisgw/sync/SyncMessage.h"
+#include "ibisgw/upstream/InstanceDirectory.h"
+
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace ibisgw::sync {
+
+struct SubscriberOptions {
+    core::NodeId self;
+    // Random number that is new with each start.
+    std::uint64_t process { 0 };
+    bool isController { false };
+    // The first contacts; the others are learned from their updates.
+    std::vector<core::NodeId> seeds;
+    core::Duration interval { std::chrono::milliseconds(400) };
+};
+
+// Follows the feeds of all controllers and merges them into one directory, so that it holds what any of
+// them has acknowledged. Also fetches newer configurations.
+class DirectorySubscriber {
+public:
+    DirectorySubscriber(SubscriberOptions, upstream::InstanceDirectory&);
+
+    void handle(core::NodeId from, const DirectoryUpdate&, core::TimePoint now, SyncOutput&);
+    // Asks for the configurations that the controllers hold beyond the given version, one controller at a time.
+    void fetchConfiguration(direct::ConfigurationVersion held, core::TimePoint now, SyncOutput&);
+    void tick(core::TimePoint now, SyncOutput&);
+    void setSeeds(std::vector<core::NodeId> seeds) { m_options.seeds = std::move(seeds); }
+    // A controller that has made contact itself.
+    void addController(core::NodeId);
+
+    // Whether a controller has sent its whole directory since the start.
+    bool isSynchronized() const { return m_isSynchronized; }
+    // Controllers that have answered within the given time.
+    std::size_t reachableControllers(core::Duration within, core::TimePoint now) const;
+
+private:
+    struct Feed {
+        std::uint64_t feed { 0 };
+        std::uint64_t acknowledged { 0 };
+        direct::ConfigurationVersion version { 0 };
+        std::optional<core::TimePoint> heardAt;
+        core::TimePoint nextSubscription;
+    };
+
+    void subscribe(core::NodeId, Feed&, core::TimePoint now, SyncOutput&);
+    void merge(const DirectoryUpdate&, core::TimePoint now);
+    void adoptControllers(const DirectoryUpdate&);
+    void dropUnknownFeeds();
+
+    SubscriberOptions m_options;
+    upstream::InstanceDirectory& m_directory;
+    std::map<core::NodeId, Feed> m_feeds;
+    std::vector<core::NodeId> m_members;
+    std::vector<core::NodeId> m_contacts;
+    std::uint64_t m_membershipIndex { 0 };
+    bool m_isSynchronized { false };
+    core::TimePoint m_nextRequest {};
+    core::NodeId m_lastAsked;
+};
+
+} // namespace ibisgw::sync
--- /dev/null
+++ b/src/ibisgw/sync/SyncMessage.cpp
@@ -0,0 +1,7 @@
+#include "ibisgw/sync/SyncMessage.h"
+
+namespace ibisgw::sync {
+
+SyncOutput::~SyncOutput() = default;
+
+} // namespace ibisgw::sync
--- /dev/null
+++ b/src/ibisgw/sync/SyncMessage.h
@@ -0,0 +1,81 @@
+#pragma once
+
+#include "ibisgw/direct/RouteConfiguration.h"
+#include "ibisgw/upstream/InstanceReport.h"
+
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace ibisgw::sync {
+
+// Asks a controller for everything that has changed since the last update, and acknowledges that one.
+struct Subscription {
+    // Random number of the subscriber's process.
+    std::uint64_t subscriber { 0 };
+    bool isController { false };
+    // Feed and change that the subscriber holds; 0 when it holds nothing of this feed.
+    std::uint64_t feed { 0 };
+    std::uint64_t acknowledged { 0 };
+
+    bool operator==(const Subscription&) const = default;
+};
+
+struct InstanceItem {
+    upstream::InstanceReport report;
+    // Time since the upstream reported itself.
+    core::Duration age { 0 };
+
+    bool operator==(const InstanceItem&) const = default;
+};
+
+struct InstanceRenewal {
+    upstream::InstanceId id;
+    core::Incarnation incarnation { 0 };
+    std::uint64_t sequence { 0 };
+
+    bool operator==(const InstanceRenewal&) const = default;
+};
+
+// The changes of one controller's directory after `from` up to `to`.
+struct DirectoryUpdate {
+    // Random number of the controller's process; change numbers of different feeds are unrelated.
+    std::uint64_t feed { 0 };
+    std::uint64_t from { 0 };
+    std::uint64_t to { 0 };
+    std::vector<InstanceItem> items;
+    std::vector<InstanceRenewal> renewals;
+    // Newest configuration that the controller knows to be accepted.
+    direct::ConfigurationVersion version { 0 };
+    // Members of the controller group and the index of the log entry that names them.
+    std::vector<core::NodeId> controllers;
+    std::uint64_t membershipIndex { 0 };
+
+    bool operator==(const DirectoryUpdate&) const = default;
+};
+
+struct ConfigurationRequest {
+    direct::ConfigurationVersion newerThan { 0 };
+
+    bool operator==(const ConfigurationRequest&) const = default;
+};
+
+struct ConfigurationTransfer {
+    direct::ConfigurationVersion version { 0 };
+    // As the operator sent it, deflated (RFC 1950).
+    std::string compressedText;
+
+    bool operator==(const ConfigurationTransfer&) const = default;
+};
+
+using SyncMessage = std::variant<Subscription, DirectoryUpdate, ConfigurationRequest, ConfigurationTransfer>;
+
+// Implemented by the daemon and by test fakes. A message may be lost.
+class SyncOutput {
+public:
+    virtual ~SyncOutput();
+
+    virtual void send(core::NodeId, const SyncMessage&) = 0;
+};
+
+} // namespace ibisgw::sync
--- /dev/null
+++ b/src/ibisgw/upstream/InstanceDirectory.cpp
@@ -0,0 +1,153 @@
+#include "ibisgw/upstream/InstanceDirectory.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace ibisgw::upstream {
+
+namespace {
+
+// A report that was held up by a partition may arrive this late; until then "gone" is remembered.
+constexpr core::Duration goneRetention = std::chrono::minutes(5);
+
+// An upstream that crashed says nothing more. Its flows are lost long before this time.
+constexpr core::Duration silentRetention = std::chrono::minutes(2);
+
+} // namespace
+
+ReportOutcome InstanceDirectory::apply(const InstanceReport& report, core::Duration age, core::TimePoint now)
+{
+    const auto found = m_records.find(report.id);
+    const bool isGone = report.state == InstanceState::Gone;
+    if (found != m_records.end()) {
+        auto& record = found->second;
+        const auto& known = record.report;
+        if (report.incarnation < known.incarnation)
+            return ReportOutcome::Stale;
+        if (report.incarnation == known.incarnation) {
+            if (known.state == InstanceState::Gone)
+                return ReportOutcome::Stale;
+            if (isGone) {
+                markGone(record, now);
+                return ReportOutcome::Changed;
+            }
+            if (report.sequence <= known.sequence)
+                return ReportOutcome::Stale;
+            if (std::tie(report.state, report.service, report.zone, report.address, report.slots)
+                == std::tie(known.state, known.service, known.zone, known.address, known.slots)) {
+                renew(report.id, report.incarnation, report.sequence, now - age);
+                return ReportOutcome::Renewed;
+            }
+        }
+    }
+    if (!isGone && isReplacedAtAddress(report, now))
+        return ReportOutcome::Stale;
+    auto& record = m_records[report.id];
+    if (record.token != 0)
+        retire(record, now);
+    store(record, report, age, now);
+    return ReportOutcome::Changed;
+}
+
+void InstanceDirectory::store(
+    InstanceRecord& record, const InstanceReport& report, core::Duration age, core::TimePoint now)
+{
+    record.report = report;
+    record.renewedAt = now - age;
+    record.changedAt = now;
+    record.warmAt = now - age + report.coldRemaining;
+    record.lastChange = record.lastRenewal = m_newestRealChange = ++m_newestChange;
+    if (report.state == InstanceState::Gone)
+        return;
+    record.token = tokenOf(report);
+    m_tokens.emplace(record.token, report.id);
+    m_retiredTokens.erase(record.token);
+}
+
+// The token stays known as that of an ended incarnation only if the new state has another one.
+void InstanceDirectory::retire(const InstanceRecord& record, core::TimePoint now)
+{
+    const auto [first, last] = m_tokens.equal_range(record.token);
+    const auto entry = std::find_if(first, last, [&](const auto& it) { return it.second == record.report.id; });
+    if (entry != last)
+        m_tokens.erase(entry);
+    if (!m_tokens.contains(record.token))
+        m_retiredTokens[record.token] = now;
+}
+
+void InstanceDirectory::markGone(InstanceRecord& record, core::TimePoint now)
+{
+    retire(record, now);
+    record.report.state = InstanceState::Gone;
+    record.changedAt = now;
+    record.lastChange = m_newestRealChange = ++m_newestChange;
+}
+
+// Addresses are used again. Of two upstreams at one address the one that started later is there now.
+bool InstanceDirectory::isReplacedAtAddress(const InstanceReport& report, core::TimePoint now)
+{
+    for (auto& [id, record] : m_records) {
+        const auto& other = record.report;
+        if (id == report.id || other.address != report.address)
+            continue;
+        if (other.incarnation > report.incarnation)
+            return true;
+        if (other.state != InstanceState::Gone)
+            markGone(record, now);
+    }
+    return false;
+}
+
+bool InstanceDirectory::renew(InstanceId id, core::Incarnation incarnation, std::uint64_t sequence, core::TimePoint now)
+{
+    const auto found = m_records.find(id);
+    if (found == m_records.end() || found->second.report.incarnation != incarnation)
+        return false;
+    auto& record = found->second;
+    if (record.report.state == InstanceState::Gone || sequence <= record.report.sequence)
+        return true;
+    record.report.sequence = sequence;
+    record.renewedAt = std::max(record.renewedAt, now);
+    record.lastRenewal = ++m_newestChange;
+    return true;
+}
+
+const InstanceRecord* InstanceDirectory::find(InstanceId id) const
+{
+    const auto found = m_records.find(id);
+    return found == m_records.end() ? nullptr : &found->second;
+}
+
+const InstanceRecord* InstanceDirectory::findByToken(std::uint32_t token) const
+{
+    const auto [first, last] = m_tokens.equal_range(token);
+    if (first == last || std::next(first) != last)
+        return nullptr;
+    return find(first->second);
+}
+
+core::TimePoint InstanceDirectory::retiredAt(std::uint32_t token) const
+{
+    const auto found = m_retiredTokens.find(token);
+    return found == m_retiredTokens.end() ? core::TimePoint {} : found->second;
+}
+
+bool InstanceDirectory::sharesToken(const InstanceRecord& record) const
+{
+    return m_tokens.count(record.token) > 1;
+}
+
+void InstanceDirectory::expire(core::TimePoint now)
+{
+    std::erase_if(m_retiredTokens, [now](const auto& it) { return now - it.second > goneRetention; });
+    for (auto it = m_records.begin(); it != m_records.end();) {
+        const bool isGone = it->second.report.state == InstanceState::Gone;
+        const bool isOver
+            = isGone ? now - it->second.changedAt > goneRetention : now - it->second.renewedAt > silentRetention;
+        if (isOver && !isGone)
+            retire(it->second, now);
+        it = isOver ? m_records.erase(it) : std::next(it);
+    }
+}
+
+} // namespace ibisgw::upstream
--- /dev/null
+++ b/src/ibisgw/upstream/InstanceDirectory.h
@@ -0,0 +1,71 @@
+#pragma once
+
+#include "ibisgw/upstream/InstanceReport.h"
+
+#include <cstddef>
+#include <map>
+#include <unordered_map>
+#include <vector>
+
+namespace ibisgw::upstream {
+
+enum class ReportOutcome : std::uint8_t {
+    Stale, // older than what is known, or of an incarnation that is gone
+    Renewed, // says nothing new but that the upstream is alive
+    Changed,
+};
+
+// What is known of one upstream. Change numbers belong to one directory and order its changes.
+struct InstanceRecord {
+    InstanceReport report;
+    std::uint32_t token { 0 };
+    core::TimePoint renewedAt;
+    core::TimePoint changedAt;
+    // When its cold start is over.
+    core::TimePoint warmAt;
+    std::uint64_t lastChange { 0 };
+    std::uint64_t lastRenewal { 0 };
+};
+
+// The upstreams that have reported themselves, merged from any number of sources in any order: for each
+// identifier the highest incarnation counts, within it the highest sequence, and "gone" is final.
+class InstanceDirectory {
+public:
+    // `age` is the time since the upstream made the report, as far as the source knows.
+    ReportOutcome apply(const InstanceReport&, core::Duration age, core::TimePoint now);
+    // A renewal without the report itself. False when that incarnation is not known here as alive.
+    bool renew(InstanceId, core::Incarnation, std::uint64_t sequence, core::TimePoint now);
+
+    const InstanceRecord* find(InstanceId) const;
+    // The upstream to which a token belongs; null for an unknown token and for one that two upstreams share.
+    const InstanceRecord* findByToken(std::uint32_t token) const;
+    // Whether the token belonged to an incarnation that is known to have ended.
+    bool isRetired(std::uint32_t token) const { return m_retiredTokens.contains(token); }
+    // When the incarnation of a retired token was known to have ended.
+    core::TimePoint retiredAt(std::uint32_t token) const;
+    // Two upstreams with equal tokens get no new flows, so that no token is ambiguous.
+    bool sharesToken(const InstanceRecord&) const;
+
+    const std::map<InstanceId, InstanceRecord>& records() const { return m_records; }
+    // Grows with every change and renewal.
+    std::uint64_t newestChange() const { return m_newestChange; }
+    // Grows with every change, not with renewals.
+    std::uint64_t newestRealChange() const { return m_newestRealChange; }
+
+    // Forgets what can no longer matter. Call about once a second.
+    void expire(core::TimePoint now);
+
+private:
+    void store(InstanceRecord&, const InstanceReport&, core::Duration age, core::TimePoint now);
+    void retire(const InstanceRecord&, core::TimePoint now);
+    bool isReplacedAtAddress(const InstanceReport&, core::TimePoint now);
+    void markGone(InstanceRecord&, core::TimePoint now);
+
+    std::map<InstanceId, InstanceRecord> m_records;
+    std::unordered_multimap<std::uint32_t, InstanceId> m_tokens;
+    std::unordered_map<std::uint32_t, core::TimePoint> m_retiredTokens;
+    std::uint64_t m_newestChange { 0 };
+    std::uint64_t m_newestRealChange { 0 };
+};
+
+} // namespace ibisgw::upstream
--- a/tests/adapters/RaftCodecTests.cpp
+++ b/tests/adapters/RaftCodecTests.cpp
@@ -24,7 +24,7 @@
     add(AppendReply { true, 9, 6 });
     add(SnapshotRequest { { 9, 4, membership, "state" } });
     add(DiskCheckRequest { 77, 9 });
-    add(DiskCheckReply { 11, 77, true, true, 3, 2 });
+    add(DiskCheckReply { 11, 77, true, true, 3, 2, { { 5 }, { 6 } } });
     return messages;
 }
 
