Keep the commit index and the known upstreams on the controllers' disks

Ruled out: slow starts of the balancers (0.19 s after power is back); persisting the directory in the agreed log (a write for each join and leave, and nothing about it needs agreement). Change: the commit index is saved 100 ms after it has grown, so a controller knows at its start what was accepted; the directory is kept in a file that may be old; a starting process asks controllers every 50 ms.

--- a/src/ibisgw/adapters/FileLogStore.cpp
+++ b/src/ibisgw/adapters/FileLogStore.cpp
@@ -65,6 +65,11 @@
     return detail::encodeRecord(detail::RecordType::Vote, detail::writeCbor({ vote.term, vote.votedFor.value }));
 }
 
+std::string commitRecord(LogIndex index)
+{
+    return detail::encodeRecord(detail::RecordType::Commit, detail::writeCbor(nlohmann::json::array({ index })));
+}
+
 } // namespace
 
 core::Result<std::unique_ptr<FileLogStore>> FileLogStore::open(const std::string& folder, core::RandomSource& random)
@@ -125,6 +130,14 @@
     return {};
 }
 
+core::Result<void> FileLogStore::saveCommit(LogIndex index)
+{
+    BOOST_LEAF_CHECK(refuseAfterFailure());
+    m_commitIndex = index;
+    m_pending += commitRecord(index);
+    return {};
+}
+
 core::Result<void> FileLogStore::saveSnapshot(const Snapshot& snapshot)
 {
     // A truncation before the snapshot must be durable first: otherwise entries of a replaced
@@ -171,6 +184,7 @@
     m_generation = state.generation;
     m_startNonce = state.startNonce;
     m_vote = state.vote;
+    m_commitIndex = state.commitIndex;
     m_firstIndex = state.snapshot.index + 1;
     m_entries.clear();
     for (const auto& it : state.entries)
@@ -231,6 +245,8 @@
     auto bytes
         = detail::encodeRecord(detail::RecordType::Identity, detail::writeCbor({ m_disk, m_generation, m_startNonce }));
     bytes += voteRecord(m_vote);
+    if (m_commitIndex > 0)
+        bytes += commitRecord(m_commitIndex);
     for (const auto& it : m_entries)
         bytes += it;
     m_pending.clear();
--- a/src/ibisgw/adapters/FileLogStore.h
+++ b/src/ibisgw/adapters/FileLogStore.h
@@ -25,6 +25,7 @@
     core::Result<void> appendEntries(configuration::LogIndex first, std::span<const configuration::LogEntry>) override;
     core::Result<void> truncateFrom(configuration::LogIndex) override;
     core::Result<void> saveVote(const configuration::VoteState&) override;
+    core::Result<void> saveCommit(configuration::LogIndex) override;
     core::Result<void> saveSnapshot(const configuration::Snapshot&) override;
     core::Result<void> sync() override;
     core::Result<configuration::StoredState> load() override;
@@ -48,6 +49,7 @@
     std::uint64_t m_generation { 0 };
     std::uint64_t m_startNonce { 0 };
     configuration::VoteState m_vote;
+    configuration::LogIndex m_commitIndex { 0 };
     // Records of the entries after the snapshot, to write the log anew.
     configuration::LogIndex m_firstIndex { 1 };
     std::deque<std::string> m_entries;
--- a/src/ibisgw/adapters/detail/DataFolderContents.cpp
+++ b/src/ibisgw/adapters/detail/DataFolderContents.cpp
@@ -67,6 +67,9 @@
             return applyEntry(reader) && m_hasIdentity;
         case RecordType::Truncation:
             return applyTruncation(reader.number()) && reader.finished();
+        case RecordType::Commit:
+            m_state.commitIndex = reader.number();
+            return reader.finished() && m_hasIdentity;
         case RecordType::Snapshot:
             return false;
         }
--- a/src/ibisgw/adapters/detail/LogRecord.h
+++ b/src/ibisgw/adapters/detail/LogRecord.h
@@ -12,6 +12,7 @@
     Entry = 3,
     Truncation = 4,
     Snapshot = 5,
+    Commit = 6,
 };
 
 // One record of a file: magic, type, length, checksum of the payload and checksum of the header.
--- a/src/ibisgw/configuration/LogStore.h
+++ b/src/ibisgw/configuration/LogStore.h
@@ -26,6 +26,8 @@
     std::uint64_t startNonce { 0 };
     VoteState vote;
     Snapshot snapshot;
+    // Last entry that is known to be committed; may lag. Entries up to it are never replaced.
+    LogIndex commitIndex { 0 };
     // Follow the snapshot without a gap.
     std::vector<LogEntry> entries;
 };
@@ -41,6 +43,7 @@
     virtual core::Result<void> appendEntries(LogIndex first, std::span<const LogEntry>) = 0;
     virtual core::Result<void> truncateFrom(LogIndex) = 0;
     virtual core::Result<void> saveVote(const VoteState&) = 0;
+    virtual core::Result<void> saveCommit(LogIndex) = 0;
     // Durable on return. Drops the entries up to the index of the snapshot.
     virtual core::Result<void> saveSnapshot(const Snapshot&) = 0;
     virtual core::Result<void> sync() = 0;
--- a/src/ibisgw/configuration/RaftNode.cpp
+++ b/src/ibisgw/configuration/RaftNode.cpp
@@ -1,5 +1,7 @@
 #include "ibisgw/configuration/RaftNode.h"
 
+#include <algorithm>
+
 namespace ibisgw::configuration {
 
 RaftNode::RaftNode(RaftOptions options, LogStore& store, StateMachine& stateMachine, core::RandomSource& random)
@@ -24,9 +26,12 @@
     m_generation = stored.generation;
     m_startNonce = stored.startNonce;
     m_vote = stored.vote;
-    m_commitIndex = m_appliedIndex = stored.snapshot.index;
+    m_appliedIndex = stored.snapshot.index;
+    const auto storedCommit = stored.commitIndex;
     m_log.reset(std::move(stored.snapshot), std::move(stored.entries));
     m_durableIndex = m_log.lastIndex();
+    m_commitIndex = m_savedCommitIndex = std::clamp(storedCommit, m_appliedIndex, m_durableIndex);
+    applyCommitted();
     m_role = RaftRole::CheckingDisk;
     m_leader = {};
     m_diskAnswers.clear();
@@ -65,6 +70,7 @@
     } else if (m_role != RaftRole::CheckingDisk && isSelfVoter() && now >= m_electionDeadline) {
         startElection(true, now);
     }
+    saveCommitIfDue(now);
     finish(output);
 }
 
@@ -176,6 +182,18 @@
     }
 }
 
+void RaftNode::saveCommitIfDue(core::TimePoint now)
+{
+    const auto interval = m_options.commitSaveInterval;
+    if (interval == core::Duration::zero() || m_commitIndex == m_savedCommitIndex || now < m_nextCommitSave)
+        return;
+    m_nextCommitSave = now + interval;
+    if (!store([&] { return m_store.saveCommit(m_commitIndex); }))
+        return;
+    m_savedCommitIndex = m_commitIndex;
+    m_entriesUnsynced = true;
+}
+
 void RaftNode::compactIfLong()
 {
     if (m_appliedIndex - m_log.snapshot().index < m_options.snapshotEntries
--- a/src/ibisgw/configuration/RaftNode.h
+++ b/src/ibisgw/configuration/RaftNode.h
@@ -100,6 +100,7 @@
     bool appendToLog(std::vector<LogEntry>);
     void applyCommitted();
     void compactIfLong();
+    void saveCommitIfDue(core::TimePoint now);
     void post(core::NodeId, decltype(RaftMessage::body));
     bool isSelfVoter() const;
     void remember(core::NodeId, const RaftMessage&);
@@ -159,6 +160,8 @@
     LogIndex m_durableIndex { 0 };
     LogIndex m_commitIndex { 0 };
     LogIndex m_appliedIndex { 0 };
+    LogIndex m_savedCommitIndex { 0 };
+    core::TimePoint m_nextCommitSave {};
 
     bool m_voteUnsynced { false };
     bool m_entriesUnsynced { false };
--- a/src/ibisgw/configuration/RaftOptions.h
+++ b/src/ibisgw/configuration/RaftOptions.h
@@ -58,6 +58,9 @@
     // Entries before the snapshot that stay in memory for followers that lag.
     std::size_t trailingEntries { 64 };
     std::size_t maxAppendBytes { 65'536 };
+    // How often the commit index is saved after it has grown; 0 for never. A controller that starts then knows at
+    // once what was accepted, without waiting for a leader.
+    core::Duration commitSaveInterval { 0 };
     DisabledRules disabledRules;
 };
 
--- a/src/ibisgw/runtime/DirectBalancer.cpp
+++ b/src/ibisgw/runtime/DirectBalancer.cpp
@@ -81,7 +81,7 @@
 
 bool DirectBalancer::isReady() const
 {
-    return !m_shutdownAt && m_forwarder.version() > 0 && m_subscriber.isSynchronized();
+    return !m_shutdownAt && m_forwarder.version() > 0 && m_directory.hasReady();
 }
 
 void DirectBalancer::beginShutdown()
--- a/src/ibisgw/runtime/DirectController.cpp
+++ b/src/ibisgw/runtime/DirectController.cpp
@@ -1,5 +1,6 @@
 #include "ibisgw/runtime/DirectController.h"
 
+#include "ibisgw/adapters/InstanceFile.h"
 #include "ibisgw/adapters/Log.h"
 #include "ibisgw/adapters/RaftCodec.h"
 #include "ibisgw/adapters/SyncCodec.h"
@@ -36,6 +37,7 @@
     options.electionTimeout = std::chrono::milliseconds(500);
     options.diskCheckWait = std::chrono::milliseconds(300);
     options.diskCheckInterval = std::chrono::milliseconds(100);
+    options.commitSaveInterval = std::chrono::milliseconds(100);
     return options;
 }
 
@@ -80,6 +82,7 @@
 core::Result<void> DirectController::start()
 {
     BOOST_LEAF_CHECK(m_register.start(m_loop.now()));
+    loadInstances();
     m_peers.start();
     m_loop.addPeriodic(tickPeriod, [this] { tick(); });
     tick();
@@ -96,11 +99,38 @@
     if (now >= m_nextExpiry) {
         m_nextExpiry = now + expiryInterval;
         m_directory.expire(now);
+        saveInstances();
     }
     if (m_shutdownAt && now - *m_shutdownAt > shutdownTime)
         m_loop.stop();
 }
 
+// The directory is not agreed state: a lost or old file costs time at the start, nothing else.
+void DirectController::loadInstances()
+{
+    const auto now = m_loop.now();
+    for (const auto& it : adapters::loadInstances(instanceFile()))
+        m_directory.apply(it.report, m_settings.reportInterval, now);
+    m_savedChange = m_directory.newestRealChange();
+}
+
+void DirectController::saveInstances()
+{
+    if (m_directory.newestRealChange() == m_savedChange)
+        return;
+    m_savedChange = m_directory.newestRealChange();
+    std::vector<sync::InstanceItem> items;
+    for (const auto& [id, record] : m_directory.records())
+        items.push_back({ record.report, {} });
+    if (!adapters::saveInstances(instanceFile(), std::move(items)))
+        adapters::log(LogLevel::Warning, "the upstreams could not be saved; a restart will wait for their reports");
+}
+
+std::string DirectController::instanceFile() const
+{
+    return m_settings.dataFolder + "/instances";
+}
+
 void DirectController::beginShutdown()
 {
     m_shutdownAt = m_loop.now();
--- a/src/ibisgw/runtime/DirectController.h
+++ b/src/ibisgw/runtime/DirectController.h
@@ -77,6 +77,9 @@
     void handle(core::NodeId sender, const sync::ConfigurationRequest&);
     void tick();
     void settle(core::TimePoint now);
+    void loadInstances();
+    void saveInstances();
+    std::string instanceFile() const;
     bool isConfirmed(std::uint64_t change) const;
     ControlAnswer askElsewhere() const;
     std::vector<core::NodeId> controllerNodes() const;
@@ -96,6 +99,7 @@
     std::vector<WaitingChange> m_waitingChanges;
     std::vector<WaitingRead> m_waitingReads;
     core::TimePoint m_nextExpiry {};
+    std::uint64_t m_savedChange { 0 };
     std::optional<core::TimePoint> m_shutdownAt;
 };
 
--- a/src/ibisgw/sync/DirectorySubscriber.cpp
+++ b/src/ibisgw/sync/DirectorySubscriber.cpp
@@ -13,6 +13,10 @@
 constexpr core::Duration silenceLimit = std::chrono::seconds(10);
 constexpr core::Duration silentInterval = std::chrono::seconds(1);
 
+// After a start the controllers may be starting as well; every flow waits for them.
+constexpr core::Duration startTime = std::chrono::seconds(3);
+constexpr core::Duration firstContactInterval = std::chrono::milliseconds(50);
+
 } // namespace
 
 DirectorySubscriber::DirectorySubscriber(SubscriberOptions options, upstream::InstanceDirectory& directory)
@@ -36,10 +40,18 @@
     }
 }
 
+core::Duration DirectorySubscriber::intervalOf(const Feed& feed, core::TimePoint now)
+{
+    if (!m_startedAt)
+        m_startedAt = now;
+    if (!feed.heardAt)
+        return now - *m_startedAt < startTime ? firstContactInterval : m_options.interval;
+    return now - *feed.heardAt > silenceLimit ? silentInterval : m_options.interval;
+}
+
 void DirectorySubscriber::subscribe(core::NodeId node, Feed& feed, core::TimePoint now, SyncOutput& output)
 {
-    const bool isSilent = feed.heardAt && now - *feed.heardAt > silenceLimit;
-    feed.nextSubscription = now + (isSilent ? silentInterval : m_options.interval);
+    feed.nextSubscription = now + intervalOf(feed, now);
     output.send(node, Subscription { m_options.process, m_options.isController, feed.feed, feed.acknowledged });
 }
 
--- a/src/ibisgw/sync/DirectorySubscriber.h
+++ b/src/ibisgw/sync/DirectorySubscriber.h
@@ -48,6 +48,7 @@
     };
 
     void subscribe(core::NodeId, Feed&, core::TimePoint now, SyncOutput&);
+    core::Duration intervalOf(const Feed&, core::TimePoint now);
     void merge(const DirectoryUpdate&, core::TimePoint now);
     void adoptControllers(const DirectoryUpdate&);
     void dropUnknownFeeds();
@@ -59,6 +60,7 @@
     std::vector<core::NodeId> m_contacts;
     std::uint64_t m_membershipIndex { 0 };
     bool m_isSynchronized { false };
+    std::optional<core::TimePoint> m_startedAt;
     core::TimePoint m_nextRequest {};
     core::NodeId m_lastAsked;
 };
--- a/src/ibisgw/upstream/InstanceDirectory.cpp
+++ b/src/ibisgw/upstream/InstanceDirectory.cpp
@@ -132,6 +132,12 @@
     return found == m_retiredTokens.end() ? core::TimePoint {} : found->second;
 }
 
+bool InstanceDirectory::hasReady() const
+{
+    return std::ranges::any_of(
+        m_records, [](const auto& it) { return it.second.report.state == InstanceState::Ready; });
+}
+
 bool InstanceDirectory::sharesToken(const InstanceRecord& record) const
 {
     return m_tokens.count(record.token) > 1;
--- a/src/ibisgw/upstream/InstanceDirectory.h
+++ b/src/ibisgw/upstream/InstanceDirectory.h
@@ -47,6 +47,7 @@
     bool sharesToken(const InstanceRecord&) const;
 
     const std::map<InstanceId, InstanceRecord>& records() const { return m_records; }
+    bool hasReady() const;
     // Grows with every change and renewal.
     std::uint64_t newestChange() const { return m_newestChange; }
     // Grows with every change, not with renewals.
--- a/tests/support/MemoryLogStore.cpp
+++ b/tests/support/MemoryLogStore.cpp
@@ -37,6 +37,11 @@
     return add([vote](StoredState& state) { state.vote = vote; });
 }
 
+core::Result<void> MemoryLogStore::saveCommit(LogIndex index)
+{
+    return add([index](StoredState& state) { state.commitIndex = index; });
+}
+
 core::Result<void> MemoryLogStore::saveSnapshot(const Snapshot& snapshot)
 {
     BOOST_LEAF_CHECK(add([snapshot](StoredState& state) {
--- a/tests/support/MemoryLogStore.h
+++ b/tests/support/MemoryLogStore.h
@@ -16,6 +16,7 @@
         ibisgw::configuration::LogIndex first, std::span<const ibisgw::configuration::LogEntry>) override;
     ibisgw::core::Result<void> truncateFrom(ibisgw::configuration::LogIndex) override;
     ibisgw::core::Result<void> saveVote(const ibisgw::configuration::VoteState&) override;
+    ibisgw::core::Result<void> saveCommit(ibisgw::configuration::LogIndex) override;
     ibisgw::core::Result<void> saveSnapshot(const ibisgw::configuration::Snapshot&) override;
     ibisgw::core::Result<void> sync() override;
     ibisgw::core::Result<ibisgw::configuration::StoredState> load() override;
