Tell balancers of overdue upstreams instead of each report

Change: only controllers exchange renewals; they mark an upstream overdue after two and a half report intervals and that mark is what balancers get. A controller without contact to half of the others marks nothing.

--- a/src/ibisgw/adapters/SyncCodec.cpp
+++ b/src/ibisgw/adapters/SyncCodec.cpp
@@ -34,7 +34,7 @@
     const auto& report = item.report;
     return Json::array(
         { report.id.value, report.incarnation, report.sequence, static_cast<unsigned>(report.state), report.service,
-            report.zone, toNumber(report.address), report.slots, toMs(report.coldRemaining), toMs(item.age) });
+            report.zone, toNumber(report.address), report.slots, toMs(report.coldRemaining), toMs(item.age), item.isOverdue });
 }
 
 InstanceItem readItem(const Json& json, detail::JsonArrayReader& parent)
@@ -51,6 +51,7 @@
     item.report.slots = static_cast<std::uint32_t>(reader.number(0xffff));
     item.report.coldRemaining = fromMs(reader.number(maxAgeMs));
     item.age = fromMs(reader.number(maxAgeMs));
+    item.isOverdue = reader.boolean();
     if (!reader.finished())
         parent.fail();
     return item;
--- a/src/ibisgw/direct/FlowForwarder.cpp
+++ b/src/ibisgw/direct/FlowForwarder.cpp
@@ -261,7 +261,7 @@
 bool FlowForwarder::isDoubtful(const InstanceRecord& record, core::TimePoint now) const
 {
     const auto* load = loadOf(record.report.id);
-    return now - record.renewedAt > m_options.reportTimeout || (load && load->isAvoided(now));
+    return record.isOverdue || (load && load->isAvoided(now));
 }
 
 void FlowForwarder::tick(core::TimePoint now)
--- a/src/ibisgw/direct/FlowForwarder.h
+++ b/src/ibisgw/direct/FlowForwarder.h
@@ -47,8 +47,6 @@
 
 struct ForwarderOptions {
     core::ZoneName zone;
-    // An upstream is doubtful after this time without a report.
-    core::Duration reportTimeout { std::chrono::milliseconds(2600) };
     core::Duration maxFlowAge { std::chrono::seconds(60) };
     std::size_t maxFlows { 400'000 };
 };
--- a/src/ibisgw/runtime/DirectBalancer.cpp
+++ b/src/ibisgw/runtime/DirectBalancer.cpp
@@ -24,8 +24,6 @@
 {
     direct::ForwarderOptions options;
     options.zone = settings.zone;
-    // Two reports may be lost or late.
-    options.reportTimeout = 2 * settings.reportInterval + settings.reportInterval / 2;
     options.maxFlowAge = settings.maxFlowAge;
     return options;
 }
--- a/src/ibisgw/runtime/DirectController.cpp
+++ b/src/ibisgw/runtime/DirectController.cpp
@@ -22,6 +22,9 @@
 // Upstreams and operators wait for a second before they ask another controller.
 constexpr core::Duration answerLimit = std::chrono::milliseconds(850);
 
+// Two subscriptions may be lost.
+constexpr core::Duration contactLimit = std::chrono::seconds(2);
+
 // Enough for the answers that are due when the process is asked to stop.
 constexpr core::Duration shutdownTime = std::chrono::milliseconds(300);
 
@@ -48,6 +51,8 @@
     options.self = self;
     options.process = random.next();
     options.isController = true;
+    // An upstream that leaves waits for the acknowledgement of the others.
+    options.interval = std::chrono::milliseconds(400);
     options.seeds = settings.seedNodes();
     return options;
 }
@@ -99,6 +104,7 @@
     const auto now = m_loop.now();
     m_register.tick(now, *this);
     m_subscriber.tick(now, *this);
+    markOverdue(now);
     m_feed.publish(feedHead(), now, *this);
     settle(now);
     if (now >= m_nextExpiry) {
@@ -110,6 +116,16 @@
         m_loop.stop();
 }
 
+// A controller that is cut off from the others misses reports that they have got.
+void DirectController::markOverdue(core::TimePoint now)
+{
+    // Two reports may be lost or late.
+    const auto timeout = 2 * m_settings.reportInterval + m_settings.reportInterval / 2;
+    const auto others = controllerNodes().size() - 1;
+    if (m_subscriber.reachableControllers(contactLimit, now) >= (others + 1) / 2)
+        m_directory.markOverdue(timeout, now);
+}
+
 // The directory is not agreed state: a lost or old file costs time at the start, nothing else.
 void DirectController::loadInstances()
 {
@@ -126,7 +142,7 @@
     m_savedChange = m_directory.newestRealChange();
     std::vector<sync::InstanceItem> items;
     for (const auto& [id, record] : m_directory.records())
-        items.push_back({ record.report, {} });
+        items.push_back({ record.report, {}, record.isOverdue });
     if (!adapters::saveInstances(instanceFile(), std::move(items)))
         adapters::log(LogLevel::Warning, "the upstreams could not be saved; a restart will wait for their reports");
 }
--- a/src/ibisgw/runtime/DirectController.h
+++ b/src/ibisgw/runtime/DirectController.h
@@ -77,6 +77,7 @@
     void handle(core::NodeId sender, const sync::ConfigurationRequest&);
     void tick();
     void settle(core::TimePoint now);
+    void markOverdue(core::TimePoint now);
     void loadInstances();
     void saveInstances();
     std::string instanceFile() const;
--- a/src/ibisgw/sync/DirectoryFeed.cpp
+++ b/src/ibisgw/sync/DirectoryFeed.cpp
@@ -48,8 +48,8 @@
         head.controllers, head.membershipIndex };
     for (const auto& [id, record] : m_directory.records()) {
         if (record.lastChange > subscriber.acknowledged)
-            update.items.push_back({ record.report, now - record.renewedAt });
-        else if (record.lastRenewal > subscriber.acknowledged)
+            update.items.push_back({ record.report, now - record.renewedAt, record.isOverdue });
+        else if (subscriber.isController && record.lastRenewal > subscriber.acknowledged)
             update.renewals.push_back({ id, record.report.incarnation, record.report.sequence });
     }
     output.send(node, std::move(update));
--- a/src/ibisgw/sync/DirectorySubscriber.cpp
+++ b/src/ibisgw/sync/DirectorySubscriber.cpp
@@ -83,8 +83,10 @@
 
 void DirectorySubscriber::merge(const DirectoryUpdate& update, core::TimePoint now)
 {
-    for (const auto& it : update.items)
+    for (const auto& it : update.items) {
         m_directory.apply(it.report, it.age, now);
+        m_directory.setOverdue(it.report.id, it.report.incarnation, it.report.sequence, it.isOverdue, now);
+    }
     for (const auto& it : update.renewals)
         m_directory.renew(it.id, it.incarnation, it.sequence, now);
 }
--- a/src/ibisgw/sync/DirectorySubscriber.h
+++ b/src/ibisgw/sync/DirectorySubscriber.h
@@ -16,7 +16,7 @@
     bool isController { false };
     // The first contacts; the others are learned from their updates.
     std::vector<core::NodeId> seeds;
-    core::Duration interval { std::chrono::milliseconds(400) };
+    core::Duration interval { std::chrono::milliseconds(800) };
 };
 
 // Follows the feeds of all controllers and merges them into one directory, so that it holds what any of
--- a/src/ibisgw/sync/SyncMessage.h
+++ b/src/ibisgw/sync/SyncMessage.h
@@ -25,6 +25,7 @@
     upstream::InstanceReport report;
     // Time since the upstream reported itself.
     core::Duration age { 0 };
+    bool isOverdue { false };
 
     bool operator==(const InstanceItem&) const = default;
 };
@@ -44,6 +45,7 @@
     std::uint64_t from { 0 };
     std::uint64_t to { 0 };
     std::vector<InstanceItem> items;
+    // For controllers only: balancers are told when an upstream becomes overdue.
     std::vector<InstanceRenewal> renewals;
     // Newest configuration that the controller knows to be accepted.
     direct::ConfigurationVersion version { 0 };
--- a/src/ibisgw/upstream/InstanceDirectory.cpp
+++ b/src/ibisgw/upstream/InstanceDirectory.cpp
@@ -54,6 +54,7 @@
 {
     record.report = report;
     record.renewedAt = now - age;
+    record.isOverdue = false;
     record.changedAt = now;
     record.warmAt = now - age + report.coldRemaining;
     record.lastChange = record.lastRenewal = m_newestRealChange = ++m_newestChange;
@@ -109,9 +110,40 @@
     record.report.sequence = sequence;
     record.renewedAt = std::max(record.renewedAt, now);
     record.lastRenewal = ++m_newestChange;
+    if (record.isOverdue)
+        noteOverdue(record, false, now);
     return true;
 }
 
+void InstanceDirectory::noteOverdue(InstanceRecord& record, bool isOverdue, core::TimePoint now)
+{
+    record.changedAt = now;
+    record.isOverdue = isOverdue;
+    record.lastChange = m_newestRealChange = ++m_newestChange;
+}
+
+void InstanceDirectory::setOverdue(
+    InstanceId id, core::Incarnation incarnation, std::uint64_t sequence, bool isOverdue, core::TimePoint now)
+{
+    const auto found = m_records.find(id);
+    if (found == m_records.end() || found->second.report.incarnation != incarnation)
+        return;
+    auto& record = found->second;
+    if (record.report.state == InstanceState::Gone || sequence < record.report.sequence
+        || record.isOverdue == isOverdue)
+        return;
+    record.report.sequence = sequence;
+    noteOverdue(record, isOverdue, now);
+}
+
+void InstanceDirectory::markOverdue(core::Duration timeout, core::TimePoint now)
+{
+    for (auto& [id, record] : m_records) {
+        if (!record.isOverdue && record.report.state != InstanceState::Gone && now - record.renewedAt > timeout)
+            noteOverdue(record, true, now);
+    }
+}
+
 const InstanceRecord* InstanceDirectory::find(InstanceId id) const
 {
     const auto found = m_records.find(id);
@@ -148,8 +180,8 @@
     std::erase_if(m_retiredTokens, [now](const auto& it) { return now - it.second > goneRetention; });
     for (auto it = m_records.begin(); it != m_records.end();) {
         const bool isGone = it->second.report.state == InstanceState::Gone;
-        const bool isOver
-            = isGone ? now - it->second.changedAt > goneRetention : now - it->second.renewedAt > silentRetention;
+        const auto sinceChange = now - it->second.changedAt;
+        const bool isOver = isGone ? sinceChange > goneRetention : it->second.isOverdue && sinceChange > silentRetention;
         if (isOver && !isGone)
             retire(it->second, now);
         it = isOver ? m_records.erase(it) : std::next(it);
--- a/src/ibisgw/upstream/InstanceDirectory.h
+++ b/src/ibisgw/upstream/InstanceDirectory.h
@@ -20,6 +20,8 @@
     InstanceReport report;
     std::uint32_t token { 0 };
     core::TimePoint renewedAt;
+    // Has not reported itself for too long; other balancers and controllers may be told so without each report.
+    bool isOverdue { false };
     core::TimePoint changedAt;
     // When its cold start is over.
     core::TimePoint warmAt;
@@ -33,6 +35,10 @@
 public:
     // `age` is the time since the upstream made the report, as far as the source knows.
     ReportOutcome apply(const InstanceReport&, core::Duration age, core::TimePoint now);
+    // Notes whether an upstream is overdue, as a source says that knows at least the given sequence.
+    void setOverdue(InstanceId, core::Incarnation, std::uint64_t sequence, bool isOverdue, core::TimePoint now);
+    // Marks the upstreams that have not reported themselves for the given time.
+    void markOverdue(core::Duration timeout, core::TimePoint now);
     // A renewal without the report itself. False when that incarnation is not known here as alive.
     bool renew(InstanceId, core::Incarnation, std::uint64_t sequence, core::TimePoint now);
 
@@ -61,6 +67,7 @@
     void retire(const InstanceRecord&, core::TimePoint now);
     bool isReplacedAtAddress(const InstanceReport&, core::TimePoint now);
     void markGone(InstanceRecord&, core::TimePoint now);
+    void noteOverdue(InstanceRecord&, bool isOverdue, core::TimePoint now);
 
     std::map<InstanceId, InstanceRecord> m_records;
     std::unordered_multimap<std::uint32_t, InstanceId> m_tokens;
