Take back a controller that was removed without learning of it; tests of the direct-return mode

A voter that was cut off for longer than the removal timeout still had itself as a voter in its log, so it never asked to be admitted again. Ruled out: the wait for founding (the stuck groups had a leader and an accepted log). Change: with an open membership a controller that hears no leader asks the others, whatever its log says.

--- a/src/ibisgw/configuration/RaftMembership.cpp
+++ b/src/ibisgw/configuration/RaftMembership.cpp
@@ -11,8 +11,10 @@
 {
     // A late request of an earlier disk may have replaced this one in the membership.
     const auto* self = m_log.membership().find(m_options.self);
-    const bool isForgotten
-        = !self || self->disk != m_disk || (!self->voter && now - m_lastLeaderContact > 2 * m_options.electionTimeout);
+    const bool hearsNobody = m_role != RaftRole::Leader && now - m_lastLeaderContact > 2 * m_options.electionTimeout;
+    // With an open membership a voter that was cut off may have been removed without learning of it.
+    const bool mayBeRemoved = hearsNobody && m_options.membershipMode == MembershipMode::Open;
+    const bool isForgotten = !self || self->disk != m_disk || (!self->voter && hearsNobody) || mayBeRemoved;
     if (now < m_nextDiskCheck || (m_diskConfirmed && m_log.membership().group != 0 && !isForgotten))
         return;
     m_nextDiskCheck = now + m_options.diskCheckInterval;
--- a/tests/configuration/ScheduleTests.cpp
+++ b/tests/configuration/ScheduleTests.cpp
@@ -28,4 +28,23 @@
         CHECK(conflicts > 1'000);
         CHECK(lostDisks > 200);
     }
+
+    // Guards against a group that forgets what it accepted when it removes and takes back controllers by itself.
+    TEST_CASE("nothing accepted is lost in 500 schedules of faults with an open membership")
+    {
+        constexpr std::uint64_t firstSeed = 20'001;
+        std::size_t accepted = 0;
+        std::size_t lostDisks = 0;
+        for (std::uint64_t seed = firstSeed; seed < firstSeed + 500; ++seed) {
+            const auto result = runConfigurationSchedule(seed, {}, ibisgw::configuration::MembershipMode::Open);
+            CAPTURE(seed);
+            CHECK_MESSAGE(result.violations.empty(), result.firstViolation);
+            CHECK(result.recovered);
+            accepted += result.accepted;
+            lostDisks += result.lostDisks;
+        }
+        MESSAGE("accepted ", accepted, ", lost disks ", lostDisks);
+        CHECK(accepted > 5'000);
+        CHECK(lostDisks > 100);
+    }
 }
--- /dev/null
+++ b/tests/direct/FlowForwarderTests.cpp
@@ -0,0 +1,297 @@
+#include "ibisgw/core/PcgRandomSource.h"
+#include "ibisgw/direct/FlowForwarder.h"
+#include "ibisgw/direct/LeastWorkSelector.h"
+
+#include <doctest/doctest.h>
+
+#include <map>
+
+using namespace ibisgw;
+using namespace ibisgw::direct;
+using namespace ibisgw::upstream;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr core::Endpoint bookingAddress { 0xc6120001, 8080 };
+constexpr core::Endpoint archiveAddress { 0xc6120002, 8443 };
+
+std::shared_ptr<RouteConfiguration> configurationOf(ConfigurationVersion version)
+{
+    auto configuration = std::make_shared<RouteConfiguration>();
+    configuration->version = version;
+    configuration->services = { "booking", "archive" };
+    configuration->routes.push_back(
+        { "r1", bookingAddress, RouteKind::NonIdempotent, 1, 1500ms, 150ms, { { "booking", 1 } } });
+    configuration->routes.push_back({ "r2", archiveAddress, RouteKind::Upload, 2, 5s, 500ms, { { "archive", 1 } } });
+    return configuration;
+}
+
+struct Forwarding {
+    core::PcgRandomSource random { 5 };
+    InstanceDirectory directory;
+    LeastWorkSelector selector;
+    FlowForwarder forwarder { { "a" }, directory, selector, random };
+    core::TimePoint now { 100s };
+    std::uint16_t nextPort { 1000 };
+
+    Forwarding() { forwarder.apply(configurationOf(1), now); }
+
+    void add(std::uint64_t id, const char* service, const char* zone = "a", core::Duration cold = {})
+    {
+        InstanceReport report;
+        report.id = { id };
+        report.incarnation = 1000;
+        report.sequence = 1;
+        report.service = service;
+        report.zone = zone;
+        report.address = { 0x0a000000 + static_cast<std::uint32_t>(id), 8080 };
+        report.slots = 2;
+        report.coldRemaining = cold;
+        directory.apply(report, {}, now);
+    }
+    void leave(std::uint64_t id, InstanceState state)
+    {
+        auto report = directory.find({ id })->report;
+        report.sequence += 1;
+        report.state = state;
+        directory.apply(report, {}, now);
+    }
+    FlowSegment opening(core::Endpoint service = bookingAddress)
+    {
+        FlowSegment segment;
+        segment.flow = { { 0x64400001, nextPort++ }, service };
+        segment.isOpening = true;
+        return segment;
+    }
+    // The caller's packet after the upstream has answered.
+    static FlowSegment dataOf(const FlowSegment& opening, std::uint32_t token, std::uint32_t acknowledged = 500)
+    {
+        auto segment = opening;
+        segment.isOpening = false;
+        segment.isAcknowledging = true;
+        segment.acknowledged = acknowledged;
+        segment.token = token;
+        segment.payloadBytes = 100;
+        return segment;
+    }
+    ForwardDecision handle(const FlowSegment& segment) { return forwarder.handle(segment, now); }
+};
+
+} // namespace
+
+TEST_SUITE("direct")
+{
+    TEST_CASE("opening a flow")
+    {
+        Forwarding it;
+        it.add(1, "booking");
+        it.add(2, "archive");
+
+        SUBCASE("it goes to an upstream of the route's service with a token")
+        {
+            const auto decision = it.handle(it.opening());
+            CHECK(decision.action == ForwardAction::Forward);
+            CHECK(decision.instance.value == 1);
+            CHECK(decision.token != 0);
+            CHECK(it.handle(it.opening(archiveAddress)).instance.value == 2);
+        }
+        SUBCASE("an address without a route is refused at once")
+        {
+            const auto decision = it.handle(it.opening({ 0xc6120009, 1 }));
+            CHECK(decision.action == ForwardAction::Reset);
+            CHECK(decision.reason == ForwardReason::NoRoute);
+        }
+        SUBCASE("a service without upstreams is refused at once")
+        {
+            it.leave(1, InstanceState::Draining);
+            const auto decision = it.handle(it.opening());
+            CHECK(decision.action == ForwardAction::Reset);
+            CHECK(decision.reason == ForwardReason::NoUpstream);
+        }
+        SUBCASE("a repeated opening packet goes to another upstream, because the first did not answer")
+        {
+            it.add(3, "booking");
+            auto segment = it.opening();
+            const auto first = it.handle(segment);
+            segment.acknowledged = 1;
+            it.now += 200ms;
+            const auto second = it.handle(segment);
+            CHECK(second.reason == ForwardReason::PlacedAgain);
+            CHECK(second.instance != first.instance);
+        }
+        SUBCASE("a late copy after the flow is open is dropped, it would open the flow twice")
+        {
+            auto segment = it.opening();
+            const auto first = it.handle(segment);
+            it.handle(Forwarding::dataOf(segment, first.token));
+            segment.acknowledged = 1;
+            CHECK(it.handle(segment).action == ForwardAction::Drop);
+        }
+    }
+
+    TEST_CASE("packets of an open flow")
+    {
+        Forwarding it;
+        it.add(1, "booking");
+        it.add(2, "booking");
+        const auto segment = it.opening();
+        const auto opened = it.handle(segment);
+
+        SUBCASE("another balancer forwards them by the token alone")
+        {
+            Forwarding other;
+            other.add(1, "booking");
+            other.add(2, "booking");
+            const auto decision = other.handle(Forwarding::dataOf(segment, opened.token));
+            CHECK(decision.action == ForwardAction::Forward);
+            CHECK(decision.instance == opened.instance);
+        }
+        SUBCASE("they follow a draining upstream to its end")
+        {
+            it.leave(opened.instance.value, InstanceState::Draining);
+            CHECK(it.handle(Forwarding::dataOf(segment, opened.token)).instance == opened.instance);
+        }
+        SUBCASE("they stay with the first upstream when a second one has answered a copy of the opening packet")
+        {
+            it.handle(Forwarding::dataOf(segment, opened.token));
+            const auto otherId = opened.instance.value == 1 ? 2 : 1;
+            const auto otherToken = it.directory.find({ static_cast<std::uint64_t>(otherId) })->token;
+            CHECK(it.handle(Forwarding::dataOf(segment, otherToken)).instance == opened.instance);
+        }
+        SUBCASE("a token that is not known here is neither guessed nor reset")
+        {
+            const auto decision = it.handle(Forwarding::dataOf(it.opening(), 0x12345678));
+            CHECK(decision.action == ForwardAction::Drop);
+            CHECK(decision.reason == ForwardReason::UnknownToken);
+        }
+        SUBCASE("the flow of an upstream that has gone is reset, so that the caller does not wait for its deadline")
+        {
+            it.leave(opened.instance.value, InstanceState::Gone);
+            CHECK(it.handle(Forwarding::dataOf(segment, opened.token)).action == ForwardAction::Drop);
+            it.now += 1s;
+            CHECK(it.handle(Forwarding::dataOf(segment, opened.token)).action == ForwardAction::Reset);
+        }
+        SUBCASE("a token never leads to another incarnation at the same identifier")
+        {
+            auto reborn = it.directory.find(opened.instance)->report;
+            reborn.incarnation += 1;
+            reborn.sequence = 1;
+            reborn.service = "archive";
+            it.directory.apply(reborn, {}, it.now);
+            it.now += 1s;
+            CHECK(it.handle(Forwarding::dataOf(segment, opened.token)).action == ForwardAction::Reset);
+        }
+    }
+
+    TEST_CASE("work in progress is estimated from the packets of callers")
+    {
+        Forwarding it;
+        it.add(1, "booking");
+        const auto segment = it.opening();
+        const auto opened = it.handle(segment);
+        const auto inProgress = [&] { return it.forwarder.loadOf({ 1 })->inProgress(); };
+        CHECK(inProgress() == 1);
+        it.handle(Forwarding::dataOf(segment, opened.token, 500));
+        CHECK(inProgress() == 1);
+
+        SUBCASE("it ends when the caller acknowledges data of the answer")
+        {
+            auto acknowledgement = Forwarding::dataOf(segment, opened.token, 900);
+            acknowledgement.payloadBytes = 0;
+            it.handle(acknowledgement);
+            CHECK(inProgress() == 0);
+            it.handle(Forwarding::dataOf(segment, opened.token, 900));
+            CHECK(inProgress() == 1);
+        }
+        SUBCASE("it ends by itself after the latency objective, since the end may not be seen")
+        {
+            it.now += 151ms;
+            it.forwarder.tick(it.now);
+            CHECK(inProgress() == 0);
+        }
+    }
+
+    TEST_CASE("a burst is spread over the upstreams of the own zone, and over other zones once they are busy")
+    {
+        // Guards against queues at a few upstreams while others are idle.
+        Forwarding it;
+        for (std::uint64_t id = 1; id <= 5; ++id)
+            it.add(id, "booking", "a");
+        for (std::uint64_t id = 6; id <= 10; ++id)
+            it.add(id, "booking", "b");
+        std::map<std::uint64_t, int> counts;
+        for (int n = 0; n < 30; ++n)
+            ++counts[it.handle(it.opening()).instance.value];
+        for (const auto& [id, count] : counts) {
+            CAPTURE(id);
+            CHECK(count <= 4);
+            CHECK(count >= 2);
+        }
+        CHECK(counts.size() == 10);
+    }
+
+    TEST_CASE("an upstream that has just started gets less work")
+    {
+        Forwarding it;
+        it.add(1, "booking");
+        it.add(2, "booking", "a", 2s);
+        int cold = 0;
+        for (int n = 0; n < 40; ++n)
+            cold += it.handle(it.opening()).instance.value == 2 ? 1 : 0;
+        CHECK(cold >= 10);
+        CHECK(cold <= 17);
+    }
+
+    TEST_CASE("an upstream that answers no opening packets is avoided")
+    {
+        Forwarding it;
+        it.add(1, "booking");
+        it.add(2, "booking", "b");
+        // The callers of two flows repeat their opening packet to upstream 1.
+        for (int n = 0; n < 2; ++n) {
+            auto segment = it.opening();
+            REQUIRE(it.handle(segment).instance.value == 1);
+            segment.acknowledged = 1;
+            it.now += 200ms;
+            it.forwarder.tick(it.now);
+            REQUIRE(it.handle(segment).instance.value == 2);
+            it.now += 3s;
+            it.forwarder.tick(it.now);
+            if (n == 0)
+                continue;
+            it.now -= 2900ms;
+            CHECK(it.handle(it.opening()).instance.value == 2);
+        }
+    }
+
+    TEST_CASE("configurations")
+    {
+        Forwarding it;
+        it.add(1, "booking");
+        SUBCASE("an older version never replaces a newer one")
+        {
+            CHECK(it.forwarder.apply(configurationOf(7), it.now));
+            CHECK_FALSE(it.forwarder.apply(configurationOf(7), it.now));
+            CHECK_FALSE(it.forwarder.apply(configurationOf(6), it.now));
+            CHECK(it.forwarder.version() == 7);
+        }
+        SUBCASE("a flow that is open stays where it is")
+        {
+            const auto segment = it.opening();
+            const auto opened = it.handle(segment);
+            it.handle(Forwarding::dataOf(segment, opened.token));
+            auto other = configurationOf(2);
+            other->routes[0].targets = { { "archive", 1 } };
+            it.forwarder.apply(other, it.now);
+            CHECK(it.handle(Forwarding::dataOf(segment, opened.token)).instance == opened.instance);
+            CHECK(it.handle(it.opening()).action == ForwardAction::Reset);
+        }
+        SUBCASE("before the first one nothing is refused: it is not known what is served")
+        {
+            core::PcgRandomSource random { 1 };
+            FlowForwarder starting { { "a" }, it.directory, it.selector, random };
+            CHECK(starting.handle(it.opening(), it.now).action == ForwardAction::Drop);
+        }
+    }
+}
--- a/tests/support/ConfigurationSchedule.cpp
+++ b/tests/support/ConfigurationSchedule.cpp
@@ -15,9 +15,12 @@
 constexpr core::Duration faultPeriod = 20s;
 constexpr core::Duration recoveryLimit = 30s;
 
-RaftOptions drawOptions(core::RandomSource& random, const DisabledRules& disabled)
+RaftOptions drawOptions(core::RandomSource& random, const DisabledRules& disabled, MembershipMode mode)
 {
     RaftOptions options;
+    options.membershipMode = mode;
+    if (mode == MembershipMode::Open)
+        options.commitSaveInterval = 100ms;
     options.snapshotEntries = random.chance(0.5) ? 8 : 64;
     options.trailingEntries = random.chance(0.5) ? 0 : 8;
     // One entry in each message lets a follower acknowledge entries of an old term on their own.
@@ -28,10 +31,10 @@
 
 class Schedule {
 public:
-    Schedule(std::uint64_t seed, const DisabledRules& disabled)
+    Schedule(std::uint64_t seed, const DisabledRules& disabled, MembershipMode mode)
         : m_random(seed)
         , m_queue({ 1ms, 20ms, 0.0, 0.0 }, m_random)
-        , m_group(m_random.chance(0.5) ? 3 : 5, drawOptions(m_random, disabled), m_queue, m_random)
+        , m_group(m_random.chance(0.5) ? 3 : 5, drawOptions(m_random, disabled, mode), m_queue, m_random)
     {
     }
 
@@ -301,9 +304,9 @@
     return it == violations.end() ? 0 : it->second;
 }
 
-ScheduleResult runConfigurationSchedule(std::uint64_t seed, DisabledRules disabled)
+ScheduleResult runConfigurationSchedule(std::uint64_t seed, DisabledRules disabled, MembershipMode mode)
 {
-    return Schedule(seed, disabled).run();
+    return Schedule(seed, disabled, mode).run();
 }
 
 } // namespace support
--- a/tests/support/ConfigurationSchedule.h
+++ b/tests/support/ConfigurationSchedule.h
@@ -19,7 +19,8 @@
 
 // Runs 3 or 5 controllers with racing operators through 20 s of random faults in virtual time:
 // kills, failing syncs, pauses, cuts, loss, duplication, wiped and outdated disks. Equal seeds
-// give equal runs.
-ScheduleResult runConfigurationSchedule(std::uint64_t seed, ibisgw::configuration::DisabledRules = {});
+// give equal runs. With an open membership silent controllers are removed and come back.
+ScheduleResult runConfigurationSchedule(std::uint64_t seed, ibisgw::configuration::DisabledRules = {},
+    ibisgw::configuration::MembershipMode = ibisgw::configuration::MembershipMode::Listed);
 
 } // namespace support
--- a/tests/support/ControllerGroup.cpp
+++ b/tests/support/ControllerGroup.cpp
@@ -9,6 +9,9 @@
 
 namespace {
 
+// Controllers that the settings name in a deployment with an open membership.
+constexpr ControllerGroup::Machine seedCount = 3;
+
 constexpr core::Duration tickInterval = std::chrono::milliseconds(100);
 
 } // namespace
@@ -40,7 +43,8 @@
     , m_random(random)
 {
     for (Machine machine = 1; machine <= count; ++machine) {
-        m_options.controllers.push_back(nodeOf(machine));
+        if (m_options.membershipMode == MembershipMode::Listed || machine <= seedCount)
+            m_options.controllers.push_back(nodeOf(machine));
         m_controllers[machine].store = std::make_unique<MemoryLogStore>(random);
     }
 }
@@ -72,6 +76,8 @@
         return;
     auto options = m_options;
     options.self = nodeOf(machine);
+    if (options.membershipMode == MembershipMode::Open)
+        options.mayFoundGroup = controller.process == 0;
     controller.service = std::make_unique<ConfigurationService>(options, *controller.store, m_random);
     controller.paused = false;
     controller.inbox.clear();
--- a/tests/support/ControllerGroup.h
+++ b/tests/support/ControllerGroup.h
@@ -13,7 +13,8 @@
 public:
     using Machine = MessageQueue::Machine;
 
-    // The options are those of every controller; `self` and `controllers` are set here.
+    // The options are those of every controller; `self` and `controllers` are set here. With an open membership the
+    // first three machines are the seeds, and only the first start of a machine may found a group.
     // Machines are numbered from 1.
     ControllerGroup(std::size_t count, ibisgw::configuration::RaftOptions, MessageQueue&, ibisgw::core::RandomSource&);
 
--- /dev/null
+++ b/tests/sync/DirectorySyncTests.cpp
@@ -0,0 +1,199 @@
+#include "ibisgw/adapters/SyncCodec.h"
+#include "ibisgw/sync/DirectoryFeed.h"
+#include "ibisgw/sync/DirectorySubscriber.h"
+
+#include <doctest/doctest.h>
+
+#include <deque>
+
+using namespace ibisgw;
+using namespace ibisgw::sync;
+using namespace ibisgw::upstream;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr core::NodeId controllerNode { 10 };
+constexpr core::NodeId balancerNode { 20 };
+
+struct Outbox final : SyncOutput {
+    std::deque<std::pair<core::NodeId, SyncMessage>> messages;
+
+    void send(core::NodeId to, const SyncMessage& message) override { messages.emplace_back(to, message); }
+};
+
+InstanceReport reportOf(std::uint64_t id, std::uint64_t sequence, InstanceState state = InstanceState::Ready)
+{
+    InstanceReport report;
+    report.id = { id };
+    report.incarnation = 1000;
+    report.sequence = sequence;
+    report.state = state;
+    report.service = "booking";
+    report.address = { 0x0a000000 + static_cast<std::uint32_t>(id), 8080 };
+    return report;
+}
+
+// A controller's feed and one follower.
+struct Pair {
+    InstanceDirectory source;
+    InstanceDirectory copy;
+    DirectoryFeed feed { 77, source };
+    DirectorySubscriber subscriber;
+    Outbox toController;
+    Outbox toFollower;
+    FeedHead head { 3, { controllerNode }, 1 };
+    core::TimePoint now { 100s };
+
+    explicit Pair(bool isController = false)
+        : subscriber({ balancerNode, 5, isController, { controllerNode } }, copy)
+    {
+    }
+
+    void deliver(bool isLossy = false)
+    {
+        while (!toController.messages.empty() || !toFollower.messages.empty()) {
+            if (!toController.messages.empty()) {
+                const auto message = toController.messages.front().second;
+                toController.messages.pop_front();
+                if (const auto* it = std::get_if<Subscription>(&message); it && !isLossy)
+                    feed.handle(balancerNode, *it, head, now, toFollower);
+            }
+            if (!toFollower.messages.empty()) {
+                const auto message = toFollower.messages.front().second;
+                toFollower.messages.pop_front();
+                if (const auto* it = std::get_if<DirectoryUpdate>(&message); it && !isLossy)
+                    subscriber.handle(controllerNode, *it, now, toController);
+            }
+        }
+    }
+    void subscribe()
+    {
+        now += 1s;
+        subscriber.tick(now, toController);
+        deliver();
+    }
+};
+
+} // namespace
+
+TEST_SUITE("sync")
+{
+    TEST_CASE("a balancer follows the directory of a controller")
+    {
+        Pair it;
+        it.source.apply(reportOf(1, 1), {}, it.now);
+        it.subscribe();
+        it.feed.publish(it.head, it.now, it.toFollower);
+        it.deliver();
+        REQUIRE(it.copy.find({ 1 }) != nullptr);
+
+        SUBCASE("a change is sent at once")
+        {
+            it.source.apply(reportOf(1, 2, InstanceState::Draining), {}, it.now);
+            it.feed.publish(it.head, it.now, it.toFollower);
+            it.deliver();
+            CHECK(it.copy.find({ 1 })->report.state == InstanceState::Draining);
+        }
+        SUBCASE("a change whose message was lost comes with the next subscription")
+        {
+            it.source.apply(reportOf(1, 2, InstanceState::Draining), {}, it.now);
+            it.feed.publish(it.head, it.now, it.toFollower);
+            it.deliver(true);
+            CHECK(it.copy.find({ 1 })->report.state == InstanceState::Ready);
+            it.subscribe();
+            CHECK(it.copy.find({ 1 })->report.state == InstanceState::Draining);
+        }
+        SUBCASE("reports without news are not sent to balancers, their links are slow")
+        {
+            it.source.apply(reportOf(1, 2), {}, it.now);
+            it.feed.publish(it.head, it.now, it.toFollower);
+            CHECK(it.toFollower.messages.empty());
+        }
+        SUBCASE("an upstream that is overdue is a change")
+        {
+            it.source.markOverdue(2s, it.now + 3s);
+            it.feed.publish(it.head, it.now, it.toFollower);
+            it.deliver();
+            CHECK(it.copy.find({ 1 })->isOverdue);
+        }
+        SUBCASE("a restarted controller is followed from its beginning")
+        {
+            InstanceDirectory fresh;
+            fresh.apply(reportOf(2, 1), {}, it.now);
+            DirectoryFeed restarted(78, fresh);
+            it.now += 1s;
+            it.subscriber.tick(it.now, it.toController);
+            for (int n = 0; n < 2; ++n) {
+                const auto subscription = std::get<Subscription>(it.toController.messages.back().second);
+                it.toController.messages.clear();
+                restarted.handle(balancerNode, subscription, it.head, it.now, it.toFollower);
+                it.subscriber.handle(controllerNode, std::get<DirectoryUpdate>(it.toFollower.messages.back().second),
+                    it.now, it.toController);
+                it.now += 1s;
+                it.subscriber.tick(it.now, it.toController);
+            }
+            CHECK(it.copy.find({ 2 }) != nullptr);
+            CHECK(it.copy.find({ 1 }) != nullptr);
+        }
+        SUBCASE("a newer configuration is asked for, once until the answer is late")
+        {
+            it.subscriber.fetchConfiguration(2, it.now, it.toController);
+            REQUIRE(it.toController.messages.size() == 1);
+            CHECK(std::get<ConfigurationRequest>(it.toController.messages.front().second).newerThan == 2);
+            it.subscriber.fetchConfiguration(2, it.now + 100ms, it.toController);
+            CHECK(it.toController.messages.size() == 1);
+            it.subscriber.fetchConfiguration(2, it.now + 400ms, it.toController);
+            CHECK(it.toController.messages.size() == 2);
+            it.subscriber.fetchConfiguration(3, it.now + 800ms, it.toController);
+            CHECK(it.toController.messages.size() == 2);
+        }
+    }
+
+    TEST_CASE("a controller that acknowledges a drain knows that the others hold it")
+    {
+        Pair it(true);
+        it.source.apply(reportOf(1, 1), {}, it.now);
+        it.subscribe();
+        it.source.apply(reportOf(1, 2, InstanceState::Draining), {}, it.now);
+        const auto change = it.source.find({ 1 })->lastChange;
+        const core::NodeId others[] { balancerNode };
+        CHECK(it.feed.confirmations(change, others) == 0);
+        it.feed.publish(it.head, it.now, it.toFollower);
+        it.deliver();
+        CHECK(it.feed.confirmations(change, others) == 1);
+    }
+
+    TEST_CASE("a follower learns the members of the group and drops those that have left")
+    {
+        Pair it;
+        it.head.controllers = { controllerNode, { 11 } };
+        it.subscribe();
+        it.now += 1s;
+        it.subscriber.tick(it.now, it.toController);
+        CHECK(it.toController.messages.size() == 2);
+        it.deliver();
+        it.head = { 3, { controllerNode }, 2 };
+        it.subscribe();
+        it.now += 1s;
+        it.subscriber.tick(it.now, it.toController);
+        CHECK(it.toController.messages.size() == 1);
+    }
+
+    TEST_CASE("messages survive encoding, and damaged ones are refused")
+    {
+        const std::vector<SyncMessage> messages {
+            Subscription { 1, true, 2, 3 },
+            DirectoryUpdate { 1, 2, 3, { { reportOf(1, 1), 5ms, true } }, { { { 2 }, 3, 4 } }, 9, { { 5 } }, 6 },
+            ConfigurationRequest { 4 },
+            ConfigurationTransfer { 4, std::string("\x00\xff text", 7) },
+        };
+        for (const auto& it : messages) {
+            const auto bytes = adapters::encodeSyncMessage(it);
+            CHECK(adapters::decodeSyncMessage(bytes) == it);
+            for (std::size_t n = 0; n < bytes.size(); ++n)
+                CHECK_FALSE(adapters::decodeSyncMessage(std::string_view(bytes).substr(0, n)));
+            CHECK_FALSE(adapters::decodeSyncMessage(bytes + "x"));
+        }
+    }
+}
--- /dev/null
+++ b/tests/upstream/InstanceDirectoryTests.cpp
@@ -0,0 +1,133 @@
+#include "ibisgw/upstream/InstanceDirectory.h"
+
+#include <doctest/doctest.h>
+
+using namespace ibisgw;
+using namespace ibisgw::upstream;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr core::TimePoint start { 100s };
+
+InstanceReport reportOf(
+    std::uint64_t id, core::Incarnation incarnation, std::uint64_t sequence, InstanceState state = InstanceState::Ready)
+{
+    InstanceReport report;
+    report.id = { id };
+    report.incarnation = incarnation;
+    report.sequence = sequence;
+    report.state = state;
+    report.service = "booking";
+    report.zone = "a";
+    report.address = { 0x0a000000 + static_cast<std::uint32_t>(id), 8080 };
+    report.slots = 2;
+    return report;
+}
+
+} // namespace
+
+TEST_SUITE("upstream")
+{
+    TEST_CASE("reports that come late, twice or out of order")
+    {
+        InstanceDirectory directory;
+        REQUIRE(directory.apply(reportOf(1, 1000, 4), {}, start) == ReportOutcome::Changed);
+        const auto token = directory.find({ 1 })->token;
+
+        SUBCASE("an equal or older sequence changes nothing")
+        {
+            CHECK(directory.apply(reportOf(1, 1000, 4), {}, start) == ReportOutcome::Stale);
+            CHECK(directory.apply(reportOf(1, 1000, 3, InstanceState::Draining), {}, start) == ReportOutcome::Stale);
+            CHECK(directory.find({ 1 })->report.state == InstanceState::Ready);
+        }
+        SUBCASE("draining is not undone by a late report")
+        {
+            CHECK(directory.apply(reportOf(1, 1000, 6, InstanceState::Draining), {}, start) == ReportOutcome::Changed);
+            CHECK(directory.apply(reportOf(1, 1000, 5), {}, start) == ReportOutcome::Stale);
+            CHECK(directory.find({ 1 })->report.state == InstanceState::Draining);
+            // The flows of a draining upstream are still resolved.
+            CHECK(directory.findByToken(token) == directory.find({ 1 }));
+        }
+        SUBCASE("an upstream that has gone stays gone whatever arrives late")
+        {
+            auto farewell = reportOf(1, 1000, 0, InstanceState::Gone);
+            CHECK(directory.apply(farewell, {}, start) == ReportOutcome::Changed);
+            CHECK(directory.apply(reportOf(1, 1000, 99), {}, start) == ReportOutcome::Stale);
+            CHECK(directory.findByToken(token) == nullptr);
+            CHECK(directory.isRetired(token));
+        }
+        SUBCASE("a restart under the same identifier is another incarnation with another token")
+        {
+            CHECK(directory.apply(reportOf(1, 2000, 1), {}, start) == ReportOutcome::Changed);
+            CHECK(directory.find({ 1 })->token != token);
+            CHECK(directory.isRetired(token));
+            CHECK(directory.apply(reportOf(1, 1000, 99), {}, start) == ReportOutcome::Stale);
+        }
+    }
+
+    TEST_CASE("an address that is used again")
+    {
+        InstanceDirectory directory;
+        directory.apply(reportOf(1, 1000, 4), {}, start);
+        auto successor = reportOf(2, 5000, 1);
+        successor.address = reportOf(1, 1000, 4).address;
+        successor.service = "archive";
+        const auto token = directory.find({ 1 })->token;
+
+        SUBCASE("the upstream that started later replaces the earlier one")
+        {
+            directory.apply(successor, {}, start);
+            CHECK(directory.find({ 1 })->report.state == InstanceState::Gone);
+            CHECK(directory.findByToken(token) == nullptr);
+        }
+        SUBCASE("a report of the earlier one that a partition held up does not come back")
+        {
+            directory.apply(successor, {}, start);
+            CHECK(directory.apply(reportOf(3, 900, 7), {}, start) == ReportOutcome::Changed);
+            auto late = reportOf(4, 900, 7);
+            late.address = successor.address;
+            CHECK(directory.apply(late, {}, start) == ReportOutcome::Stale);
+            CHECK(directory.find({ 4 }) == nullptr);
+        }
+    }
+
+    TEST_CASE("upstreams that fall silent")
+    {
+        InstanceDirectory directory;
+        directory.apply(reportOf(1, 1000, 4), {}, start);
+        directory.markOverdue(2500ms, start + 2s);
+        CHECK_FALSE(directory.find({ 1 })->isOverdue);
+        const auto change = directory.newestRealChange();
+        directory.markOverdue(2500ms, start + 3s);
+        CHECK(directory.find({ 1 })->isOverdue);
+        CHECK(directory.newestRealChange() > change);
+
+        SUBCASE("the next report ends it")
+        {
+            CHECK(directory.renew({ 1 }, 1000, 5, start + 4s));
+            CHECK_FALSE(directory.find({ 1 })->isOverdue);
+        }
+        SUBCASE("an older notice of another controller does not bring it back")
+        {
+            directory.renew({ 1 }, 1000, 5, start + 4s);
+            directory.setOverdue({ 1 }, 1000, 4, true, start + 4s);
+            CHECK_FALSE(directory.find({ 1 })->isOverdue);
+        }
+        SUBCASE("one that was only cut off comes back after it was forgotten")
+        {
+            directory.expire(start + 10min);
+            CHECK(directory.find({ 1 }) == nullptr);
+            CHECK(directory.apply(reportOf(1, 1000, 5), {}, start + 10min) == ReportOutcome::Changed);
+        }
+    }
+
+    TEST_CASE("an upstream that is not known to be overdue is kept without reports")
+    {
+        // Guards against balancers that forget all upstreams, because they are told of changes only.
+        InstanceDirectory directory;
+        directory.apply(reportOf(1, 1000, 4), {}, start);
+        directory.expire(start + 1h);
+        CHECK(directory.find({ 1 }) != nullptr);
+    }
+}
