--- a/src/ibisgw/direct/LeastWorkSelector.cpp
+++ b/src/ibisgw/direct/LeastWorkSelector.cpp
@@ -9,7 +9,7 @@
 
 // Work that an upstream of another zone must have less, per slot: the longer way costs little time, but its bytes
 // between zones are paid for and its flows suffer when the zones are cut off from each other.
-constexpr double otherZonePenalty = 0.5;
+constexpr double otherZonePenalty = 1.0;
 
 // Share of its speed that an upstream has while it is cold.
 constexpr double coldSpeed = 0.6;
