Probe upstreams whose callers repeat packets, and write events and metrics

Nothing could be explained afterwards. Ruled out: a shorter report timeout (at least one interval of 0.77 to 1.2 s passes), resets after repeats alone (a slow or full upstream also leaves packets unanswered, and a reset of its flows would break them). Change: ResponseMonitor: repeated packets without progress lead to two TCP connects; when both fail the upstream counts as unresponsive, gets no new flows, and data for it is reset at once. Draining upstreams are not judged, and probes that ran while the balancer stood still are discarded. Events as JSON lines on standard output, bounded for each kind and never waiting for the reader; metrics on an address of the settings.

--- a/src/ibisgw/adapters/Log.cpp
+++ b/src/ibisgw/adapters/Log.cpp
@@ -2,14 +2,22 @@
 
 #include "ibisgw/core/NameTable.h"
 
+#include "ibisgw/adapters/BoundedWriter.h"
+
 #include <boost/log/core.hpp>
+#include <boost/log/sinks/basic_sink_backend.hpp>
+#include <boost/log/sinks/unlocked_frontend.hpp>
 #include <boost/log/sources/logger.hpp>
 #include <boost/log/sources/record_ostream.hpp>
 #include <boost/log/utility/setup/console.hpp>
 #include <boost/log/utility/setup/file.hpp>
 
+#include <boost/log/attributes/value_extraction.hpp>
+#include <boost/make_shared.hpp>
+
 #include <chrono>
 #include <iostream>
+#include <unistd.h>
 
 namespace ibisgw::adapters {
 
@@ -34,6 +42,19 @@
     return instance;
 }
 
+BoundedWriter& standardOutput()
+{
+    static BoundedWriter instance(STDOUT_FILENO);
+    return instance;
+}
+
+class StandardOutputBackend final
+    : public boost::log::sinks::basic_formatted_sink_backend<char, boost::log::sinks::concurrent_feeding> {
+public:
+    // Named by Boost.Log.
+    void consume(const boost::log::record_view&, const string_type& line) { standardOutput().write(line); }
+};
+
 double wallClockSeconds()
 {
     using namespace std::chrono;
@@ -53,6 +74,28 @@
             keywords::format = "%Message%", keywords::auto_flush = true);
 }
 
+void initializeStandardOutputLog(const std::string& process)
+{
+    processName() = process;
+    using Sink = boost::log::sinks::unlocked_sink<StandardOutputBackend>;
+    auto sink = boost::make_shared<Sink>();
+    sink->set_formatter([](const boost::log::record_view& record, boost::log::formatting_ostream& stream) {
+        if (const auto message = record[boost::log::aux::default_attribute_names::message()].extract<std::string>())
+            stream << *message;
+    });
+    boost::log::core::get()->add_sink(sink);
+}
+
+std::uint64_t droppedLogLines()
+{
+    return standardOutput().droppedLines();
+}
+
+void flushLog()
+{
+    standardOutput().flush();
+}
+
 void log(LogLevel level, std::string_view message, nlohmann::json fields)
 {
     fields["time"] = wallClockSeconds();
--- a/src/ibisgw/direct/FlowForwarder.cpp
+++ b/src/ibisgw/direct/FlowForwarder.cpp
@@ -20,6 +20,7 @@
     { ForwardReason::NoUpstream, "no_upstream" },
     { ForwardReason::UnknownToken, "unknown_token" },
     { ForwardReason::UpstreamGone, "upstream_gone" },
+    { ForwardReason::UpstreamUnresponsive, "upstream_unresponsive" },
     { ForwardReason::LateCopy, "late_copy" },
 } };
 
@@ -34,6 +35,9 @@
 // Work that is not seen to end counts for this long when the route states no latency objective.
 constexpr core::Duration defaultExpectedWork = std::chrono::milliseconds(100);
 
+// Callers repeat data after 200 ms or more; a copy that comes sooner was delayed on the network.
+constexpr core::Duration reorderingTime = std::chrono::milliseconds(100);
+
 // Sequence numbers wrap around (RFC 1982).
 bool isAfter(std::uint32_t a, std::uint32_t b)
 {
@@ -119,6 +123,7 @@
             return { ForwardAction::Drop, ForwardReason::LateCopy };
         if (!flow.isOpen && segment.acknowledged > 0) {
             load(flow.instance).unanswered(now);
+            m_responses.noteRepeated(flow.instance, now);
             excluded = flow.instance;
         }
         forget(found);
@@ -126,10 +131,16 @@
     const auto* record = choose(route, excluded, now);
     if (!record)
         return { ForwardAction::Reset, ForwardReason::NoUpstream };
+    auto decision = forwardTo(*record, excluded ? ForwardReason::PlacedAgain : ForwardReason::Placed);
+    const auto& chosen = load(record->report.id);
+    decision.candidates = static_cast<std::uint32_t>(m_candidates.size());
+    decision.inProgress = chosen.inProgress();
+    decision.openFlows = chosen.openFlows();
     auto& flow = remember(segment.flow, *record, &route, now);
+    flow.placedHere = true;
     flow.acknowledged = 0;
     startWork(segment.flow, flow, now);
-    return forwardTo(*record, excluded ? ForwardReason::PlacedAgain : ForwardReason::Placed);
+    return decision;
 }
 
 ForwardDecision FlowForwarder::continueFlow(const FlowSegment& segment, const Route* route, core::TimePoint now)
@@ -142,9 +153,13 @@
     const auto* record = m_directory.findByToken(flow.token);
     if (!record)
         return resolveToken(segment, route, now);
-    observe(flow, segment, now);
-    const auto decision = forwardTo(*record, ForwardReason::OpenFlow);
-    if (segment.isReset)
+    auto decision = forwardTo(*record, ForwardReason::OpenFlow);
+    observe(flow, segment, decision, now);
+    if (isLost(*record, segment)) {
+        decision.action = ForwardAction::Reset;
+        decision.reason = ForwardReason::UpstreamUnresponsive;
+    }
+    if (segment.isReset || decision.action == ForwardAction::Reset)
         forget(found);
     return decision;
 }
@@ -163,28 +178,66 @@
         found != m_flows.end() && found->second.instance != record->report.id)
         forget(found);
     auto& flow = remember(segment.flow, *record, route, now);
-    if (!flow.isOpen)
+    if (!flow.isOpen && flow.placedHere) {
         load(record->report.id).answered();
+        m_responses.noteProgress(record->report.id);
+    }
     flow.isOpen = true;
     flow.token = record->token;
-    observe(flow, segment, now);
-    return forwardTo(*record, ForwardReason::OpenFlow);
+    auto decision = forwardTo(*record, ForwardReason::OpenFlow);
+    observe(flow, segment, decision, now);
+    if (!isLost(*record, segment))
+        return decision;
+    forget(m_flows.find(segment.flow));
+    return { ForwardAction::Reset, ForwardReason::UpstreamUnresponsive, {}, record->report.id };
+}
+
+// Data for an upstream that answers neither callers nor probes waits in vain. A draining upstream may have closed its
+// listener before its flows, so it is not judged.
+bool FlowForwarder::isLost(const InstanceRecord& record, const FlowSegment& segment) const
+{
+    return segment.payloadBytes > 0 && !segment.isReset && record.report.state == InstanceState::Ready
+        && m_responses.isUnresponsive(record.report.id);
 }
 
 // Work starts with data of the caller and has ended once the caller acknowledges new data of the upstream.
-void FlowForwarder::observe(Flow& flow, const FlowSegment& segment, core::TimePoint now)
+void FlowForwarder::observe(Flow& flow, const FlowSegment& segment, ForwardDecision& decision, core::TimePoint now)
 {
     flow.lastSeenAt = now;
+    observeSequence(flow, segment, decision, now);
     const bool isFirst = flow.acknowledged == 0;
     const bool hasNewAnswer = !isFirst && segment.isAcknowledging && isAfter(segment.acknowledged, flow.acknowledged);
     if (segment.isAcknowledging && (isFirst || hasNewAnswer))
         flow.acknowledged = segment.acknowledged;
+    if (hasNewAnswer)
+        m_responses.noteProgress(flow.instance);
     if (hasNewAnswer || segment.isFinishing || segment.isReset)
         endWork(flow);
     if (segment.payloadBytes > 0 && !flow.isWorking && !segment.isFinishing)
         startWork(segment.flow, flow, now);
 }
 
+void FlowForwarder::observeSequence(
+    Flow& flow, const FlowSegment& segment, ForwardDecision& decision, core::TimePoint now)
+{
+    if (segment.payloadBytes == 0)
+        return;
+    const auto next = segment.sequence + segment.payloadBytes;
+    if (!flow.hasData || isAfter(next, flow.nextSequence)) {
+        decision.startsWork = !flow.hasData || !flow.isWorking
+            || (segment.isAcknowledging && isAfter(segment.acknowledged, flow.acknowledged));
+        flow.hasData = true;
+        flow.nextSequence = next;
+        flow.newDataAt = now;
+        return;
+    }
+    // Packets that overtake each other arrive within a few milliseconds; callers repeat after a longer time.
+    if (now - flow.newDataAt < reorderingTime)
+        return;
+    decision.isRepeated = true;
+    m_responses.noteRepeated(flow.instance, now);
+}
+
 void FlowForwarder::startWork(const core::FlowKey& key, Flow& flow, core::TimePoint now)
 {
     if (flow.isWorking)
@@ -270,7 +323,7 @@
 bool FlowForwarder::isDoubtful(const InstanceRecord& record, core::TimePoint now) const
 {
     const auto* load = loadOf(record.report.id);
-    return record.isOverdue || (load && load->isAvoided(now));
+    return record.isOverdue || m_responses.isUnresponsive(record.report.id) || (load && load->isAvoided(now));
 }
 
 void FlowForwarder::tick(core::TimePoint now)
@@ -298,7 +351,12 @@
         if (isOver)
             forget(entry);
     }
-    std::erase_if(m_loads, [this](const auto& it) { return !m_directory.find(it.first); });
+    std::erase_if(m_loads, [this](const auto& it) {
+        if (m_directory.find(it.first))
+            return false;
+        m_responses.forget(it.first);
+        return true;
+    });
 }
 
 } // namespace ibisgw::direct
--- a/src/ibisgw/direct/FlowForwarder.h
+++ b/src/ibisgw/direct/FlowForwarder.h
@@ -4,6 +4,7 @@
 #include "ibisgw/direct/EgressPacer.h"
 #include "ibisgw/direct/FlowSegment.h"
 #include "ibisgw/direct/InstanceSelector.h"
+#include "ibisgw/direct/ResponseMonitor.h"
 #include "ibisgw/direct/RouteConfiguration.h"
 
 #include <functional>
@@ -31,9 +32,10 @@
     NoUpstream,
     UnknownToken,
     UpstreamGone,
+    UpstreamUnresponsive,
     LateCopy,
 };
-constexpr std::size_t forwardReasonCount = 9;
+constexpr std::size_t forwardReasonCount = 10;
 
 std::string_view nameOf(ForwardReason);
 
@@ -45,6 +47,14 @@
     upstream::InstanceId instance;
     std::uint32_t token { 0 };
     EgressClass egressClass { EgressClass::Signal };
+    // The caller had sent the data before.
+    bool isRepeated { false };
+    // First packet of data after a pause of the flow: the start of a request.
+    bool startsWork { false };
+    // What a placement was decided on.
+    std::uint32_t candidates { 0 };
+    std::uint32_t inProgress { 0 };
+    std::uint32_t openFlows { 0 };
 };
 
 struct ForwarderOptions {
@@ -61,6 +71,7 @@
     FlowForwarder(ForwarderOptions, const upstream::InstanceDirectory&, const InstanceSelector&, core::RandomSource&);
 
     ForwardDecision handle(const FlowSegment&, core::TimePoint now);
+    ResponseMonitor& responses() { return m_responses; }
     // Ignores a version that is not higher than the one in force.
     bool apply(std::shared_ptr<const RouteConfiguration>, core::TimePoint now);
     // Call ten times a second or more often.
@@ -77,8 +88,14 @@
         std::uint32_t token { 0 };
         // A packet after the opening one was seen: the caller has an answer of the upstream.
         bool isOpen { false };
+        // Opened by this balancer, so its first packet shows that the upstream answers.
+        bool placedHere { false };
         bool isWorking { false };
         std::uint32_t acknowledged { 0 };
+        // Sequence after the newest data of the caller; meaningful once there was data.
+        std::uint32_t nextSequence { 0 };
+        bool hasData { false };
+        core::TimePoint newDataAt;
         core::TimePoint openedAt;
         core::TimePoint lastSeenAt;
         core::Duration expectedWork { 0 };
@@ -102,10 +119,12 @@
         const Route&, std::optional<upstream::InstanceId> excluded, core::TimePoint now);
     const core::ServiceName& drawService(const Route&);
     void collectCandidates(const core::ServiceName&, std::optional<upstream::InstanceId> excluded, core::TimePoint now);
+    bool isLost(const upstream::InstanceRecord&, const FlowSegment&) const;
     bool isDoubtful(const upstream::InstanceRecord&, core::TimePoint now) const;
 
     Flow& remember(const core::FlowKey&, const upstream::InstanceRecord&, const Route*, core::TimePoint now);
-    void observe(Flow&, const FlowSegment&, core::TimePoint now);
+    void observe(Flow&, const FlowSegment&, ForwardDecision&, core::TimePoint now);
+    void observeSequence(Flow&, const FlowSegment&, ForwardDecision&, core::TimePoint now);
     void startWork(const core::FlowKey&, Flow&, core::TimePoint now);
     void endWork(Flow&);
     void forget(FlowMap::iterator);
@@ -121,6 +140,7 @@
     FlowMap m_flows;
     std::unordered_map<upstream::InstanceId, InstanceLoad> m_loads;
     std::priority_queue<WorkDeadline, std::vector<WorkDeadline>, std::greater<>> m_workDeadlines;
+    ResponseMonitor m_responses;
     std::vector<Candidate> m_candidates;
     std::uint64_t m_workCount { 0 };
     core::TimePoint m_startedAt {};
--- a/src/ibisgw/runtime/DirectBalancer.cpp
+++ b/src/ibisgw/runtime/DirectBalancer.cpp
@@ -1,15 +1,13 @@
 #include "ibisgw/runtime/DirectBalancer.h"
 
-#include "ibisgw/adapters/Log.h"
 #include "ibisgw/adapters/SyncCodec.h"
 #include "ibisgw/configuration/DocumentCompression.h"
+#include "ibisgw/runtime/LogFields.h"
 
 namespace ibisgw::runtime {
 
 namespace {
 
-using adapters::LogLevel;
-
 constexpr std::chrono::milliseconds tickPeriod { 25 };
 // One full packet on a link of 3 Mbit/s.
 constexpr std::chrono::milliseconds pacerPeriod { 4 };
@@ -19,6 +17,12 @@
 constexpr core::Duration withdrawalTime = std::chrono::milliseconds(1500);
 constexpr core::Duration quietTime = std::chrono::milliseconds(300);
 
+// A turn of the event loop that came this late tells of a pause of the process.
+constexpr core::Duration stallLimit = std::chrono::milliseconds(100);
+
+// Two subscriptions may be lost.
+constexpr core::Duration contactLimit = std::chrono::seconds(2);
+
 // Kept free at the end of the grace period for the end of the process.
 constexpr core::Duration shutdownMargin = std::chrono::seconds(1);
 
@@ -70,6 +74,8 @@
     , m_subscriber(subscriberOptions(settings, m_peers.self(), m_random), m_directory)
     , m_pacer({ settings.linkBytesPerSecond })
     , m_pacerTimer(loop.addTimer(pacerPeriod, [this] { releasePackets(); }))
+    , m_events(settings.logLinesPerSecond)
+    , m_prober(loop, [this](upstream::InstanceId id, direct::ProbeResult result) { noteProbe(id, result); })
 {
 }
 
@@ -89,13 +95,16 @@
 void DirectBalancer::beginShutdown()
 {
     m_shutdownAt = m_loop.now();
-    adapters::log(LogLevel::Info, "stopping; no new flows", { { "open_flows", m_forwarder.openFlows() } });
+    m_events.record(Event::Stopping, *m_shutdownAt, [this] {
+        return nlohmann::json { { "open_flows", m_forwarder.openFlows() } };
+    });
 }
 
 void DirectBalancer::reload(const settings::DirectSettings& settings)
 {
     m_settings.seeds = settings.seeds;
     m_subscriber.setSeeds(settings.seedNodes());
+    m_events.setLinesPerSecond(settings.logLinesPerSecond);
 }
 
 void DirectBalancer::receivePacket(std::span<const std::byte> packet)
@@ -108,6 +117,7 @@
     }
     m_lastPacketAt = now;
     const auto decision = m_forwarder.handle(*segment, now);
+    logDecision(*segment, decision, packet, now);
     if (decision.action == direct::ForwardAction::Forward) {
         const auto n = m_packetFormat.writeForwarded(packet, decision.token, decision.instance, m_out);
         transmit(*segment, decision, n, decision.target, now);
@@ -161,12 +171,16 @@
     const auto text = configuration::decompressDocument(transfer.compressedText);
     auto reading = text ? m_configurationFormat.read(*text) : ConfigurationReading {};
     if (!reading.configuration) {
-        adapters::log(LogLevel::Error, "an accepted configuration cannot be read; upgrade this daemon",
-            { { "version", transfer.version } });
+        m_events.record(Event::Failed, now, [&] {
+            return nlohmann::json { { "version", transfer.version },
+                { "reason", "an accepted configuration cannot be read; upgrade this daemon" } };
+        });
         return;
     }
     m_forwarder.apply(std::make_shared<const direct::RouteConfiguration>(std::move(*reading.configuration)), now);
-    adapters::log(LogLevel::Info, "configuration in force", { { "version", transfer.version } });
+    m_events.record(Event::ConfigurationInForce, now, [&] {
+        return nlohmann::json { { "version", transfer.version } };
+    });
 }
 
 void DirectBalancer::send(core::NodeId peer, const sync::SyncMessage& message)
@@ -180,14 +194,133 @@
     m_subscriber.tick(now, *this);
     m_subscriber.fetchConfiguration(m_forwarder.version(), now, *this);
     m_forwarder.tick(now);
+    tickProbes(now);
+    m_journal.note(m_directory, m_events, now);
+    noteDependencies(now);
     if (now >= m_nextExpiry) {
         m_nextExpiry = now + expiryInterval;
         m_directory.expire(now);
+        adapters::flushLog();
     }
     if (isShutdownOver(now))
         m_loop.stop();
 }
 
+void DirectBalancer::tickProbes(core::TimePoint now)
+{
+    // Probes that ran while this process stood still have timed out for no fault of the upstream.
+    const auto gap = m_lastTickAt == core::TimePoint {} ? core::Duration::zero() : now - m_lastTickAt;
+    m_lastTickAt = now;
+    m_longestStall = std::max(m_longestStall, gap);
+    if (gap > stallLimit) {
+        m_prober.abandon();
+        m_forwarder.responses().discardProbes();
+    }
+    m_prober.tick(now);
+    for (const auto& it : m_forwarder.responses().takeProbes(now)) {
+        if (const auto* record = m_directory.find(it))
+            m_prober.probe(it, record->report.address, now);
+        else
+            m_forwarder.responses().forget(it);
+    }
+}
+
+void DirectBalancer::noteProbe(upstream::InstanceId id, direct::ProbeResult result)
+{
+    const auto now = m_loop.now();
+    auto& responses = m_forwarder.responses();
+    const bool wasUnresponsive = responses.isUnresponsive(id);
+    responses.noteProbe(id, result, now);
+    if (responses.isUnresponsive(id) == wasUnresponsive)
+        return;
+    m_events.record(wasUnresponsive ? Event::UpstreamResponsive : Event::UpstreamUnresponsive, now, [&] {
+        const auto* record = m_directory.find(id);
+        return nlohmann::json { { "upstream", textOf(id) }, { "probe", static_cast<int>(result) },
+            { "address", record ? record->report.address.toString() : std::string() } };
+    });
+}
+
+void DirectBalancer::noteDependencies(core::TimePoint now)
+{
+    if (isReady() != m_wasReady) {
+        m_wasReady = isReady();
+        m_events.record(m_wasReady ? Event::Ready : Event::NotReady, now, [this] {
+            return nlohmann::json { { "version", m_forwarder.version() }, { "upstreams", m_directory.records().size() },
+                { "stopping", m_shutdownAt.has_value() } };
+        });
+    }
+    const bool hasControllers = m_subscriber.reachableControllers(contactLimit, now) > 0;
+    if (hasControllers != m_hadControllers) {
+        m_hadControllers = hasControllers;
+        m_events.record(hasControllers ? Event::ControllersRegained : Event::ControllersLost, now);
+    }
+}
+
+void DirectBalancer::logDecision(const direct::FlowSegment& segment, const direct::ForwardDecision& decision,
+    std::span<const std::byte> packet, core::TimePoint now)
+{
+    const auto fields = [&] {
+        nlohmann::json json { { "flow", textOf(segment.flow) }, { "reason", nameOf(decision.reason) },
+            { "version", m_forwarder.version() } };
+        if (decision.instance.value != 0)
+            json["upstream"] = textOf(decision.instance);
+        if (const auto id = m_packetFormat.requestId(packet); !id.empty())
+            json["request"] = id;
+        if (decision.candidates > 0) {
+            json["candidates"] = decision.candidates;
+            json["in_progress"] = decision.inProgress;
+            json["open_flows"] = decision.openFlows;
+        }
+        return json;
+    };
+    if (decision.action == direct::ForwardAction::Reset)
+        m_events.record(segment.isOpening ? Event::FlowRefused : Event::FlowReset, now, fields);
+    else if (decision.action == direct::ForwardAction::Drop)
+        m_events.record(Event::TokenUnknown, now, fields);
+    else if (decision.reason == direct::ForwardReason::PlacedAgain)
+        m_events.record(Event::FlowPlacedAgain, now, fields);
+    else if (decision.reason == direct::ForwardReason::Placed)
+        m_events.record(Event::FlowPlaced, now, fields);
+    else if (decision.isRepeated)
+        m_events.record(Event::RequestRepeated, now, fields);
+    else if (decision.startsWork)
+        m_events.record(Event::RequestForwarded, now, fields);
+}
+
+std::string DirectBalancer::renderMetrics()
+{
+    for (std::size_t n = 0; n < direct::forwardReasonCount; ++n) {
+        const auto reason = static_cast<direct::ForwardReason>(n);
+        m_metrics.counter("ibisgw_packets_total", "Packets of callers by how they were handled",
+            { { "reason", std::string(nameOf(reason)) } })
+            = m_forwarder.count(reason);
+    }
+    m_metrics.counter("ibisgw_malformed_packets_total", "Datagrams that are no packet of a caller")
+        = m_malformedPackets;
+    m_metrics.counter("ibisgw_paced_copies_total", "Copies of packets that were not sent again")
+        = m_pacer.droppedCopies();
+    m_metrics.counter("ibisgw_paced_overflow_total", "Packets dropped because the queue to the link was full")
+        = m_pacer.droppedFull();
+    m_metrics.counter("ibisgw_probes_total", "Connections opened to find out whether an upstream answers")
+        = m_prober.probeCount();
+    m_metrics.counter("ibisgw_log_lines_left_out_total", "Events over the rate of their kind") = m_events.leftOut();
+    m_metrics.counter("ibisgw_log_lines_dropped_total", "Lines that standard output did not take")
+        = adapters::droppedLogLines();
+    m_metrics.counter("ibisgw_peer_bytes_sent_total", "Bytes sent to other daemons") = m_peers.counters().bytesSent;
+    m_metrics.gauge("ibisgw_open_flows", "Flows that this balancer has seen and that are not over")
+        = static_cast<double>(m_forwarder.openFlows());
+    m_metrics.gauge("ibisgw_egress_queue_bytes", "Bytes that wait for the link")
+        = static_cast<double>(m_pacer.queuedBytes());
+    m_metrics.gauge("ibisgw_configuration_version", "Version in force") = static_cast<double>(m_forwarder.version());
+    m_metrics.gauge("ibisgw_ready", "1 while new flows may come") = isReady() ? 1 : 0;
+    m_metrics.gauge("ibisgw_reachable_controllers", "Controllers that have answered lately")
+        = static_cast<double>(m_subscriber.reachableControllers(contactLimit, m_loop.now()));
+    m_metrics.gauge("ibisgw_longest_stall_seconds", "Longest time between two turns of the event loop")
+        = core::toSeconds(m_longestStall);
+    countUpstreams(m_directory, m_metrics);
+    return m_metrics.render();
+}
+
 bool DirectBalancer::isShutdownOver(core::TimePoint now) const
 {
     if (!m_shutdownAt)
--- a/src/ibisgw/runtime/DirectBalancer.h
+++ b/src/ibisgw/runtime/DirectBalancer.h
@@ -1,12 +1,16 @@
 #pragma once
 
 #include "ibisgw/adapters/EventLoop.h"
+#include "ibisgw/adapters/MetricsRegistry.h"
 #include "ibisgw/adapters/PeerDatagrams.h"
 #include "ibisgw/core/PcgRandomSource.h"
 #include "ibisgw/direct/EgressPacer.h"
 #include "ibisgw/direct/FlowForwarder.h"
 #include "ibisgw/direct/LeastWorkSelector.h"
 #include "ibisgw/runtime/ConfigurationFormat.h"
+#include "ibisgw/runtime/ConnectProber.h"
+#include "ibisgw/runtime/DirectoryJournal.h"
+#include "ibisgw/runtime/EventLog.h"
 #include "ibisgw/runtime/PacketFormat.h"
 #include "ibisgw/settings/DirectSettings.h"
 #include "ibisgw/sync/DirectorySubscriber.h"
@@ -29,6 +33,9 @@
     // Stops taking new flows, goes on forwarding and ends the loop before the grace period is over.
     void beginShutdown();
     void reload(const settings::DirectSettings&);
+    EventLog& events() { return m_events; }
+    // Prometheus text format.
+    std::string renderMetrics();
 
 private:
     DirectBalancer(const settings::DirectSettings&, adapters::EventLoop&, const PacketFormat&,
@@ -42,6 +49,11 @@
     void receiveMessage(core::NodeId sender, std::string_view body);
     void adopt(const sync::ConfigurationTransfer&, core::TimePoint now);
     void tick();
+    void noteProbe(upstream::InstanceId, direct::ProbeResult);
+    void tickProbes(core::TimePoint now);
+    void noteDependencies(core::TimePoint now);
+    void logDecision(const direct::FlowSegment&, const direct::ForwardDecision&, std::span<const std::byte> packet,
+        core::TimePoint now);
     bool isShutdownOver(core::TimePoint now) const;
 
     settings::DirectSettings m_settings;
@@ -58,8 +70,16 @@
     direct::EgressPacer m_pacer;
     adapters::EventLoop::Timer& m_pacerTimer;
     std::array<std::byte, 2048> m_out;
+    EventLog m_events;
+    DirectoryJournal m_journal;
+    ConnectProber m_prober;
+    adapters::MetricsRegistry m_metrics;
     core::TimePoint m_nextExpiry {};
     core::TimePoint m_lastPacketAt {};
+    core::TimePoint m_lastTickAt {};
+    core::Duration m_longestStall { 0 };
+    bool m_wasReady { false };
+    bool m_hadControllers { false };
     std::optional<core::TimePoint> m_shutdownAt;
     std::uint64_t m_malformedPackets { 0 };
 };
--- a/src/ibisgw/runtime/DirectController.cpp
+++ b/src/ibisgw/runtime/DirectController.cpp
@@ -1,10 +1,10 @@
 #include "ibisgw/runtime/DirectController.h"
 
 #include "ibisgw/adapters/InstanceFile.h"
-#include "ibisgw/adapters/Log.h"
 #include "ibisgw/adapters/RaftCodec.h"
 #include "ibisgw/adapters/SyncCodec.h"
 #include "ibisgw/configuration/DocumentCompression.h"
+#include "ibisgw/runtime/LogFields.h"
 
 #include <algorithm>
 
@@ -12,7 +12,6 @@
 
 namespace {
 
-using adapters::LogLevel;
 using adapters::PeerChannel;
 using configuration::ReplaceStatus;
 
@@ -81,6 +80,7 @@
     , m_register(raftOptions(settings, m_peers.self()), *m_store, *m_random)
     , m_feed(m_random->next() | 1, m_directory)
     , m_subscriber(subscriberOptions(settings, m_peers.self(), *m_random), m_directory)
+    , m_events(settings.logLinesPerSecond)
 {
 }
 
@@ -89,10 +89,12 @@
     const auto loadStarted = m_loop.now();
     BOOST_LEAF_CHECK(m_register.start(loadStarted));
     loadInstances();
-    adapters::log(LogLevel::Info, "state loaded",
-        { { "seconds", core::toSeconds(m_loop.now() - loadStarted) }, { "version", m_register.version() },
-            { "upstreams", m_directory.records().size() },
-            { "log_entries", m_register.raft().log().lastIndex() - m_register.raft().log().snapshot().index } });
+    m_events.record(Event::StateLoaded, m_loop.now(), [&] {
+        const auto& log = m_register.raft().log();
+        return nlohmann::json { { "seconds", core::toSeconds(m_loop.now() - loadStarted) },
+            { "version", m_register.version() }, { "upstreams", m_directory.records().size() },
+            { "log_entries", log.lastIndex() - log.snapshot().index }, { "first_start", m_settings.firstStart } };
+    });
     m_peers.start();
     m_loop.addPeriodic(tickPeriod, [this] { tick(); });
     tick();
@@ -107,15 +109,83 @@
     markOverdue(now);
     m_feed.publish(feedHead(), now, *this);
     settle(now);
+    noteAgreement(now);
+    m_journal.note(m_directory, m_events, now);
     if (now >= m_nextExpiry) {
         m_nextExpiry = now + expiryInterval;
         m_directory.expire(now);
         saveInstances();
+        adapters::flushLog();
     }
     if (m_shutdownAt && now - *m_shutdownAt > shutdownTime)
         m_loop.stop();
 }
 
+void DirectController::noteAgreement(core::TimePoint now)
+{
+    const auto& raft = m_register.raft();
+    if (raft.leader() != m_notedLeader) {
+        m_notedLeader = raft.leader();
+        m_events.record(Event::LeaderChanged, now, [&] {
+            return nlohmann::json { { "leader",
+                                        m_notedLeader.isValid() ? m_notedLeader.endpoint().toString() : "none" },
+                { "term", raft.term() }, { "role", nameOf(raft.role()) }, { "problem", raft.problem() } };
+        });
+    }
+    if (raft.log().membershipIndex() != m_notedMembership) {
+        m_notedMembership = raft.log().membershipIndex();
+        m_events.record(Event::MembersChanged, now, [&] {
+            auto members = nlohmann::json::array();
+            for (const auto& it : m_register.membership().members)
+                members.push_back(it.node.endpoint().toString() + (it.voter ? " voter" : " learner"));
+            return nlohmann::json { { "members", std::move(members) }, { "index", m_notedMembership } };
+        });
+    }
+    const bool isHalted = raft.role() == configuration::RaftRole::Halted;
+    const bool wasHalted = m_notedRole == configuration::RaftRole::Halted;
+    m_notedRole = raft.role();
+    if (isHalted != wasHalted)
+        m_events.record(isHalted ? Event::StoreFailed : Event::StoreRecovered, now, [&] {
+            return nlohmann::json { { "reason", raft.problem() } };
+        });
+    if (m_register.version() > m_notedVersion) {
+        m_notedVersion = m_register.version();
+        m_events.record(Event::ConfigurationInForce, now, [this] {
+            return nlohmann::json { { "version", m_notedVersion } };
+        });
+    }
+}
+
+std::string DirectController::renderMetrics()
+{
+    const auto& raft = m_register.raft();
+    m_metrics.gauge("ibisgw_configuration_version", "Version in force") = static_cast<double>(m_register.version());
+    m_metrics.gauge("ibisgw_raft_term", "Term of the agreement") = static_cast<double>(raft.term());
+    m_metrics.gauge("ibisgw_raft_leader", "1 while this controller leads")
+        = raft.role() == configuration::RaftRole::Leader ? 1 : 0;
+    m_metrics.gauge("ibisgw_raft_accepting", "1 while this controller accepts configurations")
+        = raft.isAccepting() ? 1 : 0;
+    m_metrics.gauge("ibisgw_raft_halted", "1 while the disk refuses writes")
+        = raft.role() == configuration::RaftRole::Halted ? 1 : 0;
+    m_metrics.gauge("ibisgw_raft_voters", "Controllers that vote")
+        = static_cast<double>(m_register.membership().voterCount());
+    m_metrics.gauge("ibisgw_subscribers", "Daemons that follow this controller")
+        = static_cast<double>(m_feed.subscriberCount());
+    m_metrics.gauge("ibisgw_reachable_controllers", "Controllers that have answered lately")
+        = static_cast<double>(m_subscriber.reachableControllers(contactLimit, m_loop.now()));
+    for (const auto event : { Event::ConfigurationAcknowledged, Event::ConfigurationUndecided,
+             Event::ConfigurationInvalid, Event::ReadRefused, Event::ReportRefused, Event::ReportUnconfirmed })
+        m_metrics.counter("ibisgw_calls_total", "Calls of operators and upstreams by outcome",
+            { { "outcome", std::string(nameOf(event)) } })
+            = m_events.count(event);
+    m_metrics.counter("ibisgw_log_lines_left_out_total", "Events over the rate of their kind") = m_events.leftOut();
+    m_metrics.counter("ibisgw_log_lines_dropped_total", "Lines that standard output did not take")
+        = adapters::droppedLogLines();
+    m_metrics.counter("ibisgw_peer_bytes_sent_total", "Bytes sent to other daemons") = m_peers.counters().bytesSent;
+    countUpstreams(m_directory, m_metrics);
+    return m_metrics.render();
+}
+
 // A controller that is cut off from the others misses reports that they have got.
 void DirectController::markOverdue(core::TimePoint now)
 {
@@ -144,7 +214,10 @@
     for (const auto& [id, record] : m_directory.records())
         items.push_back({ record.report, {}, record.isOverdue });
     if (!adapters::saveInstances(instanceFile(), std::move(items)))
-        adapters::log(LogLevel::Warning, "the upstreams could not be saved; a restart will wait for their reports");
+        m_events.record(Event::StoreFailed, m_loop.now(), [] {
+            return nlohmann::json { { "reason",
+                "the upstreams could not be saved; a restart will wait for their reports" } };
+        });
 }
 
 std::string DirectController::instanceFile() const
@@ -155,13 +228,14 @@
 void DirectController::beginShutdown()
 {
     m_shutdownAt = m_loop.now();
-    adapters::log(LogLevel::Info, "stopping");
+    m_events.record(Event::Stopping, *m_shutdownAt);
 }
 
 void DirectController::reload(const settings::DirectSettings& settings)
 {
     m_settings.seeds = settings.seeds;
     m_subscriber.setSeeds(settings.seedNodes());
+    m_events.setLinesPerSecond(settings.logLinesPerSecond);
 }
 
 core::Incarnation DirectController::incarnationOf(upstream::InstanceId id) const
@@ -182,7 +256,7 @@
         answer({ AnswerKind::Done, {}, {} });
         return;
     }
-    m_waitingReports.push_back({ record->lastChange, now + answerLimit, std::move(answer) });
+    m_waitingReports.push_back({ report.id, record->lastChange, now + answerLimit, std::move(answer) });
 }
 
 // A balancer in contact with the controllers hears each of them; with a majority at least one that still runs
@@ -212,10 +286,15 @@
 {
     const auto now = m_loop.now();
     const auto status = m_register.replace(version, configuration::compressDocument(text), now, *this);
-    if (status == ReplaceStatus::Unknown)
+    if (status == ReplaceStatus::Unknown) {
         answer(askElsewhere());
-    else
-        m_waitingChanges.push_back({ version, now + answerLimit, std::move(answer) });
+    } else {
+        m_events.record(Event::ConfigurationProposed, now, [&] {
+            return nlohmann::json { { "version", version }, { "held", m_register.version() },
+                { "bytes", text.size() } };
+        });
+        m_waitingChanges.push_back({ version, now, now + answerLimit, std::move(answer) });
+    }
     settle(now);
 }
 
@@ -224,6 +303,9 @@
     const auto now = m_loop.now();
     const auto ticket = m_register.beginRead(now, *this);
     if (!ticket) {
+        m_events.record(Event::ReadRefused, now, [this] {
+            return nlohmann::json { { "reason", "this controller does not lead" }, { "held", m_register.version() } };
+        });
         answer(askElsewhere());
         return;
     }
@@ -231,6 +313,22 @@
     settle(now);
 }
 
+void DirectController::noteRefusedReport(const std::string& instance)
+{
+    constexpr std::size_t maxText = 64;
+    m_events.record(Event::ReportRefused, m_loop.now(), [&] {
+        return nlohmann::json { { "upstream", instance.substr(0, maxText) }, { "reason", "malformed" } };
+    });
+}
+
+void DirectController::noteInvalidConfiguration(const core::Problem& problem)
+{
+    m_events.record(Event::ConfigurationInvalid, m_loop.now(), [&] {
+        return nlohmann::json { { "path", problem.path }, { "problem", problem.message },
+            { "held", m_register.version() } };
+    });
+}
+
 ControlAnswer DirectController::askElsewhere() const
 {
     const auto leader = m_register.raft().leader();
@@ -243,6 +341,12 @@
 {
     std::erase_if(m_waitingReports, [&](const WaitingReport& it) {
         const bool isDone = isConfirmed(it.change);
+        if (!isDone && now >= it.deadline)
+            m_events.record(Event::ReportUnconfirmed, now, [&] {
+                return nlohmann::json { { "upstream", textOf(it.instance) },
+                    { "controllers", controllerNodes().size() },
+                    { "confirmed", m_feed.confirmations(it.change, controllerNodes()) } };
+            });
         if (isDone || now >= it.deadline)
             it.answer({ isDone ? AnswerKind::Done : AnswerKind::AskAgain, {}, {} });
         return isDone || now >= it.deadline;
@@ -251,6 +355,12 @@
         const auto status = m_register.statusOf(it.version);
         if (status == ReplaceStatus::Pending && now < it.deadline)
             return false;
+        const auto event
+            = status == ReplaceStatus::Accepted ? Event::ConfigurationAcknowledged : Event::ConfigurationUndecided;
+        m_events.record(event, now, [&] {
+            return nlohmann::json { { "version", it.version }, { "held", m_register.version() },
+                { "seconds", core::toSeconds(now - it.since) } };
+        });
         it.answer({ status == ReplaceStatus::Accepted ? AnswerKind::Done : AnswerKind::AskAgain, {}, {} });
         return true;
     });
@@ -261,6 +371,11 @@
         const auto text = state == configuration::ReadState::Ready && m_register.version() > 0
             ? configuration::decompressDocument(m_register.text())
             : std::nullopt;
+        if (!text)
+            m_events.record(Event::ReadRefused, now, [this] {
+                return nlohmann::json { { "reason", "the leadership was not confirmed in time" },
+                    { "held", m_register.version() } };
+            });
         it.answer({ text ? AnswerKind::Done : AnswerKind::AskAgain, {}, text.value_or("") });
         return true;
     });
--- a/src/ibisgw/runtime/DirectController.h
+++ b/src/ibisgw/runtime/DirectController.h
@@ -2,10 +2,13 @@
 
 #include "ibisgw/adapters/EventLoop.h"
 #include "ibisgw/adapters/FileLogStore.h"
+#include "ibisgw/adapters/MetricsRegistry.h"
 #include "ibisgw/adapters/PeerDatagrams.h"
 #include "ibisgw/configuration/ConfigurationRegister.h"
 #include "ibisgw/configuration/RaftOutput.h"
 #include "ibisgw/core/PcgRandomSource.h"
+#include "ibisgw/runtime/DirectoryJournal.h"
+#include "ibisgw/runtime/EventLog.h"
 #include "ibisgw/settings/DirectSettings.h"
 #include "ibisgw/sync/DirectoryFeed.h"
 #include "ibisgw/sync/DirectorySubscriber.h"
@@ -45,19 +48,27 @@
     // The text must have been checked.
     void replaceConfiguration(direct::ConfigurationVersion, const std::string& text, Answerer);
     void readConfiguration(Answerer);
+    // Input that was refused before it got here.
+    void noteRefusedReport(const std::string& instance);
+    void noteInvalidConfiguration(const core::Problem&);
     void beginShutdown();
     void reload(const settings::DirectSettings&);
     // The incarnation that is known for an upstream; 0 when there is none.
     core::Incarnation incarnationOf(upstream::InstanceId) const;
+    EventLog& events() { return m_events; }
+    // Prometheus text format.
+    std::string renderMetrics();
 
 private:
     struct WaitingReport {
+        upstream::InstanceId instance;
         std::uint64_t change { 0 };
         core::TimePoint deadline;
         Answerer answer;
     };
     struct WaitingChange {
         direct::ConfigurationVersion version { 0 };
+        core::TimePoint since;
         core::TimePoint deadline;
         Answerer answer;
     };
@@ -77,6 +88,7 @@
     void handle(core::NodeId sender, const sync::ConfigurationRequest&);
     void tick();
     void settle(core::TimePoint now);
+    void noteAgreement(core::TimePoint now);
     void markOverdue(core::TimePoint now);
     void loadInstances();
     void saveInstances();
@@ -101,6 +113,13 @@
     std::vector<WaitingRead> m_waitingReads;
     core::TimePoint m_nextExpiry {};
     std::uint64_t m_savedChange { 0 };
+    EventLog m_events;
+    DirectoryJournal m_journal;
+    adapters::MetricsRegistry m_metrics;
+    core::NodeId m_notedLeader;
+    std::uint64_t m_notedMembership { 0 };
+    configuration::RaftRole m_notedRole { configuration::RaftRole::CheckingDisk };
+    direct::ConfigurationVersion m_notedVersion { 0 };
     std::optional<core::TimePoint> m_shutdownAt;
 };
 
--- /dev/null
+++ b/src/ibisgw/runtime/LogFields.cpp
@@ -0,0 +1,38 @@
+#include "ibisgw/runtime/LogFields.h"
+
+#include "ibisgw/adapters/MetricsRegistry.h"
+#include "ibisgw/upstream/InstanceDirectory.h"
+
+#include <array>
+#include <charconv>
+
+namespace ibisgw::runtime {
+
+std::string textOf(upstream::InstanceId id)
+{
+    std::array<char, 17> buf {};
+    const auto [end, ec] = std::to_chars(buf.data(), buf.data() + buf.size(), id.value, 16);
+    return { buf.data(), end };
+}
+
+std::string textOf(const core::FlowKey& flow)
+{
+    return flow.caller.toString() + ">" + flow.service.toString();
+}
+
+void countUpstreams(const upstream::InstanceDirectory& directory, adapters::MetricsRegistry& metrics)
+{
+    const auto gauge = [&metrics](std::string_view state) -> double& {
+        return metrics.gauge("ibisgw_upstreams", "Upstreams by state", { { "state", std::string(state) } });
+    };
+    using upstream::InstanceState;
+    for (const auto state : { InstanceState::Ready, InstanceState::Draining, InstanceState::Gone })
+        gauge(nameOf(state)) = 0;
+    gauge("overdue") = 0;
+    for (const auto& [id, record] : directory.records()) {
+        gauge(nameOf(record.report.state)) += 1;
+        gauge("overdue") += record.isOverdue ? 1 : 0;
+    }
+}
+
+} // namespace ibisgw::runtime
--- a/src/ibisgw/runtime/PacketFormat.h
+++ b/src/ibisgw/runtime/PacketFormat.h
@@ -6,6 +6,7 @@
 #include <cstddef>
 #include <optional>
 #include <span>
+#include <string_view>
 
 namespace ibisgw::runtime {
 
@@ -16,6 +17,8 @@
 
     // Empty for a datagram that is not a packet of a caller.
     virtual std::optional<direct::FlowSegment> read(std::span<const std::byte> packet) const = 0;
+    // Identifier of the request that starts in the packet, for log lines; empty when there is none.
+    virtual std::string_view requestId(std::span<const std::byte> packet) const = 0;
     // Writes the packet with another token and addressed to the given upstream; returns its size, 0 if it does not fit.
     virtual std::size_t writeForwarded(std::span<const std::byte> packet, std::uint32_t token, upstream::InstanceId,
         std::span<std::byte> out) const = 0;
--- a/src/ibisgw/settings/DirectSettings.cpp
+++ b/src/ibisgw/settings/DirectSettings.cpp
@@ -13,6 +13,7 @@
 using core::Presence;
 
 constexpr std::uint64_t maxDurationMs = 86'400'000;
+constexpr std::uint64_t maxLogLinesPerSecond = 10'000;
 constexpr double maxLinkMbps = 400'000;
 constexpr std::uint64_t maxToleratedDiskLosses = 3;
 
@@ -64,6 +65,8 @@
     reader.readEndpoints("seeds", settings.seeds, Presence::Optional);
     readDuration(reader, "report_interval_ms", settings.reportInterval);
     readDuration(reader, "grace_period_ms", settings.gracePeriod);
+    reader.readInteger("log_lines_per_second", settings.logLinesPerSecond, 1, maxLogLinesPerSecond, Presence::Optional);
+    reader.readEndpoint("metrics", settings.metrics, Presence::Optional, PortRule::AnyPort);
     if (role == DirectRole::Balancer)
         readBalancer(reader, settings);
     else
--- a/src/ibisgw/settings/DirectSettings.h
+++ b/src/ibisgw/settings/DirectSettings.h
@@ -41,6 +41,10 @@
     // From the request to stop until the process is killed.
     core::Duration gracePeriod { std::chrono::seconds(5) };
     core::Duration maxFlowAge { std::chrono::seconds(60) };
+    // Bound of the log for each kind of event.
+    std::uint32_t logLinesPerSecond { 10 };
+    // Serves metrics as text over HTTP; port 0 for none.
+    core::Endpoint metrics;
 
     // Peer addresses of the seeds.
     std::vector<core::NodeId> seedNodes() const;
