Explain a failed request from its id; read operators' files in one place; reset flows of replaced upstreams at once

Cause: (1) on-call engineers have only logs: nothing joined the lines of several processes. (2) ibisgwd FOLDER and config check FOLDER ended in an exception, a pipe blocked for ever. Change: ibisgw explain; InputFile for settings, documents, keys and logs; the wait before a reset is kept only for upstreams that have said goodbye.

--- a/src/ibisgw/adapters/AdminApi.cpp
+++ b/src/ibisgw/adapters/AdminApi.cpp
@@ -45,7 +45,7 @@
 void respondUnknownPath(const detail::ApiCall& call)
 {
     call.respond(detail::errorResponse(404, core::ErrorKind::NotFound,
-        call.request.method + " " + call.request.path + " is not a call of this API; see docs/operating.md"));
+        call.request.method + " " + call.request.path + " is not a call of this API; see docs/OPERATIONS.md"));
 }
 
 bool routeRevisions(const ApiCallPtr& call, const std::vector<std::string>& path)
--- a/src/ibisgw/adapters/ApiTokens.cpp
+++ b/src/ibisgw/adapters/ApiTokens.cpp
@@ -1,6 +1,6 @@
 #include "ibisgw/adapters/ApiTokens.h"
 
-#include "ibisgw/adapters/PrivateFile.h"
+#include "ibisgw/adapters/InputFile.h"
 #include "ibisgw/core/JsonText.h"
 #include "ibisgw/core/ObjectReader.h"
 
--- a/src/ibisgw/adapters/KeyFile.cpp
+++ b/src/ibisgw/adapters/KeyFile.cpp
@@ -1,6 +1,6 @@
 #include "ibisgw/adapters/KeyFile.h"
 
-#include "ibisgw/adapters/PrivateFile.h"
+#include "ibisgw/adapters/InputFile.h"
 
 #include <charconv>
 #include <nlohmann/json.hpp>
--- a/src/ibisgw/direct/FlowForwarder.cpp
+++ b/src/ibisgw/direct/FlowForwarder.cpp
@@ -24,9 +24,6 @@
     { ForwardReason::LateCopy, "late_copy" },
 } };
 
-// An upstream that has said that it leaves still ends what it is doing; its flows are reset after this time.
-constexpr core::Duration leavingTime = std::chrono::milliseconds(500);
-
 constexpr core::Duration expiryInterval = std::chrono::milliseconds(500);
 
 // A flow whose caller has closed it or whose opening packet stayed unanswered; later packets use the token.
@@ -168,7 +165,7 @@
 {
     const auto* record = segment.token == 0 ? nullptr : m_directory.findByToken(segment.token);
     if (!record) {
-        if (!m_directory.isRetired(segment.token) || now - m_directory.retiredAt(segment.token) < leavingTime)
+        if (!m_directory.isRetired(segment.token) || m_directory.mayStillRun(segment.token, now))
             return { ForwardAction::Drop, ForwardReason::UnknownToken };
         if (const auto found = m_flows.find(segment.flow); found != m_flows.end())
             forget(found);
--- a/src/ibisgw/upstream/InstanceDirectory.cpp
+++ b/src/ibisgw/upstream/InstanceDirectory.cpp
@@ -13,6 +13,9 @@
 // An upstream that crashed says nothing more. Its flows are lost long before this time.
 constexpr core::Duration silentRetention = std::chrono::minutes(2);
 
+// An upstream that has said that it leaves still ends what it is doing.
+constexpr core::Duration leavingTime = std::chrono::milliseconds(500);
+
 } // namespace
 
 ReportOutcome InstanceDirectory::apply(const InstanceReport& report, core::Duration age, core::TimePoint now)
@@ -28,7 +31,7 @@
             if (known.state == InstanceState::Gone)
                 return ReportOutcome::Stale;
             if (isGone) {
-                markGone(record, now);
+                markGone(record, EndReason::Left, now);
                 return ReportOutcome::Changed;
             }
             if (report.sequence <= known.sequence)
@@ -44,7 +47,7 @@
         return ReportOutcome::Stale;
     auto& record = m_records[report.id];
     if (record.token != 0)
-        retire(record, now);
+        retire(record, isGone ? EndReason::Left : EndReason::Replaced, now);
     store(record, report, age, now);
     return ReportOutcome::Changed;
 }
@@ -66,19 +69,19 @@
 }
 
 // The token stays known as that of an ended incarnation only if the new state has another one.
-void InstanceDirectory::retire(const InstanceRecord& record, core::TimePoint now)
+void InstanceDirectory::retire(const InstanceRecord& record, EndReason reason, core::TimePoint now)
 {
     const auto [first, last] = m_tokens.equal_range(record.token);
     const auto entry = std::find_if(first, last, [&](const auto& it) { return it.second == record.report.id; });
     if (entry != last)
         m_tokens.erase(entry);
     if (!m_tokens.contains(record.token))
-        m_retiredTokens[record.token] = now;
+        m_retiredTokens[record.token] = { now, reason };
 }
 
-void InstanceDirectory::markGone(InstanceRecord& record, core::TimePoint now)
+void InstanceDirectory::markGone(InstanceRecord& record, EndReason reason, core::TimePoint now)
 {
-    retire(record, now);
+    retire(record, reason, now);
     record.report.state = InstanceState::Gone;
     record.changedAt = now;
     record.lastChange = m_newestRealChange = ++m_newestChange;
@@ -94,7 +97,7 @@
         if (other.incarnation > report.incarnation)
             return true;
         if (other.state != InstanceState::Gone)
-            markGone(record, now);
+            markGone(record, EndReason::Replaced, now);
     }
     return false;
 }
@@ -158,10 +161,11 @@
     return find(first->second);
 }
 
-core::TimePoint InstanceDirectory::retiredAt(std::uint32_t token) const
+bool InstanceDirectory::mayStillRun(std::uint32_t token, core::TimePoint now) const
 {
     const auto found = m_retiredTokens.find(token);
-    return found == m_retiredTokens.end() ? core::TimePoint {} : found->second;
+    return found != m_retiredTokens.end() && found->second.reason == EndReason::Left
+        && now - found->second.at < leavingTime;
 }
 
 bool InstanceDirectory::hasReady() const
@@ -177,14 +181,14 @@
 
 void InstanceDirectory::expire(core::TimePoint now)
 {
-    std::erase_if(m_retiredTokens, [now](const auto& it) { return now - it.second > goneRetention; });
+    std::erase_if(m_retiredTokens, [now](const auto& it) { return now - it.second.at > goneRetention; });
     for (auto it = m_records.begin(); it != m_records.end();) {
         const bool isGone = it->second.report.state == InstanceState::Gone;
         const auto sinceChange = now - it->second.changedAt;
         const bool isOver
             = isGone ? sinceChange > goneRetention : it->second.isOverdue && sinceChange > silentRetention;
         if (isOver && !isGone)
-            retire(it->second, now);
+            retire(it->second, EndReason::Left, now);
         it = isOver ? m_records.erase(it) : std::next(it);
     }
 }
--- a/src/ibisgw/upstream/InstanceDirectory.h
+++ b/src/ibisgw/upstream/InstanceDirectory.h
@@ -47,8 +47,8 @@
     const InstanceRecord* findByToken(std::uint32_t token) const;
     // Whether the token belonged to an incarnation that is known to have ended.
     bool isRetired(std::uint32_t token) const { return m_retiredTokens.contains(token); }
-    // When the incarnation of a retired token was known to have ended.
-    core::TimePoint retiredAt(std::uint32_t token) const;
+    // Whether the incarnation of a retired token has said goodbye so recently that it may still end its flows.
+    bool mayStillRun(std::uint32_t token, core::TimePoint now) const;
     // Two upstreams with equal tokens get no new flows, so that no token is ambiguous.
     bool sharesToken(const InstanceRecord&) const;
 
@@ -64,14 +64,23 @@
 
 private:
     void store(InstanceRecord&, const InstanceReport&, core::Duration age, core::TimePoint now);
-    void retire(const InstanceRecord&, core::TimePoint now);
+    enum class EndReason : std::uint8_t {
+        Left,
+        Replaced, // by a later start under its identifier or at its address
+    };
+    struct RetiredToken {
+        core::TimePoint at;
+        EndReason reason { EndReason::Left };
+    };
+
+    void retire(const InstanceRecord&, EndReason, core::TimePoint now);
     bool isReplacedAtAddress(const InstanceReport&, core::TimePoint now);
-    void markGone(InstanceRecord&, core::TimePoint now);
+    void markGone(InstanceRecord&, EndReason, core::TimePoint now);
     void noteOverdue(InstanceRecord&, bool isOverdue, core::TimePoint now);
 
     std::map<InstanceId, InstanceRecord> m_records;
     std::unordered_multimap<std::uint32_t, InstanceId> m_tokens;
-    std::unordered_map<std::uint32_t, core::TimePoint> m_retiredTokens;
+    std::unordered_map<std::uint32_t, RetiredToken> m_retiredTokens;
     std::uint64_t m_newestChange { 0 };
     std::uint64_t m_newestRealChange { 0 };
 };
--- a/src/ibisgw_cli/Commands.cpp
+++ b/src/ibisgw_cli/Commands.cpp
@@ -1,6 +1,7 @@
 #include "ibisgw_cli/Commands.h"
 
 #include "ibisgw_cli/ConfigCommands.h"
+#include "ibisgw_cli/ExplainCommand.h"
 #include "ibisgw_cli/Invocation.h"
 #include "ibisgw_cli/OperationCommands.h"
 #include "ibisgw_cli/StateCommands.h"
@@ -53,6 +54,9 @@
             runDrainBalancer },
         { "trace", "ID", 1, 1, "Show the spans of one trace", "ibisgw trace 4bf92f3577b34da6a3ce929d0e0e4736",
             runTrace },
+        { "explain", "ID FILE...", 2, 1000,
+            "Show what the logs tell about a request, flow or upstream, the newest first; works off line",
+            "ibisgw explain 48aabe1b56d02aba balancer-*.log", runExplain },
         { "state verify", "DIR", 1, 1, "Check the data folder of a stopped controller; works off line",
             "ibisgw state verify /var/lib/ibisgw", runStateVerify },
         { "state dump", "DIR", 1, 1, "Print the content of the data folder of a stopped controller",
--- a/src/ibisgw_cli/ConfigCommands.cpp
+++ b/src/ibisgw_cli/ConfigCommands.cpp
@@ -2,9 +2,8 @@
 
 #include "ibisgw/configuration/DocumentReader.h"
 #include "ibisgw/core/JsonText.h"
+#include "ibisgw_cli/ReadFile.h"
 
-#include <fstream>
-#include <iterator>
 #include <openssl/rand.h>
 #include <ostream>
 
@@ -35,14 +34,11 @@
 std::optional<json> loadDocument(const Invocation& invocation, const std::string& file, ExitStatus& status)
 {
     status = ExitStatus::InvalidInput;
-    std::ifstream in(file, std::ios::binary);
-    if (!in) {
-        invocation.fail(status, "not_found", "cannot read '" + file + "'; check its name");
+    const auto text = readFile(invocation, file, "the document");
+    if (!text)
         return std::nullopt;
-    }
-    const std::string text(std::istreambuf_iterator<char>(in), {});
     std::vector<ibisgw::core::Problem> problems;
-    auto document = ibisgw::core::parseJson(text, problems);
+    auto document = ibisgw::core::parseJson(*text, problems);
     if (document)
         problems = ibisgw::configuration::readDocument(*document).problems;
     if (!problems.empty()) {
--- a/src/ibisgw_cli/ExitStatus.h
+++ b/src/ibisgw_cli/ExitStatus.h
@@ -2,7 +2,7 @@
 
 namespace ibisgw_cli {
 
-// Exit statuses for scripts; `ibisgw --help` and docs/operating.md list them.
+// Exit statuses for scripts; `ibisgw --help` and docs/OPERATIONS.md list them.
 enum class ExitStatus {
     Ok = 0,
     Failed = 1,
--- a/src/ibisgw_cli/Invocation.cpp
+++ b/src/ibisgw_cli/Invocation.cpp
@@ -1,6 +1,6 @@
 #include "ibisgw_cli/Invocation.h"
 
-#include "ibisgw/adapters/PrivateFile.h"
+#include "ibisgw/adapters/InputFile.h"
 
 #include <ostream>
 
--- a/src/ibisgwd/main.cpp
+++ b/src/ibisgwd/main.cpp
@@ -1,28 +1,32 @@
+#include "ibisgw/adapters/InputFile.h"
 #include "ibisgw/adapters/Log.h"
 #include "ibisgw/core/JsonText.h"
 #include "ibisgwd/Daemon.h"
 
 #include <cxxopts.hpp>
-#include <fstream>
 #include <iostream>
-#include <iterator>
 #include <nlohmann/json.hpp>
 
 using namespace ibisgw;
 
 namespace {
 
-// Exit statuses, also listed in docs/operating.md.
+// Exit statuses, also listed in docs/OPERATIONS.md.
 constexpr int exitOk = 0;
 constexpr int exitFailed = 1;
 constexpr int exitInvalidInput = 2;
 
 int runDaemon(const std::string& settingsFile)
 {
-    std::ifstream in(settingsFile);
-    const std::string text(std::istreambuf_iterator<char>(in), {});
     settings::SettingsReading reading;
-    if (const auto json = core::parseJson(text, reading.problems))
+    const auto text = boost::leaf::try_handle_all(
+        [&]() -> core::Result<std::string> { return adapters::readInputFile(settingsFile, "the settings file"); },
+        [&](const core::Error& error) {
+            reading.problems.push_back({ "", error.message });
+            return std::string();
+        },
+        [] { return std::string(); });
+    if (const auto json = reading.problems.empty() ? core::parseJson(text, reading.problems) : std::nullopt)
         reading = settings::readSettings(*json);
     if (!reading.settings) {
         for (const auto& it : reading.problems)
--- a/tests/direct/FlowForwarderTests.cpp
+++ b/tests/direct/FlowForwarderTests.cpp
@@ -172,6 +172,16 @@
             it.now += 1s;
             CHECK(it.handle(Forwarding::dataOf(segment, opened.token)).action == ForwardAction::Reset);
         }
+        SUBCASE("the flow of an upstream whose address is used again is reset at once, nothing of it runs any more")
+        {
+            // Guards against callers that repeated their request until the deadline (found with ibisgw explain).
+            auto successor = it.directory.find(opened.instance)->report;
+            successor.id = { 99 };
+            successor.incarnation += 5000;
+            successor.service = "archive";
+            it.directory.apply(successor, {}, it.now);
+            CHECK(it.handle(Forwarding::dataOf(segment, opened.token)).action == ForwardAction::Reset);
+        }
         SUBCASE("a token never leads to another incarnation at the same identifier")
         {
             auto reborn = it.directory.find(opened.instance)->report;
--- /dev/null
+++ b/tests/direct/ResponseMonitorTests.cpp
@@ -0,0 +1,78 @@
+#include "ibisgw/direct/ResponseMonitor.h"
+
+#include <doctest/doctest.h>
+
+using namespace ibisgw;
+using namespace ibisgw::direct;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr upstream::InstanceId id { 7 };
+constexpr core::TimePoint start { 100s };
+
+} // namespace
+
+TEST_SUITE("direct")
+{
+    TEST_CASE("upstreams that fall silent while callers repeat packets")
+    {
+        ResponseMonitor monitor;
+        CHECK(monitor.takeProbes(start).empty());
+        monitor.noteRepeated(id, start);
+        REQUIRE(monitor.takeProbes(start).size() == 1);
+        // One probe at a time.
+        CHECK(monitor.takeProbes(start + 10ms).empty());
+
+        SUBCASE("two failed probes make it unresponsive, one does not: a probe may be lost")
+        {
+            monitor.noteProbe(id, ProbeResult::NoAnswer, start + 125ms);
+            CHECK_FALSE(monitor.isUnresponsive(id));
+            REQUIRE(monitor.takeProbes(start + 125ms).size() == 1);
+            monitor.noteProbe(id, ProbeResult::NoAnswer, start + 250ms);
+            CHECK(monitor.isUnresponsive(id));
+
+            SUBCASE("it is probed again until it answers")
+            {
+                CHECK(monitor.takeProbes(start + 300ms).empty());
+                CHECK(monitor.takeProbes(start + 1300ms).size() == 1);
+                monitor.noteProbe(id, ProbeResult::Answered, start + 1310ms);
+                CHECK_FALSE(monitor.isUnresponsive(id));
+            }
+            SUBCASE("progress of any of its flows ends it")
+            {
+                monitor.noteProgress(id);
+                CHECK_FALSE(monitor.isUnresponsive(id));
+            }
+        }
+        SUBCASE("an upstream that is only slow answers the probe")
+        {
+            monitor.noteProbe(id, ProbeResult::Answered, start + 5ms);
+            CHECK_FALSE(monitor.isUnresponsive(id));
+            monitor.noteRepeated(id, start + 10ms);
+            CHECK(monitor.takeProbes(start + 20ms).empty());
+            CHECK(monitor.takeProbes(start + 600ms).size() == 1);
+        }
+        SUBCASE("a failed probe does not count after progress")
+        {
+            // Guards against resetting the flows of an upstream whose listener was full for a moment.
+            monitor.noteProgress(id);
+            monitor.noteProbe(id, ProbeResult::NoAnswer, start + 125ms);
+            monitor.noteRepeated(id, start + 130ms);
+            REQUIRE(monitor.takeProbes(start + 130ms).size() == 1);
+            monitor.noteProbe(id, ProbeResult::NoAnswer, start + 255ms);
+            CHECK_FALSE(monitor.isUnresponsive(id));
+        }
+        SUBCASE("probes that ran while the process stood still are repeated")
+        {
+            monitor.discardProbes();
+            monitor.noteProbe(id, ProbeResult::NoAnswer, start + 4s);
+            CHECK_FALSE(monitor.isUnresponsive(id));
+        }
+        SUBCASE("a suspicion without further repeats is dropped")
+        {
+            monitor.noteProbe(id, ProbeResult::NoAnswer, start + 125ms);
+            CHECK(monitor.takeProbes(start + 3s).empty());
+        }
+    }
+}
--- /dev/null
+++ b/tests/runtime/EventLogTests.cpp
@@ -0,0 +1,108 @@
+#include "ibisgw/adapters/BoundedWriter.h"
+#include "ibisgw/runtime/EventLog.h"
+
+#include <doctest/doctest.h>
+
+#include <fstream>
+#include <iterator>
+#include <regex>
+#include <set>
+#include <unistd.h>
+
+using namespace ibisgw;
+using namespace ibisgw::runtime;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr core::TimePoint start { 100s };
+
+} // namespace
+
+TEST_SUITE("runtime")
+{
+    TEST_CASE("a storm of refusals")
+    {
+        EventLog log(10);
+        int made = 0;
+        for (int n = 0; n < 100'000; ++n)
+            log.record(Event::FlowRefused, start + n * 10us, [&made] {
+                ++made;
+                return nlohmann::json::object();
+            });
+        SUBCASE("is bounded in lines and counted in full")
+        {
+            CHECK(made <= 21);
+            CHECK(log.count(Event::FlowRefused) == 100'000);
+            CHECK(log.leftOut() == static_cast<std::uint64_t>(100'000 - made));
+        }
+        SUBCASE("does not hide an event of another kind")
+        {
+            bool isWritten = false;
+            log.record(Event::LeaderChanged, start + 1s, [&isWritten] {
+                isWritten = true;
+                return nlohmann::json::object();
+            });
+            CHECK(isWritten);
+        }
+        SUBCASE("leaves failures in preference to successes")
+        {
+            int successes = 0;
+            for (int n = 0; n < 1000; ++n)
+                log.record(Event::FlowPlaced, start + n * 1ms, [&successes] {
+                    ++successes;
+                    return nlohmann::json::object();
+                });
+            CHECK(successes <= 2);
+        }
+    }
+
+    TEST_CASE("a reader that stops reading")
+    {
+        int ends[2];
+        REQUIRE(::pipe(ends) == 0);
+        adapters::BoundedWriter writer(ends[1], 8192);
+        const std::string line(999, 'x');
+        for (int n = 0; n < 1000; ++n)
+            writer.write(line);
+        SUBCASE("does not stop the process, and what it misses is counted")
+        {
+            CHECK(writer.droppedLines() > 900);
+            CHECK(writer.bufferedBytes() <= 8192);
+        }
+        SUBCASE("gets whole lines when it reads again")
+        {
+            std::string received;
+            std::vector<char> buf(65536);
+            for (int n = 0; n < 40 && (n == 0 || writer.bufferedBytes() > 0); ++n) {
+                const auto size = ::read(ends[0], buf.data(), buf.size());
+                REQUIRE(size > 0);
+                received.append(buf.data(), static_cast<std::size_t>(size));
+                writer.flush();
+            }
+            CHECK(received.substr(0, 1000) == line + "\n");
+        }
+        ::close(ends[0]);
+        ::close(ends[1]);
+    }
+
+    TEST_CASE("the page for operators describes exactly the events that are written")
+    {
+        std::ifstream in(std::string(IBISGW_SOURCE_DIR) + "/docs/OPERATIONS.md");
+        const std::string page { std::istreambuf_iterator<char>(in), {} };
+        REQUIRE_FALSE(page.empty());
+        std::set<std::string> described;
+        const std::regex row(R"(\n\| `([a-z_]+)` \|)");
+        const auto section = page.substr(page.find("## Events"));
+        const auto table = section.substr(0, section.find("\n## ", 1));
+        for (std::sregex_iterator it(table.begin(), table.end(), row), end; it != end; ++it)
+            described.insert((*it)[1].str());
+        std::set<std::string> written;
+        for (const auto& [event, name] : allEvents())
+            written.insert(std::string(name));
+        for (const auto& it : written)
+            CHECK_MESSAGE(described.contains(it), it << " is written but not described");
+        for (const auto& it : described)
+            CHECK_MESSAGE(written.contains(it), it << " is described but not written");
+    }
+}
