--- /dev/null
+++ b/tests/cli/ExplainCommandTests.cpp
@@ -0,0 +1,73 @@
+#include "ibisgw_cli/Commands.h"
+#include "support/TemporaryFile.h"
+
+#include <doctest/doctest.h>
+
+#include <sstream>
+
+using namespace ibisgw_cli;
+
+namespace {
+
+// Lines as two balancers write them; the time of day of the second one jumps back by an hour.
+constexpr auto firstLog
+    = R"(  24.2 one {"flow":"f1","level":"warning","message":"request_repeated","process":"one","request":"r1","steady":10.0,"time":1000.0,"upstream":"u1"}
+{"level":"warning","message":"upstream_unresponsive","process":"one","steady":10.3,"time":1000.3,"upstream":"u1"}
+{"flow":"f1","level":"warning","message":"flow_reset","process":"one","steady":10.4,"time":1000.4,"upstream":"u1"}
+{"flow":"f2","level":"warning","message":"flow_reset","process":"one","steady":10.5,"time":1000.5,"upstream":"u2"}
+not a line of ours
+)";
+constexpr auto secondLog
+    = R"({"flow":"f1","level":"info","message":"flow_placed","process":"two","steady":50.0,"time":999.0,"upstream":"u1"}
+{"flow":"f1","level":"info","message":"request_forwarded","process":"two","request":"r1","steady":50.5,"time":-2600.5,"upstream":"u1"}
+)";
+
+struct Run {
+    ExitStatus status;
+    std::string out;
+    std::string err;
+};
+
+Run run(const std::vector<std::string>& arguments)
+{
+    std::ostringstream out;
+    std::ostringstream err;
+    const auto status = runCommandLine(arguments, out, err);
+    return { status, out.str(), err.str() };
+}
+
+} // namespace
+
+TEST_SUITE("cli")
+{
+    TEST_CASE("explaining a request")
+    {
+        const support::TemporaryFile first(firstLog);
+        const support::TemporaryFile second(secondLog);
+
+        SUBCASE("the lines of its flow and of its upstream are joined, the newest first")
+        {
+            const auto result = run({ "explain", "r1", first.path(), second.path() });
+            CHECK(result.status == ExitStatus::Ok);
+            const auto reset = result.out.find("flow_reset");
+            const auto unresponsive = result.out.find("upstream_unresponsive");
+            const auto forwarded = result.out.find("request_forwarded");
+            const auto placed = result.out.find("flow_placed");
+            REQUIRE(reset != std::string::npos);
+            CHECK(reset < unresponsive);
+            CHECK(unresponsive < forwarded);
+            CHECK(forwarded < placed);
+            CHECK(result.out.find("f2") == std::string::npos);
+        }
+        SUBCASE("nothing known ends with status 1 and a hint")
+        {
+            const auto result = run({ "explain", "r9", first.path() });
+            CHECK(result.status == ExitStatus::Failed);
+            CHECK(result.err.find("left_out_before") != std::string::npos);
+        }
+        SUBCASE("a folder in place of a log ends with status 2")
+        {
+            CHECK(run({ "explain", "r1", "/" }).status == ExitStatus::InvalidInput);
+        }
+    }
+}
--- a/tests/runtime/EventLogTests.cpp
+++ b/tests/runtime/EventLogTests.cpp
@@ -1,6 +1,7 @@
 #include "ibisgw/adapters/BoundedWriter.h"
 #include "ibisgw/runtime/EventLog.h"
 
+#include <boost/log/core.hpp>
 #include <doctest/doctest.h>
 
 #include <fstream>
@@ -17,12 +18,21 @@
 
 constexpr core::TimePoint start { 100s };
 
+// Keeps the lines of a test out of its output.
+struct QuietLog {
+    QuietLog() { boost::log::core::get()->set_logging_enabled(false); }
+    ~QuietLog() { boost::log::core::get()->set_logging_enabled(true); }
+    QuietLog(const QuietLog&) = delete;
+    QuietLog& operator=(const QuietLog&) = delete;
+};
+
 } // namespace
 
 TEST_SUITE("runtime")
 {
     TEST_CASE("a storm of refusals")
     {
+        const QuietLog quiet;
         EventLog log(10);
         int made = 0;
         for (int n = 0; n < 100'000; ++n)
