--- a/src/ibisgw/adapters/PeerDatagrams.cpp
+++ b/src/ibisgw/adapters/PeerDatagrams.cpp
@@ -21,6 +21,25 @@
 constexpr core::Duration reassemblyTimeout = std::chrono::seconds(1);
 constexpr std::size_t maxPartials = 64;
 
+// Source and target in front of a datagram for a gateway, each as address and port, big-endian.
+constexpr std::size_t endpointBytes = 6;
+constexpr std::size_t gatewayHeaderBytes = 2 * endpointBytes;
+
+void writeEndpoint(std::span<std::byte> out, std::size_t offset, core::Endpoint endpoint)
+{
+    auto value = core::NodeId::fromEndpoint(endpoint).value;
+    for (std::size_t n = endpointBytes; n-- > 0; value >>= 8)
+        out[offset + n] = static_cast<std::byte>(value);
+}
+
+core::Endpoint readEndpoint(std::span<const std::byte> bytes)
+{
+    core::NodeId node;
+    for (std::size_t n = 0; n < endpointBytes; ++n)
+        node.value = (node.value << 8) | std::to_integer<std::uint64_t>(bytes[n]);
+    return node.endpoint();
+}
+
 } // namespace
 
 PeerDatagrams::PeerDatagrams(EventLoop& loop, UdpSocket socket, std::uint32_t firstNumber, Receiver receiver)
@@ -33,7 +52,12 @@
 
 void PeerDatagrams::start()
 {
-    m_socket.receive(m_loop, [this](auto datagram, auto sender) { receive(datagram, sender, m_loop.now()); });
+    m_socket.receive(m_loop, [this](auto datagram, auto sender) {
+        if (m_gateway.port == 0)
+            receive(datagram, sender, m_loop.now());
+        else if (sender == m_gateway)
+            receiveFromGateway(datagram, m_loop.now());
+    });
 }
 
 void PeerDatagrams::send(core::NodeId peer, PeerChannel channel, std::string_view body)
@@ -56,8 +80,29 @@
         if (!writer.finish())
             return;
         m_counters.bytesSent += m_buffer.size();
-        m_socket.send(m_buffer, peer.endpoint());
+        transmit(peer.endpoint());
+    }
+}
+
+void PeerDatagrams::transmit(core::Endpoint target)
+{
+    if (m_gateway.port == 0) {
+        m_socket.send(m_buffer, target);
+        return;
     }
+    std::vector<std::byte> wrapped(gatewayHeaderBytes);
+    writeEndpoint(wrapped, 0, m_socket.localEndpoint());
+    writeEndpoint(wrapped, endpointBytes, target);
+    wrapped.insert(wrapped.end(), m_buffer.begin(), m_buffer.end());
+    m_socket.send(wrapped, m_gateway);
+}
+
+void PeerDatagrams::receiveFromGateway(std::span<const std::byte> datagram, core::TimePoint now)
+{
+    if (datagram.size() < gatewayHeaderBytes)
+        ++m_counters.malformed;
+    else
+        receive(datagram.subspan(gatewayHeaderBytes), readEndpoint(datagram), now);
 }
 
 void PeerDatagrams::receive(std::span<const std::byte> datagram, core::Endpoint sender, core::TimePoint now)
--- a/src/ibisgw/adapters/PeerDatagrams.h
+++ b/src/ibisgw/adapters/PeerDatagrams.h
@@ -38,6 +38,10 @@
     // `firstNumber` should be random, so that fragments of two processes at one address do not mix.
     PeerDatagrams(EventLoop&, UdpSocket, std::uint32_t firstNumber, Receiver);
 
+    // Sends everything through a gateway, which passes it on: for networks in which daemons cannot reach each other
+    // directly, and for fault tests. Source and target stand in front of each datagram.
+    void setGateway(core::Endpoint gateway) { m_gateway = gateway; }
+
     void start();
     void send(core::NodeId, PeerChannel, std::string_view body);
     core::NodeId self() const { return core::NodeId::fromEndpoint(m_socket.localEndpoint()); }
@@ -55,10 +59,13 @@
     };
     using PartialKey = std::pair<core::Endpoint, std::uint32_t>;
 
+    void transmit(core::Endpoint target);
+    void receiveFromGateway(std::span<const std::byte>, core::TimePoint now);
     void dropOldPartials(core::TimePoint now);
 
     EventLoop& m_loop;
     UdpSocket m_socket;
+    core::Endpoint m_gateway;
     std::uint32_t m_nextNumber;
     Receiver m_receiver;
     std::map<PartialKey, Partial> m_partials;
--- a/src/ibisgw/runtime/DirectBalancer.cpp
+++ b/src/ibisgw/runtime/DirectBalancer.cpp
@@ -81,6 +81,7 @@
 
 void DirectBalancer::start()
 {
+    m_peers.setGateway(m_settings.peerGateway);
     m_peers.start();
     m_packets.receive(m_loop, [this](auto datagram, auto) { receivePacket(datagram); });
     m_loop.addPeriodic(tickPeriod, [this] { tick(); });
--- a/src/ibisgw/runtime/DirectController.cpp
+++ b/src/ibisgw/runtime/DirectController.cpp
@@ -95,6 +95,7 @@
             { "version", m_register.version() }, { "upstreams", m_directory.records().size() },
             { "log_entries", log.lastIndex() - log.snapshot().index }, { "first_start", m_settings.firstStart } };
     });
+    m_peers.setGateway(m_settings.peerGateway);
     m_peers.start();
     m_loop.addPeriodic(tickPeriod, [this] { tick(); });
     tick();
--- a/src/ibisgw/settings/DirectSettings.cpp
+++ b/src/ibisgw/settings/DirectSettings.cpp
@@ -62,6 +62,7 @@
     reader.readName("name", settings.name, Presence::Required);
     reader.readName("zone", settings.zone, Presence::Required);
     reader.readEndpoint("peer", settings.peer, Presence::Required, PortRule::AnyPort);
+    reader.readEndpoint("peer_gateway", settings.peerGateway, Presence::Optional, PortRule::AnyPort);
     reader.readEndpoints("seeds", settings.seeds, Presence::Optional);
     readDuration(reader, "report_interval_ms", settings.reportInterval);
     readDuration(reader, "grace_period_ms", settings.gracePeriod);
--- a/src/ibisgw/settings/DirectSettings.h
+++ b/src/ibisgw/settings/DirectSettings.h
@@ -20,6 +20,8 @@
     core::ZoneName zone;
     // Messages between daemons; all daemons of a deployment use the same port.
     core::Endpoint peer;
+    // Passes messages between daemons on; port 0 when they reach each other directly.
+    core::Endpoint peerGateway;
     // Controllers to start with, by the address at which they serve reports and configurations.
     std::vector<core::Endpoint> seeds;
 
--- /dev/null
+++ b/tests/soak/faults.py
@@ -0,0 +1,185 @@
+"""Seeded schedules of faults: series that overlap, each with its end."""
+
+import asyncio
+import signal
+from dataclasses import dataclass
+
+from wire import pack_address
+
+
+@dataclass
+class Fault:
+    at: float
+    kind: str
+    target: int
+    seconds: float
+
+    def __str__(self):
+        return f"{self.at:6.2f} s {self.kind} target {self.target} for {self.seconds:.2f} s"
+
+
+KINDS = (
+    "kill_balancer", "stop_balancer", "pause_balancer", "kill_controller", "stop_controller", "pause_controller",
+    "cut_controller", "cut_one_way", "cut_balancer", "loss", "delay", "disk_full", "wipe_controller", "kill_all",
+    "crash_upstream", "replace_upstream", "drain_upstream", "reload",
+)
+
+
+def draw_schedule(random, seconds):
+    faults = []
+    at = 3.0
+    while at < seconds - 6.0:
+        at += random.uniform(0.1, 2.5)
+        faults.append(Fault(at, random.choice(KINDS), random.randrange(1000), random.uniform(0.3, 4.0)))
+        if random.random() < 0.3:  # a second one at about the same time
+            kind = random.choice(KINDS)
+            faults.append(Fault(at + random.uniform(0, 0.2), kind, random.randrange(1000), random.uniform(0.3, 4.0)))
+    return faults
+
+
+class Injector:
+    def __init__(self, world):
+        self.world = world
+        self.active = 0
+        self.last_end = 0.0
+        self.wiped_until = -1e9
+
+    def pick(self, items, fault):
+        return items[fault.target % len(items)] if items else None
+
+    async def run(self, schedule, report):
+        tasks = []
+        for it in schedule:
+            await asyncio.sleep(max(0.0, it.at - self.world.now()))
+            report(str(it))
+            tasks.append(asyncio.create_task(self.inject(it)))
+        await asyncio.gather(*tasks)
+
+    async def inject(self, fault):
+        self.active += 1
+        try:
+            await getattr(self, fault.kind)(fault)
+        finally:
+            self.active -= 1
+            self.last_end = self.world.now()
+
+    async def down(self, daemon, fault, number):
+        daemon.send(number)
+        if number == signal.SIGTERM:
+            for _ in range(45):
+                if not daemon.is_running():
+                    break
+                await asyncio.sleep(0.1)
+        daemon.kill()
+        await asyncio.sleep(min(fault.seconds, 2.0))
+        daemon.start()
+
+    async def kill_balancer(self, fault):
+        await self.down(self.pick(self.world.balancers, fault), fault, signal.SIGKILL)
+
+    async def stop_balancer(self, fault):
+        await self.down(self.pick(self.world.balancers, fault), fault, signal.SIGTERM)
+
+    async def kill_controller(self, fault):
+        await self.down(self.pick(self.world.controllers, fault), fault, signal.SIGKILL)
+
+    async def stop_controller(self, fault):
+        await self.down(self.pick(self.world.controllers, fault), fault, signal.SIGTERM)
+
+    async def pause(self, daemon, fault):
+        daemon.pause()
+        await asyncio.sleep(fault.seconds)
+        daemon.resume()
+
+    async def pause_balancer(self, fault):
+        await self.pause(self.pick(self.world.balancers, fault), fault)
+
+    async def pause_controller(self, fault):
+        await self.pause(self.pick(self.world.controllers, fault), fault)
+
+    async def cut(self, pairs, fault):
+        pairs = {(pack_address(a.address), pack_address(b.address)) for a, b in pairs}
+        self.world.gateway.cut |= pairs
+        await asyncio.sleep(fault.seconds)
+        self.world.gateway.cut -= pairs
+
+    async def cut_controller(self, fault):
+        one = self.pick(self.world.controllers, fault)
+        others = [it for it in self.world.daemons() if it is not one]
+        await self.cut([(one, it) for it in others] + [(it, one) for it in others], fault)
+
+    async def cut_one_way(self, fault):
+        one = self.pick(self.world.controllers, fault)
+        await self.cut([(one, it) for it in self.world.daemons() if it is not one], fault)
+
+    async def cut_balancer(self, fault):
+        one = self.pick(self.world.balancers, fault)
+        await self.cut([(one, it) for it in self.world.controllers] + [(it, one) for it in self.world.controllers], fault)
+
+    async def loss(self, fault):
+        self.world.gateway.loss = 0.2
+        await asyncio.sleep(fault.seconds)
+        self.world.gateway.loss = 0.0
+
+    async def delay(self, fault):
+        self.world.gateway.delay = 0.15
+        await asyncio.sleep(fault.seconds)
+        self.world.gateway.delay = 0.0
+
+    async def disk_full(self, fault):
+        daemon = self.pick(self.world.controllers, fault)
+        daemon.set_disk_full(True)
+        await asyncio.sleep(fault.seconds)
+        daemon.set_disk_full(False)
+
+    async def wipe_controller(self, fault):
+        # One disk at a time, and the next only once the group has repaired the loss.
+        if self.world.now() < self.wiped_until:
+            return
+        self.wiped_until = self.world.now() + 1e9
+        daemon = self.pick(self.world.controllers, fault)
+        daemon.kill()
+        daemon.wipe()
+        await asyncio.sleep(min(fault.seconds, 2.0))
+        daemon.start()
+        await self.world.until_repaired()
+        self.wiped_until = self.world.now()
+
+    async def kill_all(self, fault):
+        for it in self.world.daemons():
+            it.kill()
+        await asyncio.sleep(min(fault.seconds, 1.5))
+        for it in self.world.daemons():
+            it.start()
+
+    async def crash_upstream(self, fault):
+        upstream = self.pick(self.world.spare_upstreams(), fault)
+        if upstream:
+            self.world.remove(upstream)
+            upstream.stop()
+            await asyncio.sleep(fault.seconds)
+            await self.world.add_upstream(upstream.service, upstream.zone)
+
+    async def replace_upstream(self, fault):
+        """The address of an upstream that crashed goes to an upstream of the other service."""
+        upstream = self.pick(self.world.spare_upstreams(), fault)
+        if upstream:
+            self.world.remove(upstream)
+            upstream.stop()
+            await asyncio.sleep(0.5)
+            other = next(it for it in self.world.SERVICES if it != upstream.service)
+            await self.world.add_upstream(other, upstream.zone, upstream.address)
+            await self.world.add_upstream(upstream.service, upstream.zone)
+
+    async def drain_upstream(self, fault):
+        upstream = self.pick(self.world.spare_upstreams(), fault)
+        if upstream:
+            self.world.remove(upstream)
+            await self.world.add_upstream(upstream.service, upstream.zone)
+            await upstream.leave()
+
+    async def reload(self, fault):
+        daemon = self.pick(self.world.daemons(), fault)
+        daemon.write_settings()
+        if fault.target % 2:
+            daemon.send(signal.SIGHUP)
--- /dev/null
+++ b/tests/soak/soak.py
@@ -0,0 +1,250 @@
+"""Fault soak: the real programs under a seeded schedule of faults, with the promises checked from outside.
+
+Prints one line a fault and a verdict; exit status 1 when a promise was broken."""
+
+import argparse
+import asyncio
+import json
+import pathlib
+import random as random_module
+import socket
+import sys
+import tempfile
+import time
+
+from callers import CallerMachine, Router
+from checks import Checks
+from daemons import Daemon, Gateway
+from faults import Injector, draw_schedule
+from http_client import call
+from upstreams import Upstream
+
+sys.path.insert(0, str(pathlib.Path(__file__).parent))
+
+
+class World:
+    SERVICES = ("booking", "archive")
+    ZONES = ("a", "b", "c")
+    DRAIN_SECONDS = 3.0
+
+    def __init__(self, program, seed, folder, scale):
+        self.program, self.folder, self.scale = program, folder, scale
+        self.random = random_module.Random(seed)
+        self.started_at = time.monotonic()
+        self.checks = Checks(self)
+        self.injector = Injector(self)
+        self.router = Router(self)
+        self.gateway = Gateway(random_module.Random(seed + 1))
+        self.balancers, self.controllers, self.upstreams, self.callers = [], [], [], []
+        # Several soaks may run at once: each has a block of loopback addresses.
+        self.block = 1 + seed % 250
+        self.next_upstream = 0
+        self.version = 0
+        self.routes = {}
+        self.ports = {it: self.free_port() for it in ("peer", "packets", "ready", "control", "upstream")}
+        self.targets = {it: (f"198.18.0.{n + 1}", 8080) for n, it in enumerate(self.SERVICES)}
+        self.probe_targets = set()
+
+    def free_port(self):
+        with socket.socket() as it:
+            it.bind((f"127.{self.block}.255.254", 0))
+            return it.getsockname()[1]
+
+    def now(self):
+        return time.monotonic() - self.started_at
+
+    def wall_ms(self):
+        return int(time.time() * 1000)
+
+    def daemons(self):
+        return self.balancers + self.controllers
+
+    def is_calm(self):
+        return self.injector.active == 0 and self.now() - self.injector.last_end > Checks.TOUCH_SECONDS
+
+    def calm_since(self):
+        return self.now() if self.injector.active else self.injector.last_end
+
+    def services_of(self, target):
+        return [name for name, it in self.targets.items() if it == target]
+
+    def spare_upstreams(self):
+        """Upstreams without which their service keeps two others."""
+        count = {it: sum(one.service == it for one in self.upstreams) for it in self.SERVICES}
+        return [it for it in self.upstreams if count[it.service] > 2]
+
+    def shuffled_controllers(self, random):
+        addresses = [(it.address, self.ports["control"]) for it in self.controllers]
+        random.shuffle(addresses)
+        return addresses
+
+    async def add_upstream(self, service, zone, address=None):
+        if address is None:
+            self.next_upstream += 1
+            address = f"127.{self.block}.{3 + self.next_upstream // 250}.{1 + self.next_upstream % 250}"
+        upstream = Upstream(self, service, zone, address, self.random.choice((0, 0, 0, -1500, 1500)))
+        await upstream.start()
+        self.upstreams.append(upstream)
+
+    def remove(self, upstream):
+        self.upstreams.remove(upstream)
+
+    async def start(self):
+        await self.gateway.start()
+        for n in range(3):
+            self.controllers.append(self.daemon("controller", n))
+        for n in range(4 * self.scale):
+            self.balancers.append(self.daemon("balancer", n))
+        seeds = [it.address for it in self.controllers]
+        for it in self.daemons():
+            it.seeds = seeds
+            it.start()
+        for n in range(6 * self.scale):
+            await self.add_upstream("booking", self.ZONES[n % 3])
+        for n in range(3 * self.scale):
+            await self.add_upstream("archive", self.ZONES[n % 3])
+        for n in range(3):
+            machine = CallerMachine(self, f"127.{self.block}.200.{n + 1}")
+            await machine.start()
+            self.callers.append(machine)
+        await self.change_until_accepted()
+
+    def daemon(self, role, n):
+        address = f"127.{self.block}.{1 if role == 'balancer' else 2}.{n + 1}"
+        return Daemon(self.program, role, f"{role}-{n}", self.ZONES[n % 3], address, self.ports, self.gateway,
+                      self.folder, 1)
+
+    def make_change(self):
+        self.version += self.random.randint(1, 3)
+        routes = [
+            {"name": f"r-{name}", "hostname": target[0], "path_prefix": f"/{target[1]}/", "route_type": "unsafe",
+             "timeout_ms": self.random.randint(900, 1500), "target_latency_ms": 150, "priority": 1, "service": name,
+             "max_attempts": 2}
+            for name, target in self.targets.items()
+        ]
+        services = [{"name": it} for it in self.SERVICES]
+        text = json.dumps({"version": self.version, "routes": routes, "services": services, "limits": {}})
+        self.checks.sent[self.version] = text
+        return self.version, text
+
+    async def change_until_accepted(self, limit=20.0):
+        version, text = self.make_change()
+        end = self.now() + limit
+        while self.now() < end:
+            status, _ = await call("POST", self.shuffled_controllers(self.random)[0], "/Config.Replace", text, 1.0)
+            if status == 200:
+                self.checks.acknowledged_change(version)
+                return True
+            if status in (400, 409, 412, 413, 422):
+                self.checks.fail("config", f"the valid version {version} was refused with {status}")
+                return False
+            await asyncio.sleep(0.1)
+        return False
+
+    async def operate_forever(self):
+        while True:
+            await asyncio.sleep(self.random.uniform(0.2, 1.5))
+            await self.change_until_accepted()
+
+    async def read_forever(self):
+        while True:
+            await self.read_once()
+            await asyncio.sleep(self.random.uniform(0.05, 0.3))
+
+    async def read_once(self):
+        floor = self.checks.acknowledged
+        status, text = await call("GET", self.shuffled_controllers(self.random)[0], "/Config.Read", "", 1.0)
+        if status == 200:
+            self.checks.read(floor, json.loads(text)["version"], text)
+        return status == 200
+
+    async def until_repaired(self):
+        """The group has a vote on every disk again: changes are accepted for a while."""
+        calm = 0
+        while calm < 4:
+            calm = calm + 1 if await self.read_once() else 0
+            await asyncio.sleep(0.5)
+        await asyncio.sleep(2.0)
+
+    async def call_forever(self, machine, n):
+        count = 0
+        while True:
+            count += 1
+            name = self.random.choice(self.SERVICES)
+            asyncio.create_task(machine.single_request(self.targets[name], f"{machine.address}-{n}-{count}"))
+            await asyncio.sleep(self.random.expovariate(12))
+
+    async def finish(self):
+        """After the faults: all is served, and what was acknowledged is there."""
+        for it in self.daemons():
+            it.resume()
+            it.start()
+        await asyncio.sleep(5.0)
+        before = dict(self.checks.counts)
+        for _ in range(40):
+            if await self.read_once():
+                break
+            await asyncio.sleep(0.25)
+        else:
+            self.checks.fail("recover", "the configuration cannot be read 10 s after the last fault")
+        await asyncio.sleep(2.0)
+        served = self.checks.counts["served"] - before.get("served", 0)
+        lost = self.checks.counts["lost"] - before.get("lost", 0)
+        if served < 20 or lost > served:
+            self.checks.fail("recover", f"after the last fault {served} requests were served and {lost} lost")
+
+    def stop(self):
+        for it in self.daemons():
+            it.resume()
+            it.kill()
+
+
+async def soak(arguments, folder):
+    world = World(arguments.program, arguments.seed, folder, arguments.scale)
+    schedule = draw_schedule(random_module.Random(arguments.seed), arguments.seconds)
+    try:
+        await world.start()
+        tasks = [world.router.watch_forever(), world.operate_forever(), world.read_forever()]
+        for machine in world.callers:
+            tasks += [world.call_forever(machine, n) for n in range(2)]
+            tasks += [machine.stream(world.targets[it], f"{machine.address}-s{n}") for n, it in
+                      enumerate(world.SERVICES * 2)]
+        running = [asyncio.create_task(it) for it in tasks]
+        await world.injector.run(schedule, lambda line: print(line, flush=True))
+        await world.finish()
+        for it in running:
+            if it.done() and it.exception():
+                raise it.exception()
+            it.cancel()
+    finally:
+        world.stop()
+    return world
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--program", default="build/bin/ibisgw-platform")
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--seconds", type=float, default=30.0, help="length of the schedule of faults")
+    parser.add_argument("--scale", type=int, default=1, help="multiplies balancers and upstreams")
+    parser.add_argument("--replay", action="store_true", help="only show the schedule of the seed")
+    parser.add_argument("--keep", help="folder for logs; without it they are kept only after a failure")
+    arguments = parser.parse_args()
+    if arguments.replay:
+        for it in draw_schedule(random_module.Random(arguments.seed), arguments.seconds):
+            print(it)
+        return 0
+    folder = arguments.keep or tempfile.mkdtemp(prefix=f"ibisgw-soak-{arguments.seed}-")
+    world = asyncio.run(soak(arguments, folder))
+    for it in world.checks.failures[:20]:
+        print("BROKEN", it)
+    verdict = "passed" if not world.checks.failures else f"failed, logs in {folder}"
+    print(f"soak seed {arguments.seed}: {verdict}; {world.checks.summary()}")
+    if not world.checks.failures and not arguments.keep:
+        import shutil
+        shutil.rmtree(folder)
+    return 1 if world.checks.failures else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
