--- a/src/ibisgw/runtime/DirectBalancer.cpp
+++ b/src/ibisgw/runtime/DirectBalancer.cpp
@@ -20,9 +20,6 @@
 // A turn of the event loop that came this late tells of a pause of the process.
 constexpr core::Duration stallLimit = std::chrono::milliseconds(100);
 
-// Two subscriptions may be lost.
-constexpr core::Duration contactLimit = std::chrono::seconds(2);
-
 // Kept free at the end of the grace period for the end of the process.
 constexpr core::Duration shutdownMargin = std::chrono::seconds(1);
 
@@ -250,7 +247,7 @@
                 { "stopping", m_shutdownAt.has_value() } };
         });
     }
-    const bool hasControllers = m_subscriber.reachableControllers(contactLimit, now) > 0;
+    const bool hasControllers = m_subscriber.reachableControllers(now) > 0;
     if (hasControllers != m_hadControllers) {
         m_hadControllers = hasControllers;
         m_events.record(hasControllers ? Event::ControllersRegained : Event::ControllersLost, now);
@@ -288,40 +285,6 @@
         m_events.record(Event::RequestForwarded, now, fields);
 }
 
-std::string DirectBalancer::renderMetrics()
-{
-    for (std::size_t n = 0; n < direct::forwardReasonCount; ++n) {
-        const auto reason = static_cast<direct::ForwardReason>(n);
-        m_metrics.counter("ibisgw_packets_total", "Packets of callers by how they were handled",
-            { { "reason", std::string(nameOf(reason)) } })
-            = m_forwarder.count(reason);
-    }
-    m_metrics.counter("ibisgw_malformed_packets_total", "Datagrams that are no packet of a caller")
-        = m_malformedPackets;
-    m_metrics.counter("ibisgw_paced_copies_total", "Copies of packets that were not sent again")
-        = m_pacer.droppedCopies();
-    m_metrics.counter("ibisgw_paced_overflow_total", "Packets dropped because the queue to the link was full")
-        = m_pacer.droppedFull();
-    m_metrics.counter("ibisgw_probes_total", "Connections opened to find out whether an upstream answers")
-        = m_prober.probeCount();
-    m_metrics.counter("ibisgw_log_lines_left_out_total", "Events over the rate of their kind") = m_events.leftOut();
-    m_metrics.counter("ibisgw_log_lines_dropped_total", "Lines that standard output did not take")
-        = adapters::droppedLogLines();
-    m_metrics.counter("ibisgw_peer_bytes_sent_total", "Bytes sent to other daemons") = m_peers.counters().bytesSent;
-    m_metrics.gauge("ibisgw_open_flows", "Flows that this balancer has seen and that are not over")
-        = static_cast<double>(m_forwarder.openFlows());
-    m_metrics.gauge("ibisgw_egress_queue_bytes", "Bytes that wait for the link")
-        = static_cast<double>(m_pacer.queuedBytes());
-    m_metrics.gauge("ibisgw_configuration_version", "Version in force") = static_cast<double>(m_forwarder.version());
-    m_metrics.gauge("ibisgw_ready", "1 while new flows may come") = isReady() ? 1 : 0;
-    m_metrics.gauge("ibisgw_reachable_controllers", "Controllers that have answered lately")
-        = static_cast<double>(m_subscriber.reachableControllers(contactLimit, m_loop.now()));
-    m_metrics.gauge("ibisgw_longest_stall_seconds", "Longest time between two turns of the event loop")
-        = core::toSeconds(m_longestStall);
-    countUpstreams(m_directory, m_metrics);
-    return m_metrics.render();
-}
-
 bool DirectBalancer::isShutdownOver(core::TimePoint now) const
 {
     if (!m_shutdownAt)
--- a/src/ibisgw/runtime/DirectController.cpp
+++ b/src/ibisgw/runtime/DirectController.cpp
@@ -21,9 +21,6 @@
 // Upstreams and operators wait for a second before they ask another controller.
 constexpr core::Duration answerLimit = std::chrono::milliseconds(850);
 
-// Two subscriptions may be lost.
-constexpr core::Duration contactLimit = std::chrono::seconds(2);
-
 // Enough for the answers that are due when the process is asked to stop.
 constexpr core::Duration shutdownTime = std::chrono::milliseconds(300);
 
@@ -157,43 +154,13 @@
     }
 }
 
-std::string DirectController::renderMetrics()
-{
-    const auto& raft = m_register.raft();
-    m_metrics.gauge("ibisgw_configuration_version", "Version in force") = static_cast<double>(m_register.version());
-    m_metrics.gauge("ibisgw_raft_term", "Term of the agreement") = static_cast<double>(raft.term());
-    m_metrics.gauge("ibisgw_raft_leader", "1 while this controller leads")
-        = raft.role() == configuration::RaftRole::Leader ? 1 : 0;
-    m_metrics.gauge("ibisgw_raft_accepting", "1 while this controller accepts configurations")
-        = raft.isAccepting() ? 1 : 0;
-    m_metrics.gauge("ibisgw_raft_halted", "1 while the disk refuses writes")
-        = raft.role() == configuration::RaftRole::Halted ? 1 : 0;
-    m_metrics.gauge("ibisgw_raft_voters", "Controllers that vote")
-        = static_cast<double>(m_register.membership().voterCount());
-    m_metrics.gauge("ibisgw_subscribers", "Daemons that follow this controller")
-        = static_cast<double>(m_feed.subscriberCount());
-    m_metrics.gauge("ibisgw_reachable_controllers", "Controllers that have answered lately")
-        = static_cast<double>(m_subscriber.reachableControllers(contactLimit, m_loop.now()));
-    for (const auto event : { Event::ConfigurationAcknowledged, Event::ConfigurationUndecided,
-             Event::ConfigurationInvalid, Event::ReadRefused, Event::ReportRefused, Event::ReportUnconfirmed })
-        m_metrics.counter("ibisgw_calls_total", "Calls of operators and upstreams by outcome",
-            { { "outcome", std::string(nameOf(event)) } })
-            = m_events.count(event);
-    m_metrics.counter("ibisgw_log_lines_left_out_total", "Events over the rate of their kind") = m_events.leftOut();
-    m_metrics.counter("ibisgw_log_lines_dropped_total", "Lines that standard output did not take")
-        = adapters::droppedLogLines();
-    m_metrics.counter("ibisgw_peer_bytes_sent_total", "Bytes sent to other daemons") = m_peers.counters().bytesSent;
-    countUpstreams(m_directory, m_metrics);
-    return m_metrics.render();
-}
-
 // A controller that is cut off from the others misses reports that they have got.
 void DirectController::markOverdue(core::TimePoint now)
 {
     // Two reports may be lost or late.
     const auto timeout = 2 * m_settings.reportInterval + m_settings.reportInterval / 2;
     const auto others = controllerNodes().size() - 1;
-    if (m_subscriber.reachableControllers(contactLimit, now) >= (others + 1) / 2)
+    if (m_subscriber.reachableControllers(now) >= (others + 1) / 2)
         m_directory.markOverdue(timeout, now);
 }
 
--- a/src/ibisgw/sync/DirectorySubscriber.cpp
+++ b/src/ibisgw/sync/DirectorySubscriber.cpp
@@ -136,10 +136,10 @@
     output.send(m_lastAsked, ConfigurationRequest { held });
 }
 
-std::size_t DirectorySubscriber::reachableControllers(core::Duration within, core::TimePoint now) const
+std::size_t DirectorySubscriber::reachableControllers(core::TimePoint now) const
 {
     return static_cast<std::size_t>(std::ranges::count_if(
-        m_feeds, [&](const auto& it) { return it.second.heardAt && now - *it.second.heardAt <= within; }));
+        m_feeds, [&](const auto& it) { return it.second.heardAt && now - *it.second.heardAt <= contactLimit; }));
 }
 
 } // namespace ibisgw::sync
--- a/src/ibisgw/sync/DirectorySubscriber.h
+++ b/src/ibisgw/sync/DirectorySubscriber.h
@@ -9,6 +9,9 @@
 
 namespace ibisgw::sync {
 
+// A controller that has not answered for this long is not in contact; two subscriptions may be lost.
+inline constexpr core::Duration contactLimit = std::chrono::seconds(2);
+
 struct SubscriberOptions {
     core::NodeId self;
     // Random number that is new with each start.
@@ -35,8 +38,8 @@
 
     // Whether a controller has sent its whole directory since the start.
     bool isSynchronized() const { return m_isSynchronized; }
-    // Controllers that have answered within the given time.
-    std::size_t reachableControllers(core::Duration within, core::TimePoint now) const;
+    // Controllers that are in contact.
+    std::size_t reachableControllers(core::TimePoint now) const;
 
 private:
     struct Feed {
