Let controllers that start before the seeds tell their balancers

Ruled out: reading the state (8 ms), the transfer of the configuration (4 ms), the start of balancers (47.09 to 47.40 s). Change: a controller keeps the addresses of its balancers in the file of upstreams and tells them every 50 ms for 3 s that it is back, until they subscribe.

--- a/src/ibisgw/adapters/InstanceFile.cpp
+++ b/src/ibisgw/adapters/InstanceFile.cpp
@@ -12,7 +12,7 @@
 
 namespace ibisgw::adapters {
 
-std::vector<sync::InstanceItem> loadInstances(const std::string& file)
+SavedDirectory loadDirectory(const std::string& file)
 {
     std::ifstream in(file, std::ios::binary);
     const std::string bytes { std::istreambuf_iterator<char>(in), {} };
@@ -22,13 +22,14 @@
         return {};
     auto message = decodeSyncMessage(record.payload);
     auto* update = message ? std::get_if<sync::DirectoryUpdate>(&*message) : nullptr;
-    return update ? std::move(update->items) : std::vector<sync::InstanceItem> {};
+    return update ? SavedDirectory { std::move(update->items), std::move(update->controllers) } : SavedDirectory {};
 }
 
-bool saveInstances(const std::string& file, std::vector<sync::InstanceItem> items)
+bool saveDirectory(const std::string& file, SavedDirectory directory)
 {
     sync::DirectoryUpdate update;
-    update.items = std::move(items);
+    update.items = std::move(directory.instances);
+    update.controllers = std::move(directory.balancers);
     const auto bytes = detail::encodeRecord(detail::RecordType::Snapshot, encodeSyncMessage(std::move(update)));
     const auto temporary = file + ".tmp";
     const int fd = ::open(temporary.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, S_IRUSR | S_IWUSR);
--- a/src/ibisgw/adapters/InstanceFile.h
+++ b/src/ibisgw/adapters/InstanceFile.h
@@ -7,10 +7,17 @@
 
 namespace ibisgw::adapters {
 
-// The upstreams that a controller knew when it wrote the file; nothing when the file is missing or damaged.
-std::vector<sync::InstanceItem> loadInstances(const std::string& file);
+// What a controller keeps on its disk to be of use at once after a start. Not agreed state: it may be old.
+struct SavedDirectory {
+    std::vector<sync::InstanceItem> instances;
+    // Balancers that followed the controller.
+    std::vector<core::NodeId> balancers;
+};
+
+// Empty when the file is missing or damaged.
+SavedDirectory loadDirectory(const std::string& file);
 
 // Replaces the file so that a loss of power leaves the old or the new one. False when the disk refuses it.
-bool saveInstances(const std::string& file, std::vector<sync::InstanceItem>);
+bool saveDirectory(const std::string& file, SavedDirectory);
 
 } // namespace ibisgw::adapters
--- a/src/ibisgw/runtime/DirectController.cpp
+++ b/src/ibisgw/runtime/DirectController.cpp
@@ -168,20 +168,28 @@
 void DirectController::loadInstances()
 {
     const auto now = m_loop.now();
-    for (const auto& it : adapters::loadInstances(instanceFile()))
+    auto saved = adapters::loadDirectory(instanceFile());
+    for (const auto& it : saved.instances)
         m_directory.apply(it.report, m_settings.reportInterval, now);
     m_savedChange = m_directory.newestRealChange();
+    m_savedBalancers = saved.balancers;
+    m_feed.remember(std::move(saved.balancers), now);
 }
 
 void DirectController::saveInstances()
 {
-    if (m_directory.newestRealChange() == m_savedChange)
+    auto balancers = m_feed.subscribedBalancers();
+    // None have subscribed yet after a start; the saved ones are still the best guess.
+    if (balancers.empty())
+        balancers = m_savedBalancers;
+    if (m_directory.newestRealChange() == m_savedChange && balancers == m_savedBalancers)
         return;
     m_savedChange = m_directory.newestRealChange();
-    std::vector<sync::InstanceItem> items;
+    m_savedBalancers = balancers;
+    adapters::SavedDirectory saved { {}, std::move(balancers) };
     for (const auto& [id, record] : m_directory.records())
-        items.push_back({ record.report, {}, record.isOverdue });
-    if (!adapters::saveInstances(instanceFile(), std::move(items)))
+        saved.instances.push_back({ record.report, {}, record.isOverdue });
+    if (!adapters::saveDirectory(instanceFile(), std::move(saved)))
         m_events.record(Event::StoreFailed, m_loop.now(), [] {
             return nlohmann::json { { "reason",
                 "the upstreams could not be saved; a restart will wait for their reports" } };
--- a/src/ibisgw/runtime/DirectController.h
+++ b/src/ibisgw/runtime/DirectController.h
@@ -113,6 +113,7 @@
     std::vector<WaitingRead> m_waitingReads;
     core::TimePoint m_nextExpiry {};
     std::uint64_t m_savedChange { 0 };
+    std::vector<core::NodeId> m_savedBalancers;
     EventLog m_events;
     DirectoryJournal m_journal;
     adapters::MetricsRegistry m_metrics;
--- a/src/ibisgw/sync/DirectoryFeed.cpp
+++ b/src/ibisgw/sync/DirectoryFeed.cpp
@@ -9,6 +9,10 @@
 // A subscriber asks several times a second; one that is silent has ended or is cut off.
 constexpr core::Duration subscriberTimeout = std::chrono::seconds(5);
 
+// Balancers start within this time after a loss of all machines.
+constexpr core::Duration announcementTime = std::chrono::seconds(3);
+constexpr core::Duration announcementInterval = std::chrono::milliseconds(50);
+
 // Changes for balancers are collected for this time: in a large fleet some upstream changes at any moment.
 constexpr core::Duration balancerInterval = std::chrono::milliseconds(60);
 
@@ -37,6 +41,7 @@
 
 void DirectoryFeed::publish(const FeedHead& head, core::TimePoint now, SyncOutput& output)
 {
+    announce(head, now, output);
     publishTo(true, head, now, output);
     if (now < m_nextBalancerUpdate)
         return;
@@ -89,14 +94,32 @@
     }));
 }
 
-std::vector<core::NodeId> DirectoryFeed::subscribedControllers() const
+std::vector<core::NodeId> DirectoryFeed::subscribed(bool areControllers) const
 {
     std::vector<core::NodeId> nodes;
     for (const auto& [node, subscriber] : m_subscribers) {
-        if (subscriber.isController)
+        if (subscriber.isController == areControllers)
             nodes.push_back(node);
     }
     return nodes;
 }
 
+void DirectoryFeed::remember(std::vector<core::NodeId> balancers, core::TimePoint now)
+{
+    m_awaited = std::move(balancers);
+    m_awaitedUntil = now + announcementTime;
+}
+
+void DirectoryFeed::announce(const FeedHead& head, core::TimePoint now, SyncOutput& output)
+{
+    if (m_awaited.empty() || now < m_nextAnnouncement)
+        return;
+    m_nextAnnouncement = now + announcementInterval;
+    std::erase_if(m_awaited, [this](core::NodeId it) { return m_subscribers.contains(it); });
+    if (now >= m_awaitedUntil)
+        m_awaited.clear();
+    for (const auto& it : m_awaited)
+        output.send(it, DirectoryUpdate { m_feed, 0, 0, {}, {}, head.version, head.controllers, head.membershipIndex });
+}
+
 } // namespace ibisgw::sync
--- a/src/ibisgw/sync/DirectoryFeed.h
+++ b/src/ibisgw/sync/DirectoryFeed.h
@@ -27,10 +27,16 @@
     // Sends what has changed since the last call to all subscribers.
     void publish(const FeedHead&, core::TimePoint now, SyncOutput&);
 
+    // Balancers that followed this controller before its start. They are told that it is back until they subscribe,
+    // since their seeds may start later than this controller.
+    void remember(std::vector<core::NodeId> balancers, core::TimePoint now);
+    // Balancers that have subscribed lately.
+    std::vector<core::NodeId> subscribedBalancers() const { return subscribed(false); }
+
     // How many of the given controllers hold the change; the caller counts itself.
     std::size_t confirmations(std::uint64_t change, std::span<const core::NodeId> controllers) const;
     // Controllers that have subscribed lately.
-    std::vector<core::NodeId> subscribedControllers() const;
+    std::vector<core::NodeId> subscribedControllers() const { return subscribed(true); }
     std::size_t subscriberCount() const { return m_subscribers.size(); }
 
 private:
@@ -46,6 +52,8 @@
     using UpdateKey = std::pair<std::uint64_t, bool>;
     using Updates = std::map<UpdateKey, DirectoryUpdate>;
 
+    std::vector<core::NodeId> subscribed(bool areControllers) const;
+    void announce(const FeedHead&, core::TimePoint now, SyncOutput&);
     DirectoryUpdate makeUpdate(std::uint64_t from, bool isController, const FeedHead&, core::TimePoint now) const;
     void publishTo(bool toControllers, const FeedHead&, core::TimePoint now, SyncOutput&);
 
@@ -56,6 +64,9 @@
     std::uint64_t m_publishedChange[2] {};
     direct::ConfigurationVersion m_publishedVersion[2] {};
     core::TimePoint m_nextBalancerUpdate {};
+    std::vector<core::NodeId> m_awaited;
+    core::TimePoint m_awaitedUntil {};
+    core::TimePoint m_nextAnnouncement {};
 };
 
 } // namespace ibisgw::sync
--- a/src/ibisgw/sync/DirectorySubscriber.cpp
+++ b/src/ibisgw/sync/DirectorySubscriber.cpp
@@ -58,10 +58,10 @@
 void DirectorySubscriber::handle(
     core::NodeId from, const DirectoryUpdate& update, core::TimePoint now, SyncOutput& output)
 {
-    const auto found = m_feeds.find(from);
-    if (found == m_feeds.end())
-        return;
-    auto& feed = found->second;
+    // A controller that is not known here tells that it is back.
+    if (!m_feeds.contains(from))
+        addController(from);
+    auto& feed = m_feeds[from];
     feed.heardAt = now;
     feed.version = update.version;
     if (update.feed != feed.feed) {
--- a/tests/sync/DirectorySyncTests.cpp
+++ b/tests/sync/DirectorySyncTests.cpp
@@ -4,6 +4,7 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <deque>
 
 using namespace ibisgw;
@@ -193,6 +194,32 @@
         CHECK(it.feed.confirmations(change, others) == 1);
     }
 
+    TEST_CASE("a controller that is back before the seeds finds its balancers")
+    {
+        // Guards against a fleet that waits for seeds that start last after a loss of all machines.
+        Pair it;
+        DirectorySubscriber starting({ balancerNode, 6, false, { { 99 } } }, it.copy);
+        it.source.apply(reportOf(1, 1), {}, it.now);
+        it.feed.remember({ balancerNode }, it.now);
+        it.feed.publish(it.head, it.now, it.toFollower);
+        REQUIRE(it.toFollower.messages.size() == 1);
+        starting.handle(
+            controllerNode, std::get<DirectoryUpdate>(it.toFollower.messages.front().second), it.now, it.toController);
+        starting.tick(it.now, it.toController);
+        const auto asked
+            = std::ranges::find(it.toController.messages, controllerNode, &std::pair<core::NodeId, SyncMessage>::first);
+        REQUIRE(asked != it.toController.messages.end());
+        it.feed.handle(balancerNode, std::get<Subscription>(asked->second), it.head, it.now, it.toFollower);
+        starting.handle(
+            controllerNode, std::get<DirectoryUpdate>(it.toFollower.messages.back().second), it.now, it.toController);
+        CHECK(it.copy.find({ 1 }) != nullptr);
+        // Once it has subscribed nothing is announced any more.
+        it.toFollower.messages.clear();
+        it.feed.publish(it.head, it.now += 60ms, it.toFollower);
+        for (const auto& [node, message] : it.toFollower.messages)
+            CHECK(std::get<DirectoryUpdate>(message).to > 0);
+    }
+
     TEST_CASE("a follower learns the members of the group and drops those that have left")
     {
         Pair it;
