--- a/scripts/lint.py
+++ b/scripts/lint.py
@@ -9,6 +9,7 @@
 import json
 import os
 import pathlib
+import shlex
 import subprocess
 import sys
 
@@ -17,7 +18,7 @@
 
 def preprocessed(entry):
     """Returns the preprocessed text of one entry of compile_commands.json."""
-    command = entry["command"].split()
+    command = shlex.split(entry["command"])
     command = [it for it in command if not it.endswith("ccache")]
     output = command.index("-o")
     command = command[:output] + command[output + 2 :]
