--- a/tests/direct/FlowForwarderTests.cpp
+++ b/tests/direct/FlowForwarderTests.cpp
@@ -233,10 +233,10 @@
         std::map<std::uint64_t, int> counts;
         for (int n = 0; n < 30; ++n)
             ++counts[it.handle(it.opening()).instance.value];
-        for (const auto& [id, count] : counts) {
-            CAPTURE(id);
-            CHECK(count <= 4);
-            CHECK(count >= 2);
+        for (const auto& entry : counts) {
+            CAPTURE(entry.first);
+            CHECK(entry.second <= 4);
+            CHECK(entry.second >= 2);
         }
         CHECK(counts.size() == 10);
     }
