--- a/src/ibisgw/adapters/Log.cpp
+++ b/src/ibisgw/adapters/Log.cpp
@@ -1,9 +1,10 @@
 #include "ibisgw/adapters/Log.h"
 
-#include "ibisgw/core/NameTable.h"
-
 #include "ibisgw/adapters/BoundedWriter.h"
+#include "ibisgw/adapters/WallClock.h"
+#include "ibisgw/core/NameTable.h"
 
+#include <boost/log/attributes/value_extraction.hpp>
 #include <boost/log/core.hpp>
 #include <boost/log/sinks/basic_sink_backend.hpp>
 #include <boost/log/sinks/unlocked_frontend.hpp>
@@ -11,11 +12,8 @@
 #include <boost/log/sources/record_ostream.hpp>
 #include <boost/log/utility/setup/console.hpp>
 #include <boost/log/utility/setup/file.hpp>
-
-#include <boost/log/attributes/value_extraction.hpp>
 #include <boost/make_shared.hpp>
 
-#include <chrono>
 #include <iostream>
 #include <unistd.h>
 
@@ -55,12 +53,6 @@
     void consume(const boost::log::record_view&, const string_type& line) { standardOutput().write(line); }
 };
 
-double wallClockSeconds()
-{
-    using namespace std::chrono;
-    return duration<double>(system_clock::now().time_since_epoch()).count();
-}
-
 } // namespace
 
 void initializeLog(const std::string& process, const std::string& file)
@@ -98,7 +90,8 @@
 
 void log(LogLevel level, std::string_view message, nlohmann::json fields)
 {
-    fields["time"] = wallClockSeconds();
+    constexpr double microsecondsPerSecond = 1e6;
+    fields["time"] = static_cast<double>(wallClockMicroseconds()) / microsecondsPerSecond;
     fields["level"] = levelNames.nameOf(level);
     fields["process"] = processName();
     fields["message"] = message;
--- a/src/ibisgw/adapters/PeerDatagrams.cpp
+++ b/src/ibisgw/adapters/PeerDatagrams.cpp
@@ -128,7 +128,7 @@
     }
     auto& partial = m_partials[{ sender, number }];
     if (partial.fragments.size() != count)
-        partial = { number, std::vector<std::string>(count), count, now };
+        partial = { std::vector<std::string>(count), count, now };
     auto& slot = partial.fragments[index];
     if (!slot.empty())
         return;
--- a/src/ibisgw/adapters/PeerDatagrams.h
+++ b/src/ibisgw/adapters/PeerDatagrams.h
@@ -52,7 +52,6 @@
 
 private:
     struct Partial {
-        std::uint32_t number { 0 };
         std::vector<std::string> fragments;
         std::size_t missing { 0 };
         core::TimePoint startedAt;
--- a/src/ibisgw/configuration/ConfigurationRegister.cpp
+++ b/src/ibisgw/configuration/ConfigurationRegister.cpp
@@ -30,7 +30,7 @@
     if (m_raft.role() == RaftRole::Halted)
         restartAfterFailure(now);
     m_raft.tick(now, output);
-    std::erase_if(m_pending, [this](const auto& it) { return it.first <= m_state.version(); });
+    std::erase_if(m_pending, [this](std::uint64_t it) { return it <= m_state.version(); });
 }
 
 // The store is read again, because what is on the disk after a failed write is not known.
@@ -56,10 +56,9 @@
         m_pendingTerm = m_raft.term();
     }
     if (!m_pending.contains(version)) {
-        const auto index = m_raft.propose(RegisterState::encode(version, text), now, output);
-        if (!index)
+        if (!m_raft.propose(RegisterState::encode(version, text), now, output))
             return ReplaceStatus::Unknown;
-        m_pending.emplace(version, *index);
+        m_pending.insert(version);
     }
     return statusOf(version);
 }
--- a/src/ibisgw/configuration/ConfigurationRegister.h
+++ b/src/ibisgw/configuration/ConfigurationRegister.h
@@ -4,7 +4,7 @@
 #include "ibisgw/configuration/RegisterState.h"
 
 #include <cstdint>
-#include <map>
+#include <set>
 
 namespace ibisgw::configuration {
 
@@ -46,7 +46,7 @@
     RegisterState m_state;
     RaftNode m_raft;
     // Versions proposed in the present term.
-    std::map<std::uint64_t, LogIndex> m_pending;
+    std::set<std::uint64_t> m_pending;
     Term m_pendingTerm { 0 };
     core::TimePoint m_nextRestart {};
 };
--- a/src/ibisgw/configuration/Membership.cpp
+++ b/src/ibisgw/configuration/Membership.cpp
@@ -16,6 +16,14 @@
     return member && member->voter && member->disk == disk;
 }
 
+std::vector<core::NodeId> Membership::nodes() const
+{
+    std::vector<core::NodeId> nodes;
+    for (const auto& it : members)
+        nodes.push_back(it.node);
+    return nodes;
+}
+
 std::size_t Membership::voterCount() const
 {
     return static_cast<std::size_t>(std::ranges::count(members, true, &Member::voter));
--- a/src/ibisgw/configuration/Membership.h
+++ b/src/ibisgw/configuration/Membership.h
@@ -31,6 +31,7 @@
     const Member* find(core::NodeId) const;
     bool isVoter(core::NodeId, DiskIdentity) const;
     std::size_t voterCount() const;
+    std::vector<core::NodeId> nodes() const;
     // Smallest number of voters of which any two sets have a common voter.
     std::size_t majority() const { return voterCount() / 2 + 1; }
     // Replaces the member with the same node, or adds it.
--- a/src/ibisgw/configuration/RaftMembership.cpp
+++ b/src/ibisgw/configuration/RaftMembership.cpp
@@ -29,8 +29,8 @@
     std::set<core::NodeId> nodes(m_options.controllers.begin(), m_options.controllers.end());
     if (m_options.membershipMode == MembershipMode::Open) {
         nodes.insert(m_namedControllers.begin(), m_namedControllers.end());
-        for (const auto& it : m_log.membership().members)
-            nodes.insert(it.node);
+        const auto members = m_log.membership().nodes();
+        nodes.insert(members.begin(), members.end());
     }
     nodes.erase(m_options.self);
     return nodes;
@@ -223,14 +223,6 @@
     return {};
 }
 
-std::vector<core::NodeId> RaftNode::memberNodes() const
-{
-    std::vector<core::NodeId> nodes;
-    for (const auto& it : m_log.membership().members)
-        nodes.push_back(it.node);
-    return nodes;
-}
-
 // One change at a time, and only after an entry of the own term is committed (dissertation, 4.1,
 // with the correction of Ongaro, "bug in single-server membership changes", raft-dev 2015).
 bool RaftNode::canChangeMembership() const
@@ -313,7 +305,7 @@
     const auto& membership = m_log.membership();
     post(from,
         DiskCheckReply { message.disk, request.startNonce, isOutdated, isSelfVoter(), m_log.membershipIndex(),
-            membership.majority(), memberNodes() });
+            membership.majority(), membership.nodes() });
     if (!isOutdated)
         admit(from, message, request, now);
 }
--- a/src/ibisgw/configuration/RaftNode.h
+++ b/src/ibisgw/configuration/RaftNode.h
@@ -137,7 +137,6 @@
     void promoteLearners(core::TimePoint now);
     void removeSilentMembers(core::TimePoint now);
     std::set<core::NodeId> contacts() const;
-    std::vector<core::NodeId> memberNodes() const;
     bool mayFoundGroup() const;
     bool canChangeMembership() const;
     void changeMembership(Membership, core::TimePoint now);
--- a/src/ibisgw/direct/FlowForwarder.cpp
+++ b/src/ibisgw/direct/FlowForwarder.cpp
@@ -2,8 +2,6 @@
 
 #include "ibisgw/core/NameTable.h"
 
-#include <numeric>
-
 namespace ibisgw::direct {
 
 namespace {
@@ -281,9 +279,7 @@
 
 const core::ServiceName& FlowForwarder::drawService(const Route& route)
 {
-    const auto total = std::accumulate(route.targets.begin(), route.targets.end(), std::uint64_t { 0 },
-        [](std::uint64_t sum, const RouteTarget& it) { return sum + it.weight; });
-    auto point = m_random.below(total);
+    auto point = m_random.below(route.totalWeight());
     for (const auto& it : route.targets) {
         if (point < it.weight)
             return it.service;
--- a/src/ibisgw/direct/RouteConfiguration.cpp
+++ b/src/ibisgw/direct/RouteConfiguration.cpp
@@ -11,9 +11,7 @@
 void checkTargets(const Route& route, const std::string& path, const std::set<core::ServiceName>& services,
     std::vector<core::Problem>& problems)
 {
-    const auto weight = std::accumulate(route.targets.begin(), route.targets.end(), std::uint64_t { 0 },
-        [](std::uint64_t sum, const RouteTarget& it) { return sum + it.weight; });
-    if (weight == 0)
+    if (route.totalWeight() == 0)
         problems.push_back({ path, "sends new flows nowhere; name a service with a weight above 0" });
     for (const auto& it : route.targets) {
         if (!services.contains(it.service))
@@ -23,6 +21,12 @@
 
 } // namespace
 
+std::uint64_t Route::totalWeight() const
+{
+    return std::accumulate(targets.begin(), targets.end(), std::uint64_t { 0 },
+        [](std::uint64_t sum, const RouteTarget& it) { return sum + it.weight; });
+}
+
 std::vector<core::Problem> findProblems(const RouteConfiguration& configuration)
 {
     std::vector<core::Problem> problems;
--- a/src/ibisgw/direct/RouteConfiguration.h
+++ b/src/ibisgw/direct/RouteConfiguration.h
@@ -36,6 +36,8 @@
     core::Duration timeout { 0 };
     core::Duration latencyObjective { 0 };
     std::vector<RouteTarget> targets;
+
+    std::uint64_t totalWeight() const;
 };
 
 // One whole configuration as an operator sends it.
--- a/src/ibisgw/runtime/DirectController.cpp
+++ b/src/ibisgw/runtime/DirectController.cpp
@@ -246,9 +246,7 @@
 
 std::vector<core::NodeId> DirectController::controllerNodes() const
 {
-    std::vector<core::NodeId> nodes;
-    for (const auto& it : m_register.membership().members)
-        nodes.push_back(it.node);
+    auto nodes = m_register.membership().nodes();
     return nodes.empty() ? m_settings.seedNodes() : nodes;
 }
 
--- a/src/ibisgw/sync/DirectoryFeed.cpp
+++ b/src/ibisgw/sync/DirectoryFeed.cpp
@@ -58,11 +58,12 @@
     publishedChange = m_directory.newestRealChange();
     publishedVersion = head.version;
     std::erase_if(m_subscribers, [now](const auto& it) { return now - it.second.heardAt > subscriberTimeout; });
-    Updates updates;
+    // Subscribers that hold the same changes get the same update.
+    std::map<std::uint64_t, DirectoryUpdate> updates;
     for (auto& [node, subscriber] : m_subscribers) {
         if (subscriber.isController != toControllers)
             continue;
-        const auto [entry, isNew] = updates.try_emplace({ subscriber.sent, toControllers });
+        const auto [entry, isNew] = updates.try_emplace(subscriber.sent);
         if (isNew)
             entry->second = makeUpdate(subscriber.sent, toControllers, head, now);
         subscriber.sent = entry->second.to;
@@ -94,11 +95,11 @@
     }));
 }
 
-std::vector<core::NodeId> DirectoryFeed::subscribed(bool areControllers) const
+std::vector<core::NodeId> DirectoryFeed::subscribedBalancers() const
 {
     std::vector<core::NodeId> nodes;
     for (const auto& [node, subscriber] : m_subscribers) {
-        if (subscriber.isController == areControllers)
+        if (!subscriber.isController)
             nodes.push_back(node);
     }
     return nodes;
--- a/src/ibisgw/sync/DirectoryFeed.h
+++ b/src/ibisgw/sync/DirectoryFeed.h
@@ -5,7 +5,6 @@
 
 #include <map>
 #include <span>
-#include <utility>
 
 namespace ibisgw::sync {
 
@@ -31,12 +30,10 @@
     // since their seeds may start later than this controller.
     void remember(std::vector<core::NodeId> balancers, core::TimePoint now);
     // Balancers that have subscribed lately.
-    std::vector<core::NodeId> subscribedBalancers() const { return subscribed(false); }
+    std::vector<core::NodeId> subscribedBalancers() const;
 
     // How many of the given controllers hold the change; the caller counts itself.
     std::size_t confirmations(std::uint64_t change, std::span<const core::NodeId> controllers) const;
-    // Controllers that have subscribed lately.
-    std::vector<core::NodeId> subscribedControllers() const { return subscribed(true); }
     std::size_t subscriberCount() const { return m_subscribers.size(); }
 
 private:
@@ -48,11 +45,6 @@
         std::uint64_t sent { 0 };
         core::TimePoint heardAt;
     };
-    // Subscribers that hold the same changes get the same update.
-    using UpdateKey = std::pair<std::uint64_t, bool>;
-    using Updates = std::map<UpdateKey, DirectoryUpdate>;
-
-    std::vector<core::NodeId> subscribed(bool areControllers) const;
     void announce(const FeedHead&, core::TimePoint now, SyncOutput&);
     DirectoryUpdate makeUpdate(std::uint64_t from, bool isController, const FeedHead&, core::TimePoint now) const;
     void publishTo(bool toControllers, const FeedHead&, core::TimePoint now, SyncOutput&);
--- a/src/ibisgw/sync/DirectorySubscriber.cpp
+++ b/src/ibisgw/sync/DirectorySubscriber.cpp
@@ -75,7 +75,6 @@
     merge(update, now);
     const bool isNew = update.to > feed.acknowledged;
     feed.acknowledged = std::max(feed.acknowledged, update.to);
-    m_isSynchronized = true;
     // Other controllers wait for the acknowledgement before they answer an upstream that leaves.
     if (m_options.isController && isNew && !update.items.empty())
         subscribe(from, feed, now, output);
--- a/src/ibisgw/sync/DirectorySubscriber.h
+++ b/src/ibisgw/sync/DirectorySubscriber.h
@@ -36,8 +36,6 @@
     // A controller that has made contact itself.
     void addController(core::NodeId);
 
-    // Whether a controller has sent its whole directory since the start.
-    bool isSynchronized() const { return m_isSynchronized; }
     // Controllers that are in contact.
     std::size_t reachableControllers(core::TimePoint now) const;
 
@@ -62,7 +60,6 @@
     std::vector<core::NodeId> m_members;
     std::vector<core::NodeId> m_contacts;
     std::uint64_t m_membershipIndex { 0 };
-    bool m_isSynchronized { false };
     std::optional<core::TimePoint> m_startedAt;
     core::TimePoint m_nextRequest {};
     core::NodeId m_lastAsked;
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -5,8 +5,8 @@
 import argparse
 import asyncio
 import json
-import pathlib
 import random as random_module
+import shutil
 import socket
 import sys
 import tempfile
@@ -19,8 +19,6 @@
 from http_client import call
 from upstreams import Upstream
 
-sys.path.insert(0, str(pathlib.Path(__file__).parent))
-
 
 class World:
     SERVICES = ("booking", "archive")
@@ -241,7 +239,6 @@
     verdict = "passed" if not world.checks.failures else f"failed, logs in {folder}"
     print(f"soak seed {arguments.seed}: {verdict}; {world.checks.summary()}")
     if not world.checks.failures and not arguments.keep:
-        import shutil
         shutil.rmtree(folder)
     return 1 if world.checks.failures else 0
 
