Look the route of a packet up once, and forward packets of open flows in one place

The route was looked up twice for each packet with data, and continueFlow and resolveToken both observed, judged and reset. A reset of a caller for a flow that was not in the table no longer leaves an entry until it is idle; decisions are the same.

--- a/src/ibisgw/direct/FlowForwarder.cpp
+++ b/src/ibisgw/direct/FlowForwarder.cpp
@@ -79,24 +79,19 @@
 
 ForwardDecision FlowForwarder::handle(const FlowSegment& segment, core::TimePoint now)
 {
-    auto decision = decide(segment, now);
+    const auto found = m_routes.find(segment.flow.service);
+    const auto* route = found == m_routes.end() ? nullptr : found->second;
+    auto decision = decide(segment, route, now);
     ++m_counts[static_cast<std::size_t>(decision.reason)];
-    if (segment.payloadBytes > 0)
-        decision.egressClass = classOf(segment);
+    if (segment.payloadBytes > 0) {
+        const bool isBulk = route && route->kind == RouteKind::Upload;
+        decision.egressClass = isBulk ? EgressClass::Bulk : EgressClass::Interactive;
+    }
     return decision;
 }
 
-EgressClass FlowForwarder::classOf(const FlowSegment& segment) const
+ForwardDecision FlowForwarder::decide(const FlowSegment& segment, const Route* route, core::TimePoint now)
 {
-    const auto route = m_routes.find(segment.flow.service);
-    const bool isBulk = route != m_routes.end() && route->second->kind == RouteKind::Upload;
-    return isBulk ? EgressClass::Bulk : EgressClass::Interactive;
-}
-
-ForwardDecision FlowForwarder::decide(const FlowSegment& segment, core::TimePoint now)
-{
-    const auto found = m_routes.find(segment.flow.service);
-    const auto* route = found == m_routes.end() ? nullptr : found->second;
     if (!segment.isOpening)
         return continueFlow(segment, route, now);
     if (!m_configuration)
@@ -131,9 +126,8 @@
     decision.candidates = static_cast<std::uint32_t>(m_candidates.size());
     decision.inProgress = chosen.inProgress();
     decision.openFlows = chosen.openFlows();
-    auto& flow = remember(segment.flow, *record, &route, now);
+    auto& flow = remember(segment.flow, *record, &route, now)->second;
     flow.placedHere = true;
-    flow.acknowledged = 0;
     startWork(segment.flow, flow, now);
     return decision;
 }
@@ -143,48 +137,47 @@
     const auto found = m_flows.find(segment.flow);
     if (found == m_flows.end() || !found->second.isOpen)
         return resolveToken(segment, route, now);
-    auto& flow = found->second;
     // A second upstream may have answered a copy of the opening packet later; the flow stays with the first.
-    const auto* record = m_directory.findByToken(flow.token);
-    if (!record)
-        return resolveToken(segment, route, now);
-    auto decision = forwardTo(*record, ForwardReason::OpenFlow);
-    observe(flow, segment, decision, now);
-    if (isLost(*record, segment)) {
+    const auto* record = m_directory.findByToken(found->second.token);
+    return record ? forwardOpen(found, *record, segment, now) : resolveToken(segment, route, now);
+}
+
+ForwardDecision FlowForwarder::forwardOpen(
+    FlowMap::iterator entry, const InstanceRecord& record, const FlowSegment& segment, core::TimePoint now)
+{
+    auto decision = forwardTo(record, ForwardReason::OpenFlow);
+    observe(entry->second, segment, decision, now);
+    if (isLost(record, segment)) {
         decision.action = ForwardAction::Reset;
         decision.reason = ForwardReason::UpstreamUnresponsive;
     }
     if (segment.isReset || decision.action == ForwardAction::Reset)
-        forget(found);
+        forget(entry);
     return decision;
 }
 
 ForwardDecision FlowForwarder::resolveToken(const FlowSegment& segment, const Route* route, core::TimePoint now)
 {
     const auto* record = segment.token == 0 ? nullptr : m_directory.findByToken(segment.token);
+    const auto known = m_flows.find(segment.flow);
     if (!record) {
         if (!m_directory.isRetired(segment.token) || m_directory.mayStillRun(segment.token, now))
             return { ForwardAction::Drop, ForwardReason::UnknownToken };
-        if (const auto found = m_flows.find(segment.flow); found != m_flows.end())
-            forget(found);
+        if (known != m_flows.end())
+            forget(known);
         return { segment.isReset ? ForwardAction::Drop : ForwardAction::Reset, ForwardReason::UpstreamGone };
     }
-    if (const auto found = m_flows.find(segment.flow);
-        found != m_flows.end() && found->second.instance != record->report.id)
-        forget(found);
-    auto& flow = remember(segment.flow, *record, route, now);
+    if (known != m_flows.end() && known->second.instance != record->report.id)
+        forget(known);
+    const auto entry = remember(segment.flow, *record, route, now);
+    auto& flow = entry->second;
     if (!flow.isOpen && flow.placedHere) {
         load(record->report.id).answered();
         m_responses.noteProgress(record->report.id);
     }
     flow.isOpen = true;
     flow.token = record->token;
-    auto decision = forwardTo(*record, ForwardReason::OpenFlow);
-    observe(flow, segment, decision, now);
-    if (!isLost(*record, segment))
-        return decision;
-    forget(m_flows.find(segment.flow));
-    return { ForwardAction::Reset, ForwardReason::UpstreamUnresponsive, {}, record->report.id };
+    return forwardOpen(entry, *record, segment, now);
 }
 
 // Data for an upstream that answers neither callers nor probes waits in vain. A draining upstream may have closed its
@@ -251,23 +244,23 @@
     load(flow.instance).workEnded();
 }
 
-FlowForwarder::Flow& FlowForwarder::remember(
+FlowForwarder::FlowMap::iterator FlowForwarder::remember(
     const core::FlowKey& key, const InstanceRecord& record, const Route* route, core::TimePoint now)
 {
     // The packets of a forgotten flow still carry its token.
     if (m_flows.size() >= m_options.maxFlows && !m_flows.contains(key))
         forget(m_flows.begin());
     const auto [entry, isNew] = m_flows.try_emplace(key);
-    auto& flow = entry->second;
     if (!isNew)
-        return flow;
+        return entry;
+    auto& flow = entry->second;
     flow.instance = record.report.id;
     flow.token = record.token;
     flow.openedAt = flow.lastSeenAt = now;
     const bool hasObjective = route && route->latencyObjective > core::Duration::zero();
     flow.expectedWork = hasObjective ? route->latencyObjective : defaultExpectedWork;
     load(flow.instance).flowOpened();
-    return flow;
+    return entry;
 }
 
 void FlowForwarder::forget(FlowMap::iterator entry)
--- a/src/ibisgw/direct/FlowForwarder.h
+++ b/src/ibisgw/direct/FlowForwarder.h
@@ -110,10 +110,11 @@
     };
     using FlowMap = std::unordered_map<core::FlowKey, Flow>;
 
-    EgressClass classOf(const FlowSegment&) const;
-    ForwardDecision decide(const FlowSegment&, core::TimePoint now);
+    ForwardDecision decide(const FlowSegment&, const Route*, core::TimePoint now);
     ForwardDecision open(const FlowSegment&, const Route&, core::TimePoint now);
     ForwardDecision continueFlow(const FlowSegment&, const Route*, core::TimePoint now);
+    ForwardDecision forwardOpen(
+        FlowMap::iterator, const upstream::InstanceRecord&, const FlowSegment&, core::TimePoint now);
     ForwardDecision resolveToken(const FlowSegment&, const Route*, core::TimePoint now);
     const upstream::InstanceRecord* choose(
         const Route&, std::optional<upstream::InstanceId> excluded, core::TimePoint now);
@@ -122,7 +123,8 @@
     bool isLost(const upstream::InstanceRecord&, const FlowSegment&) const;
     bool isDoubtful(const upstream::InstanceRecord&, core::TimePoint now) const;
 
-    Flow& remember(const core::FlowKey&, const upstream::InstanceRecord&, const Route*, core::TimePoint now);
+    FlowMap::iterator remember(
+        const core::FlowKey&, const upstream::InstanceRecord&, const Route*, core::TimePoint now);
     void observe(Flow&, const FlowSegment&, ForwardDecision&, core::TimePoint now);
     void observeSequence(Flow&, const FlowSegment&, ForwardDecision&, core::TimePoint now);
     void startWork(const core::FlowKey&, Flow&, core::TimePoint now);
