--- a/src/ibisgw/configuration/ConfigurationRegister.cpp
+++ b/src/ibisgw/configuration/ConfigurationRegister.cpp
@@ -44,22 +44,29 @@
         [](const core::Error&) {}, [] {});
 }
 
-ReplaceStatus ConfigurationRegister::replace(
-    std::uint64_t version, const std::string& text, core::TimePoint now, RaftOutput& output)
+std::optional<ReplaceStatus> ConfigurationRegister::statusWithoutProposal(std::uint64_t version) const
 {
     if (version <= m_state.version())
         return ReplaceStatus::Accepted;
     if (!m_raft.isAccepting())
         return ReplaceStatus::Unknown;
+    if (isPending(version))
+        return ReplaceStatus::Pending;
+    return std::nullopt;
+}
+
+ReplaceStatus ConfigurationRegister::replace(
+    std::uint64_t version, const std::string& text, core::TimePoint now, RaftOutput& output)
+{
+    if (const auto status = statusWithoutProposal(version))
+        return *status;
     if (m_pendingTerm != m_raft.term()) {
         m_pending.clear();
         m_pendingTerm = m_raft.term();
     }
-    if (!m_pending.contains(version)) {
-        if (!m_raft.propose(RegisterState::encode(version, text), now, output))
-            return ReplaceStatus::Unknown;
-        m_pending.insert(version);
-    }
+    if (!m_raft.propose(RegisterState::encode(version, text), now, output))
+        return ReplaceStatus::Unknown;
+    m_pending.insert(version);
     return statusOf(version);
 }
 
@@ -67,9 +74,12 @@
 {
     if (version <= m_state.version())
         return ReplaceStatus::Accepted;
-    const bool isProposed
-        = m_raft.role() == RaftRole::Leader && m_raft.term() == m_pendingTerm && m_pending.contains(version);
-    return isProposed ? ReplaceStatus::Pending : ReplaceStatus::Unknown;
+    return isPending(version) ? ReplaceStatus::Pending : ReplaceStatus::Unknown;
+}
+
+bool ConfigurationRegister::isPending(std::uint64_t version) const
+{
+    return m_raft.role() == RaftRole::Leader && m_raft.term() == m_pendingTerm && m_pending.contains(version);
 }
 
 std::optional<ReadTicket> ConfigurationRegister::beginRead(core::TimePoint now, RaftOutput& output)
--- a/src/ibisgw/configuration/ConfigurationRegister.h
+++ b/src/ibisgw/configuration/ConfigurationRegister.h
@@ -26,6 +26,9 @@
     // Call at least ten times a second.
     void tick(core::TimePoint now, RaftOutput&);
 
+    // The status of a change that needs no proposal here: it is held, proposed already, or for another controller.
+    // Empty when replace() would propose it.
+    std::optional<ReplaceStatus> statusWithoutProposal(std::uint64_t version) const;
     // Proposes a change on the leader. Ask statusOf() while the status is Pending.
     ReplaceStatus replace(std::uint64_t version, const std::string& text, core::TimePoint now, RaftOutput&);
     ReplaceStatus statusOf(std::uint64_t version) const;
@@ -42,6 +45,7 @@
 
 private:
     void restartAfterFailure(core::TimePoint now);
+    bool isPending(std::uint64_t version) const;
 
     RegisterState m_state;
     RaftNode m_raft;
--- a/src/ibisgw/runtime/DirectController.cpp
+++ b/src/ibisgw/runtime/DirectController.cpp
@@ -259,7 +259,10 @@
     direct::ConfigurationVersion version, const std::string& text, Answerer answer)
 {
     const auto now = m_loop.now();
-    const auto status = m_register.replace(version, configuration::compressDocument(text), now, *this);
+    // Only a change that is proposed here is worth deflating: most are repeated, or for the leader.
+    auto status = m_register.statusWithoutProposal(version);
+    if (!status)
+        status = m_register.replace(version, configuration::compressDocument(text), now, *this);
     if (status == ReplaceStatus::Unknown) {
         answer(askElsewhere());
     } else {
