--- a/src/ibisgw/adapters/PeerDatagrams.cpp
+++ b/src/ibisgw/adapters/PeerDatagrams.cpp
@@ -4,6 +4,8 @@
 #include "ibisgw/adapters/detail/CborReader.h"
 #include "ibisgw/adapters/detail/CborWriter.h"
 
+#include <boost/endian/conversion.hpp>
+
 #include <algorithm>
 #include <numeric>
 
@@ -27,17 +29,14 @@
 
 void writeEndpoint(std::span<std::byte> out, std::size_t offset, core::Endpoint endpoint)
 {
-    auto value = core::NodeId::fromEndpoint(endpoint).value;
-    for (std::size_t n = endpointBytes; n-- > 0; value >>= 8)
-        out[offset + n] = static_cast<std::byte>(value);
+    auto* target = reinterpret_cast<unsigned char*>(&out[offset]);
+    boost::endian::store_big_u48(target, core::NodeId::fromEndpoint(endpoint).value);
 }
 
 core::Endpoint readEndpoint(std::span<const std::byte> bytes)
 {
-    core::NodeId node;
-    for (std::size_t n = 0; n < endpointBytes; ++n)
-        node.value = (node.value << 8) | std::to_integer<std::uint64_t>(bytes[n]);
-    return node.endpoint();
+    return core::NodeId { boost::endian::load_big_u48(reinterpret_cast<const unsigned char*>(bytes.data())) }
+        .endpoint();
 }
 
 } // namespace
--- a/src/ibisgw/adapters/detail/LogRecord.cpp
+++ b/src/ibisgw/adapters/detail/LogRecord.cpp
@@ -3,6 +3,8 @@
 #define XXH_INLINE_ALL
 #include <xxhash.h>
 
+#include <boost/endian/conversion.hpp>
+
 #include <cstring>
 
 namespace ibisgw::adapters::detail {
@@ -17,16 +19,15 @@
 
 template <typename Number> void put(std::string& out, Number value)
 {
-    for (std::size_t n = 0; n < sizeof(Number); ++n)
-        out.push_back(static_cast<char>(value >> (8 * n)));
+    unsigned char bytes[sizeof(Number)];
+    boost::endian::endian_store<Number, sizeof(Number), boost::endian::order::little>(bytes, value);
+    out.append(bytes, bytes + sizeof bytes);
 }
 
 template <typename Number> Number get(std::string_view bytes, std::size_t offset)
 {
-    Number value = 0;
-    for (std::size_t n = 0; n < sizeof(Number); ++n)
-        value |= static_cast<Number>(static_cast<unsigned char>(bytes[offset + n])) << (8 * n);
-    return value;
+    const auto* source = reinterpret_cast<const unsigned char*>(bytes.data() + offset);
+    return boost::endian::endian_load<Number, sizeof(Number), boost::endian::order::little>(source);
 }
 
 std::uint64_t checksum(std::string_view bytes)
--- a/src/ibisgw/configuration/RegisterState.cpp
+++ b/src/ibisgw/configuration/RegisterState.cpp
@@ -1,5 +1,7 @@
 #include "ibisgw/configuration/RegisterState.h"
 
+#include <boost/endian/conversion.hpp>
+
 #include <optional>
 
 namespace ibisgw::configuration {
@@ -12,8 +14,7 @@
 std::string write(std::uint64_t version, const std::string& text)
 {
     std::string bytes(versionBytes, '\0');
-    for (std::size_t n = 0; n < versionBytes; ++n)
-        bytes[n] = static_cast<char>(version >> (8 * (versionBytes - 1 - n)));
+    boost::endian::store_big_u64(reinterpret_cast<unsigned char*>(bytes.data()), version);
     return bytes + text;
 }
 
@@ -21,10 +22,7 @@
 {
     if (bytes.size() < versionBytes)
         return std::nullopt;
-    std::uint64_t version = 0;
-    for (std::size_t n = 0; n < versionBytes; ++n)
-        version = (version << 8) | static_cast<unsigned char>(bytes[n]);
-    return version;
+    return boost::endian::load_big_u64(reinterpret_cast<const unsigned char*>(bytes.data()));
 }
 
 } // namespace
