Replace files durably in one place, and share the subscription of the daemons

saveDirectory wrote, synced and renamed by itself, beside FileLogStore::replaceFile, and told nothing about a failure. Both now call detail::replaceFile; the log names the failed operation. The three options that both daemons set are set in one function.

--- a/src/ibisgw/adapters/FileLogStore.cpp
+++ b/src/ibisgw/adapters/FileLogStore.cpp
@@ -1,6 +1,7 @@
 #include "ibisgw/adapters/FileLogStore.h"
 
 #include "ibisgw/adapters/detail/DataFolderContents.h"
+#include "ibisgw/adapters/detail/DurableFile.h"
 #include "ibisgw/adapters/detail/LogRecord.h"
 #include "ibisgw/adapters/detail/RaftJson.h"
 
@@ -19,41 +20,6 @@
 namespace {
 
 constexpr auto lockFileName = "lock";
-constexpr mode_t fileMode = S_IRUSR | S_IWUSR;
-
-boost::leaf::error_id ioFailure(const std::string& file, const std::string& operation, int number)
-{
-    const bool isFull = number == ENOSPC || number == EDQUOT || number == EFBIG;
-    return core::fail(isFull ? core::ErrorKind::ResourceExhausted : core::ErrorKind::IoFailed,
-        operation + " of '" + file + "' failed: " + std::strerror(number)
-            + (isFull ? "; free space and restart the controller"
-                      : "; check or replace the disk and restart the controller"));
-}
-
-core::Result<void> writeAll(int descriptor, const std::string& file, std::string_view bytes)
-{
-    while (!bytes.empty()) {
-        const auto n = ::write(descriptor, bytes.data(), bytes.size());
-        if (n < 0 && errno == EINTR)
-            continue;
-        if (n <= 0)
-            return ioFailure(file, "write", n < 0 ? errno : ENOSPC);
-        bytes.remove_prefix(static_cast<std::size_t>(n));
-    }
-    return {};
-}
-
-core::Result<void> syncFolder(const std::string& folder)
-{
-    const int descriptor = ::open(folder.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC);
-    if (descriptor < 0)
-        return ioFailure(folder, "open", errno);
-    const int number = ::fsync(descriptor) == 0 ? 0 : errno;
-    ::close(descriptor);
-    if (number != 0)
-        return ioFailure(folder, "sync", number);
-    return {};
-}
 
 std::string entryRecord(LogIndex index, const LogEntry& entry)
 {
@@ -77,9 +43,9 @@
     std::error_code ec;
     std::filesystem::create_directories(folder, ec);
     const auto file = folder + "/" + lockFileName;
-    const int lock = ::open(file.c_str(), O_RDWR | O_CREAT | O_CLOEXEC, fileMode);
+    const int lock = ::open(file.c_str(), O_RDWR | O_CREAT | O_CLOEXEC, detail::privateFileMode);
     if (lock < 0)
-        return ioFailure(file, "open", errno);
+        return detail::ioFailure(file, "open", errno);
     if (::flock(lock, LOCK_EX | LOCK_NB) != 0) {
         ::close(lock);
         return core::fail(core::ErrorKind::Unavailable,
@@ -144,7 +110,7 @@
     // history could follow the snapshot after a crash.
     BOOST_LEAF_CHECK(sync());
     m_failed = true;
-    BOOST_LEAF_CHECK(replaceFile(detail::snapshotFileName,
+    BOOST_LEAF_CHECK(detail::replaceFile(m_folder, detail::snapshotFileName,
         detail::encodeRecord(detail::RecordType::Snapshot, detail::writeCbor(detail::toJson(snapshot)))));
     while (!m_entries.empty() && m_firstIndex <= snapshot.index) {
         m_entries.pop_front();
@@ -163,7 +129,7 @@
     m_failed = true;
     BOOST_LEAF_CHECK(writePending());
     if (::fdatasync(m_log) != 0)
-        return ioFailure(m_folder + "/" + detail::logFileName, "sync", errno);
+        return detail::ioFailure(m_folder + "/" + detail::logFileName, "sync", errno);
     m_failed = false;
     return {};
 }
@@ -190,7 +156,7 @@
     for (const auto& it : state.entries)
         m_entries.push_back(entryRecord(m_firstIndex + m_entries.size(), it));
     if (state.snapshot.index > 0) {
-        BOOST_LEAF_CHECK(replaceFile(detail::snapshotFileName,
+        BOOST_LEAF_CHECK(detail::replaceFile(m_folder, detail::snapshotFileName,
             detail::encodeRecord(detail::RecordType::Snapshot, detail::writeCbor(detail::toJson(state.snapshot)))));
     }
     BOOST_LEAF_CHECK(replaceLog());
@@ -206,8 +172,8 @@
     for (const auto* name : { detail::snapshotFileName, detail::logFileName }) {
         const auto file = m_folder + "/" + name;
         if (::unlink(file.c_str()) != 0 && errno != ENOENT)
-            return ioFailure(file, "removal", errno);
-        BOOST_LEAF_CHECK(syncFolder(m_folder));
+            return detail::ioFailure(file, "removal", errno);
+        BOOST_LEAF_CHECK(detail::syncFolder(m_folder));
     }
     return {};
 }
@@ -221,25 +187,6 @@
     return {};
 }
 
-core::Result<void> FileLogStore::replaceFile(const std::string& name, const std::string& bytes)
-{
-    const auto file = m_folder + "/" + name;
-    const auto temporary = file + detail::temporarySuffix;
-    const int descriptor = ::open(temporary.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, fileMode);
-    if (descriptor < 0)
-        return ioFailure(temporary, "open", errno);
-    auto written = writeAll(descriptor, temporary, bytes);
-    const int number = !written || ::fsync(descriptor) == 0 ? 0 : errno;
-    ::close(descriptor);
-    if (!written)
-        return written.error();
-    if (number != 0)
-        return ioFailure(temporary, "sync", number);
-    if (::rename(temporary.c_str(), file.c_str()) != 0)
-        return ioFailure(temporary, "rename", errno);
-    return syncFolder(m_folder);
-}
-
 core::Result<void> FileLogStore::replaceLog()
 {
     auto bytes
@@ -250,20 +197,20 @@
     for (const auto& it : m_entries)
         bytes += it;
     m_pending.clear();
-    BOOST_LEAF_CHECK(replaceFile(detail::logFileName, bytes));
+    BOOST_LEAF_CHECK(detail::replaceFile(m_folder, detail::logFileName, bytes));
     if (m_log >= 0)
         ::close(m_log);
     const auto file = m_folder + "/" + detail::logFileName;
     m_log = ::open(file.c_str(), O_WRONLY | O_APPEND | O_CLOEXEC);
     if (m_log < 0)
-        return ioFailure(file, "open", errno);
+        return detail::ioFailure(file, "open", errno);
     return {};
 }
 
 core::Result<void> FileLogStore::writePending()
 {
     const auto bytes = std::exchange(m_pending, {});
-    return writeAll(m_log, m_folder + "/" + detail::logFileName, bytes);
+    return detail::writeAll(m_log, m_folder + "/" + detail::logFileName, bytes);
 }
 
 } // namespace ibisgw::adapters
--- a/src/ibisgw/adapters/FileLogStore.h
+++ b/src/ibisgw/adapters/FileLogStore.h
@@ -35,7 +35,6 @@
     FileLogStore(std::string folder, int lock, core::RandomSource&);
 
     core::Result<void> refuseAfterFailure() const;
-    core::Result<void> replaceFile(const std::string& name, const std::string& bytes);
     core::Result<void> replaceLog();
     core::Result<void> writePending();
 
--- a/src/ibisgw/adapters/InstanceFile.h
+++ b/src/ibisgw/adapters/InstanceFile.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "ibisgw/core/Error.h"
 #include "ibisgw/sync/SyncMessage.h"
 
 #include <string>
@@ -14,10 +15,9 @@
     std::vector<core::NodeId> balancers;
 };
 
-// Empty when the file is missing or damaged.
-SavedDirectory loadDirectory(const std::string& file);
+// Empty when the folder holds none or a damaged one.
+SavedDirectory loadDirectory(const std::string& folder);
 
-// Replaces the file so that a loss of power leaves the old or the new one. False when the disk refuses it.
-bool saveDirectory(const std::string& file, SavedDirectory);
+core::Result<void> saveDirectory(const std::string& folder, SavedDirectory);
 
 } // namespace ibisgw::adapters
--- a/src/ibisgw/runtime/DirectBalancer.cpp
+++ b/src/ibisgw/runtime/DirectBalancer.cpp
@@ -3,6 +3,7 @@
 #include "ibisgw/adapters/SyncCodec.h"
 #include "ibisgw/configuration/DocumentCompression.h"
 #include "ibisgw/runtime/LogFields.h"
+#include "ibisgw/runtime/Subscription.h"
 
 namespace ibisgw::runtime {
 
@@ -31,16 +32,6 @@
     return options;
 }
 
-sync::SubscriberOptions subscriberOptions(
-    const settings::DirectSettings& settings, core::NodeId self, core::RandomSource& random)
-{
-    sync::SubscriberOptions options;
-    options.self = self;
-    options.process = random.next();
-    options.seeds = settings.seedNodes();
-    return options;
-}
-
 } // namespace
 
 core::Result<std::unique_ptr<DirectBalancer>> DirectBalancer::create(const settings::DirectSettings& settings,
--- a/src/ibisgw/runtime/DirectController.cpp
+++ b/src/ibisgw/runtime/DirectController.cpp
@@ -5,6 +5,7 @@
 #include "ibisgw/adapters/SyncCodec.h"
 #include "ibisgw/configuration/DocumentCompression.h"
 #include "ibisgw/runtime/LogFields.h"
+#include "ibisgw/runtime/Subscription.h"
 
 #include <algorithm>
 
@@ -40,16 +41,13 @@
     return options;
 }
 
-sync::SubscriberOptions subscriberOptions(
+sync::SubscriberOptions controllerSubscription(
     const settings::DirectSettings& settings, core::NodeId self, core::RandomSource& random)
 {
-    sync::SubscriberOptions options;
-    options.self = self;
-    options.process = random.next();
+    auto options = subscriberOptions(settings, self, random);
     options.isController = true;
     // An upstream that leaves waits for the acknowledgement of the others.
     options.interval = std::chrono::milliseconds(400);
-    options.seeds = settings.seedNodes();
     return options;
 }
 
@@ -76,7 +74,7 @@
           [this](core::NodeId sender, PeerChannel channel, std::string_view body) { receive(sender, channel, body); })
     , m_register(raftOptions(settings, m_peers.self()), *m_store, *m_random)
     , m_feed(m_random->next() | 1, m_directory)
-    , m_subscriber(subscriberOptions(settings, m_peers.self(), *m_random), m_directory)
+    , m_subscriber(controllerSubscription(settings, m_peers.self(), *m_random), m_directory)
     , m_events(settings.logLinesPerSecond)
 {
 }
@@ -168,7 +166,7 @@
 void DirectController::loadInstances()
 {
     const auto now = m_loop.now();
-    auto saved = adapters::loadDirectory(instanceFile());
+    auto saved = adapters::loadDirectory(m_settings.dataFolder);
     for (const auto& it : saved.instances)
         m_directory.apply(it.report, m_settings.reportInterval, now);
     m_savedChange = m_directory.newestRealChange();
@@ -189,16 +187,12 @@
     adapters::SavedDirectory saved { {}, std::move(balancers) };
     for (const auto& [id, record] : m_directory.records())
         saved.instances.push_back({ record.report, {}, record.isOverdue });
-    if (!adapters::saveDirectory(instanceFile(), std::move(saved)))
-        m_events.record(Event::StoreFailed, m_loop.now(), [] {
-            return nlohmann::json { { "reason",
-                "the upstreams could not be saved; a restart will wait for their reports" } };
-        });
-}
-
-std::string DirectController::instanceFile() const
-{
-    return m_settings.dataFolder + "/instances";
+    const auto note = [this](const std::string& reason) {
+        m_events.record(Event::StoreFailed, m_loop.now(), [&] { return nlohmann::json { { "reason", reason } }; });
+    };
+    boost::leaf::try_handle_all(
+        [&]() -> core::Result<void> { return adapters::saveDirectory(m_settings.dataFolder, std::move(saved)); },
+        [&](const core::Error& error) { note(error.message); }, [&] { note("the upstreams could not be saved"); });
 }
 
 void DirectController::beginShutdown()
--- a/src/ibisgw/runtime/DirectController.h
+++ b/src/ibisgw/runtime/DirectController.h
@@ -92,7 +92,6 @@
     void markOverdue(core::TimePoint now);
     void loadInstances();
     void saveInstances();
-    std::string instanceFile() const;
     bool isConfirmed(std::uint64_t change) const;
     ControlAnswer askElsewhere() const;
     std::vector<core::NodeId> controllerNodes() const;
--- /dev/null
+++ b/src/ibisgw/runtime/Subscription.h
@@ -0,0 +1,12 @@
+#pragma once
+
+#include "ibisgw/core/RandomSource.h"
+#include "ibisgw/settings/DirectSettings.h"
+#include "ibisgw/sync/DirectorySubscriber.h"
+
+namespace ibisgw::runtime {
+
+// How a daemon with these settings follows the controllers.
+sync::SubscriberOptions subscriberOptions(const settings::DirectSettings&, core::NodeId self, core::RandomSource&);
+
+} // namespace ibisgw::runtime
