Read the operators' configurations with ObjectReader

The adapter had a reader of its own for typed members with problems and paths, beside core::ObjectReader, which refused members that it does not know.

--- a/src/ibisgw/core/ObjectReader.cpp
+++ b/src/ibisgw/core/ObjectReader.cpp
@@ -46,10 +46,12 @@
     return child;
 }
 
-ObjectReader::ObjectReader(const nlohmann::json& json, std::string path, std::vector<Problem>& problems)
+ObjectReader::ObjectReader(
+    const nlohmann::json& json, std::string path, std::vector<Problem>& problems, UnknownMembers unknownMembers)
     : m_json(json)
     , m_path(std::move(path))
     , m_problems(problems)
+    , m_unknownMembers(unknownMembers)
 {
     if (!m_json.is_object())
         report("", std::string("must be an object in braces, not ") + m_json.type_name());
@@ -237,15 +239,26 @@
         return;
     const auto path = childPath(m_path, member);
     for (std::size_t n = 0; n < json->size(); ++n) {
-        ObjectReader reader((*json)[n], childPath(path, std::to_string(n)), m_problems);
+        ObjectReader reader((*json)[n], childPath(path, std::to_string(n)), m_problems, m_unknownMembers);
         readItem(reader);
         reader.finish();
     }
 }
 
+void ObjectReader::readObject(
+    std::string_view member, Presence presence, const std::function<void(ObjectReader&)>& read)
+{
+    const auto* json = find(member, presence);
+    if (!json)
+        return;
+    ObjectReader reader(*json, childPath(m_path, member), m_problems, m_unknownMembers);
+    read(reader);
+    reader.finish();
+}
+
 void ObjectReader::finish()
 {
-    if (!m_json.is_object())
+    if (!m_json.is_object() || m_unknownMembers == UnknownMembers::Ignored)
         return;
     for (const auto& [member, value] : m_json.items()) {
         if (!m_known.contains(member))
--- a/src/ibisgw/core/ObjectReader.h
+++ b/src/ibisgw/core/ObjectReader.h
@@ -29,12 +29,19 @@
     AnyPort,
 };
 
+// What becomes of members that nobody reads. Documents of other programs may have more members than ibisgw knows.
+enum class UnknownMembers {
+    Reported,
+    Ignored,
+};
+
 // Reads typed members of one JSON object. Each fault is added to the problems with its JSON pointer;
 // the target keeps its value when the member is absent or faulty. A faulty item of a list is read as
 // an empty value, so that the indexes are those of the JSON. No content of the JSON causes an exception.
 class ObjectReader {
 public:
-    ObjectReader(const nlohmann::json&, std::string path, std::vector<Problem>& problems);
+    ObjectReader(const nlohmann::json&, std::string path, std::vector<Problem>& problems,
+        UnknownMembers = UnknownMembers::Reported);
 
     // A name has 1 to 64 letters, digits, '-', '_' and '.', so it fits into URLs, labels and log lines.
     void readName(std::string_view member, std::string& value, Presence);
@@ -65,8 +72,10 @@
     }
     // Calls the function with a reader for each object of the list.
     void readObjects(std::string_view member, Presence, const std::function<void(ObjectReader&)>&);
+    // Calls the function with a reader for the object.
+    void readObject(std::string_view member, Presence, const std::function<void(ObjectReader&)>&);
 
-    // Reports the members that were not read.
+    // Reports the members that were not read, unless they are to be ignored.
     void finish();
 
     bool has(std::string_view member) const;
@@ -84,6 +93,7 @@
     const nlohmann::json& m_json;
     std::string m_path;
     std::vector<Problem>& m_problems;
+    UnknownMembers m_unknownMembers;
     std::set<std::string, std::less<>> m_known;
 };
 
