Serve latency histograms from the daemons of the direct-return mode

Cause: the users ask for counters and latency histograms on the metrics address; these daemons had counters and gauges only, and the registry had quantiles, which nobody used and which cannot be added up over processes. Ruled out: Boost.Accumulators, whose density needs a first batch of samples to choose its bins, while Prometheus needs fixed bounds; Boost.Histogram has them. Time of each packet in the balancer: it would cost two clock reads a packet, and the loop delay shows the same trouble. Before: 0 histograms; after: 5 in a balancer, 4 in a controller.

--- a/src/ibisgw/adapters/FileLogStore.cpp
+++ b/src/ibisgw/adapters/FileLogStore.cpp
@@ -128,9 +128,12 @@
     BOOST_LEAF_CHECK(refuseAfterFailure());
     m_failed = true;
     BOOST_LEAF_CHECK(writePending());
+    const auto startedAt = std::chrono::steady_clock::now();
     if (::fdatasync(m_log) != 0)
         return detail::ioFailure(m_folder + "/" + detail::logFileName, "sync", errno);
     m_failed = false;
+    if (m_syncedHandler)
+        m_syncedHandler(std::chrono::duration_cast<core::Duration>(std::chrono::steady_clock::now() - startedAt));
     return {};
 }
 
--- a/src/ibisgw/adapters/FileLogStore.h
+++ b/src/ibisgw/adapters/FileLogStore.h
@@ -2,8 +2,10 @@
 
 #include "ibisgw/configuration/LogStore.h"
 #include "ibisgw/core/RandomSource.h"
+#include "ibisgw/core/Time.h"
 
 #include <deque>
+#include <functional>
 #include <memory>
 #include <string>
 
@@ -31,6 +33,9 @@
     core::Result<configuration::StoredState> load() override;
     core::Result<void> discard() override;
 
+    // Called with the time that each sync of the log has taken.
+    void onSynced(std::function<void(core::Duration)> handler) { m_syncedHandler = std::move(handler); }
+
 private:
     FileLogStore(std::string folder, int lock, core::RandomSource&);
 
@@ -52,6 +57,7 @@
     // Records of the entries after the snapshot, to write the log anew.
     configuration::LogIndex m_firstIndex { 1 };
     std::deque<std::string> m_entries;
+    std::function<void(core::Duration)> m_syncedHandler;
     // Records that are not written to the file yet.
     std::string m_pending;
 };
--- a/src/ibisgw/adapters/MetricsRegistry.cpp
+++ b/src/ibisgw/adapters/MetricsRegistry.cpp
@@ -50,18 +50,19 @@
     out.append(" ").append(value).append("\n");
 }
 
-void appendLatency(
-    std::string& out, const std::string& name, const std::string& labels, const LatencyQuantiles& latency)
+void appendBucket(
+    std::string& out, const std::string& name, const std::string& labels, const std::string& bound, std::uint64_t count)
 {
     const auto separator = labels.empty() ? "" : ",";
-    for (std::size_t n = 0; n < LatencyQuantiles::probabilities.size(); ++n) {
-        auto quantileLabels = labels;
-        quantileLabels.append(separator)
-            .append("quantile=\"")
-            .append(numberText(LatencyQuantiles::probabilities[n]))
-            .append("\"");
-        appendSample(out, name, quantileLabels, numberText(latency.quantile(n)));
-    }
+    appendSample(out, name + "_bucket", labels + separator + "le=\"" + bound + "\"", std::to_string(count));
+}
+
+void appendLatency(
+    std::string& out, const std::string& name, const std::string& labels, const LatencyHistogram& latency)
+{
+    for (std::size_t n = 0; n < LatencyHistogram::upperBounds.size(); ++n)
+        appendBucket(out, name, labels, numberText(LatencyHistogram::upperBounds[n]), latency.countUpTo(n));
+    appendBucket(out, name, labels, "+Inf", latency.count());
     appendSample(out, name + "_sum", labels, numberText(latency.sumSeconds()));
     appendSample(out, name + "_count", labels, std::to_string(latency.count()));
 }
@@ -88,7 +89,7 @@
     return find(m_gauges, name, help, labels);
 }
 
-LatencyQuantiles& MetricsRegistry::latency(const std::string& name, const std::string& help, const Labels& labels)
+LatencyHistogram& MetricsRegistry::latency(const std::string& name, const std::string& help, const Labels& labels)
 {
     return find(m_latencies, name, help, labels);
 }
@@ -107,7 +108,7 @@
             appendSample(out, name, labels, numberText(value));
     }
     for (const auto& [name, family] : m_latencies) {
-        appendHeader(out, name, family.help, "summary");
+        appendHeader(out, name, family.help, "histogram");
         for (const auto& [labels, latency] : family.metrics)
             appendLatency(out, name, labels, latency);
     }
--- a/src/ibisgw/adapters/MetricsRegistry.h
+++ b/src/ibisgw/adapters/MetricsRegistry.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "ibisgw/adapters/LatencyQuantiles.h"
+#include "ibisgw/adapters/LatencyHistogram.h"
 
 #include <cstdint>
 #include <map>
@@ -11,7 +11,7 @@
 namespace ibisgw::adapters {
 
 // Named metrics of one process, rendered in the Prometheus text format (version 0.0.4). The returned
-// references stay valid as long as the registry; recording through them does not allocate.
+// references stay valid as long as the registry.
 class MetricsRegistry {
 public:
     using Labels = std::vector<std::pair<std::string, std::string>>;
@@ -20,7 +20,7 @@
     std::uint64_t& counter(const std::string& name, const std::string& help, const Labels& = {});
     double& gauge(const std::string& name, const std::string& help, const Labels& = {});
     // By convention the name ends in "_seconds".
-    LatencyQuantiles& latency(const std::string& name, const std::string& help, const Labels& = {});
+    LatencyHistogram& latency(const std::string& name, const std::string& help, const Labels& = {});
 
     std::string render() const;
 
@@ -37,7 +37,7 @@
 
     Families<std::uint64_t> m_counters;
     Families<double> m_gauges;
-    Families<LatencyQuantiles> m_latencies;
+    Families<LatencyHistogram> m_latencies;
 };
 
 } // namespace ibisgw::adapters
--- a/src/ibisgw/direct/EgressPacer.cpp
+++ b/src/ibisgw/direct/EgressPacer.cpp
@@ -62,6 +62,7 @@
     if (packet.identity != 0)
         m_known[packet.identity] = core::TimePoint::max();
     m_queuedBytes += packet.bytes.size();
+    packet.queuedAt = now;
     m_queues[static_cast<std::size_t>(packet.egressClass)].push_back(std::move(packet));
     return true;
 }
--- a/src/ibisgw/direct/EgressPacer.h
+++ b/src/ibisgw/direct/EgressPacer.h
@@ -27,6 +27,8 @@
     // Equal for copies of one packet; 0 when copies are not recognized.
     std::uint64_t identity { 0 };
     std::vector<std::byte> bytes;
+    // Set by the pacer.
+    core::TimePoint queuedAt;
 };
 
 struct PacerOptions {
--- a/src/ibisgw/direct/FlowForwarder.cpp
+++ b/src/ibisgw/direct/FlowForwarder.cpp
@@ -171,13 +171,17 @@
         forget(known);
     const auto entry = remember(segment.flow, *record, route, now);
     auto& flow = entry->second;
+    std::optional<core::Duration> openTime;
     if (!flow.isOpen && flow.placedHere) {
+        openTime = now - flow.openedAt;
         load(record->report.id).answered();
         m_responses.noteProgress(record->report.id);
     }
     flow.isOpen = true;
     flow.token = record->token;
-    return forwardOpen(entry, *record, segment, now);
+    auto decision = forwardOpen(entry, *record, segment, now);
+    decision.openTime = openTime;
+    return decision;
 }
 
 // Data for an upstream that answers neither callers nor probes waits in vain. A draining upstream may have closed its
@@ -197,8 +201,11 @@
     const bool hasNewAnswer = !isFirst && segment.isAcknowledging && isAfter(segment.acknowledged, flow.acknowledged);
     if (segment.isAcknowledging && (isFirst || hasNewAnswer))
         flow.acknowledged = segment.acknowledged;
-    if (hasNewAnswer)
+    if (hasNewAnswer) {
         m_responses.noteProgress(flow.instance);
+        if (flow.isWorking)
+            decision.answerTime = now - flow.workStartedAt;
+    }
     if (hasNewAnswer || segment.isFinishing || segment.isReset)
         endWork(flow);
     if (segment.payloadBytes > 0 && !flow.isWorking && !segment.isFinishing)
@@ -231,6 +238,7 @@
     if (flow.isWorking)
         return;
     flow.isWorking = true;
+    flow.workStartedAt = now;
     flow.workNumber = ++m_workCount;
     load(flow.instance).workStarted(now);
     m_workDeadlines.push({ now + flow.expectedWork, key, flow.workNumber });
--- a/src/ibisgw/direct/FlowForwarder.h
+++ b/src/ibisgw/direct/FlowForwarder.h
@@ -51,6 +51,10 @@
     bool isRepeated { false };
     // First packet of data after a pause of the flow: the start of a request.
     bool startsWork { false };
+    // Time from forwarding an opening packet to the caller's next packet, when this is that packet.
+    std::optional<core::Duration> openTime;
+    // Time from the start of work to the caller's acknowledgement of new data, when this packet brings it.
+    std::optional<core::Duration> answerTime;
     // What a placement was decided on.
     std::uint32_t candidates { 0 };
     std::uint32_t inProgress { 0 };
@@ -98,6 +102,7 @@
         core::TimePoint newDataAt;
         core::TimePoint openedAt;
         core::TimePoint lastSeenAt;
+        core::TimePoint workStartedAt;
         core::Duration expectedWork { 0 };
         std::uint64_t workNumber { 0 };
     };
--- a/src/ibisgw/runtime/DirectBalancer.cpp
+++ b/src/ibisgw/runtime/DirectBalancer.cpp
@@ -64,6 +64,14 @@
     , m_pacerTimer(loop.addTimer(pacerPeriod, [this] { releasePackets(); }))
     , m_events(settings.logLinesPerSecond)
     , m_prober(loop, [this](upstream::InstanceId id, direct::ProbeResult result) { noteProbe(id, result); })
+    , m_openTime(m_metrics.latency("ibisgw_open_seconds", "From an opening packet to the next packet of the caller"))
+    , m_answerTime(m_metrics.latency(
+          "ibisgw_answer_seconds", "From an opening packet or a request to the caller's acknowledgement of new data"))
+    , m_egressWait(
+          m_metrics.latency("ibisgw_egress_wait_seconds", "Wait of packets that the link could not take at once"))
+    , m_configurationDelay(m_metrics.latency(
+          "ibisgw_configuration_delay_seconds", "From hearing of an accepted configuration to its coming into force"))
+    , m_loopDelay(m_metrics.latency("ibisgw_loop_delay_seconds", "How late the periodic turns of the event loop came"))
 {
 }
 
@@ -107,6 +115,7 @@
     m_lastPacketAt = now;
     const auto decision = m_forwarder.handle(*segment, now);
     logDecision(*segment, decision, packet, now);
+    noteTimes(decision);
     if (decision.action == direct::ForwardAction::Forward) {
         const auto n = m_packetFormat.writeForwarded(packet, decision.token, decision.instance, m_out);
         transmit(*segment, decision, n, decision.target, now);
@@ -116,6 +125,14 @@
     }
 }
 
+void DirectBalancer::noteTimes(const direct::ForwardDecision& decision)
+{
+    if (decision.openTime)
+        m_openTime.record(*decision.openTime);
+    if (decision.answerTime)
+        m_answerTime.record(*decision.answerTime);
+}
+
 // Sends the first bytes of the output buffer, at once or when the link has room.
 void DirectBalancer::transmit(const direct::FlowSegment& segment, const direct::ForwardDecision& decision,
     std::size_t bytes, core::Endpoint target, core::TimePoint now)
@@ -133,8 +150,10 @@
 void DirectBalancer::releasePackets()
 {
     const auto now = m_loop.now();
-    while (const auto packet = m_pacer.next(now))
+    while (const auto packet = m_pacer.next(now)) {
         m_packets.send(packet->bytes, packet->target);
+        m_egressWait.record(now - packet->queuedAt);
+    }
     if (!m_pacer.isEmpty())
         m_pacerTimer.start();
 }
@@ -147,6 +166,10 @@
         return;
     if (const auto* update = std::get_if<sync::DirectoryUpdate>(&*message)) {
         m_subscriber.handle(sender, *update, now, *this);
+        if (update->version > m_announcedVersion) {
+            m_announcedVersion = update->version;
+            m_announcedAt = now;
+        }
         m_subscriber.fetchConfiguration(m_forwarder.version(), now, *this);
     } else if (const auto* transfer = std::get_if<sync::ConfigurationTransfer>(&*message)) {
         adopt(*transfer, now);
@@ -166,6 +189,8 @@
         });
         return;
     }
+    if (m_announcedVersion > m_forwarder.version())
+        m_configurationDelay.record(now - m_announcedAt);
     m_forwarder.apply(std::make_shared<const direct::RouteConfiguration>(std::move(*reading.configuration)), now);
     m_events.record(Event::ConfigurationInForce, now, [&] {
         return nlohmann::json { { "version", transfer.version } };
@@ -201,6 +226,8 @@
     const auto gap = m_lastTickAt == core::TimePoint {} ? core::Duration::zero() : now - m_lastTickAt;
     m_lastTickAt = now;
     m_longestStall = std::max(m_longestStall, gap);
+    if (gap > core::Duration::zero())
+        m_loopDelay.record(gap - tickPeriod);
     if (gap > stallLimit) {
         m_prober.abandon();
         m_forwarder.responses().discardProbes();
--- a/src/ibisgw/runtime/DirectBalancer.h
+++ b/src/ibisgw/runtime/DirectBalancer.h
@@ -46,6 +46,7 @@
     void transmit(const direct::FlowSegment&, const direct::ForwardDecision&, std::size_t bytes, core::Endpoint target,
         core::TimePoint now);
     void releasePackets();
+    void noteTimes(const direct::ForwardDecision&);
     void receiveMessage(core::NodeId sender, std::string_view body);
     void adopt(const sync::ConfigurationTransfer&, core::TimePoint now);
     void tick();
@@ -74,6 +75,15 @@
     DirectoryJournal m_journal;
     ConnectProber m_prober;
     adapters::MetricsRegistry m_metrics;
+    // Kept by the registry.
+    adapters::LatencyHistogram& m_openTime;
+    adapters::LatencyHistogram& m_answerTime;
+    adapters::LatencyHistogram& m_egressWait;
+    adapters::LatencyHistogram& m_configurationDelay;
+    adapters::LatencyHistogram& m_loopDelay;
+    // Newest configuration that a controller has named, and when it did so first.
+    direct::ConfigurationVersion m_announcedVersion { 0 };
+    core::TimePoint m_announcedAt {};
     core::TimePoint m_nextExpiry {};
     core::TimePoint m_lastPacketAt {};
     core::TimePoint m_lastTickAt {};
--- a/src/ibisgw/runtime/DirectController.cpp
+++ b/src/ibisgw/runtime/DirectController.cpp
@@ -76,7 +76,14 @@
     , m_feed(m_random->next() | 1, m_directory)
     , m_subscriber(controllerSubscription(settings, m_peers.self(), *m_random), m_directory)
     , m_events(settings.logLinesPerSecond)
+    , m_changeTime(m_metrics.latency(
+          "ibisgw_configuration_commit_seconds", "From proposing a configuration to its acknowledgement"))
+    , m_leaveTime(m_metrics.latency(
+          "ibisgw_leave_confirmation_seconds", "From the report of an upstream that leaves to its acknowledgement"))
+    , m_syncTime(m_metrics.latency("ibisgw_disk_sync_seconds", "Time of a sync of the log"))
+    , m_loopDelay(m_metrics.latency("ibisgw_loop_delay_seconds", "How late the periodic turns of the event loop came"))
 {
+    m_store->onSynced([this](core::Duration it) { m_syncTime.record(it); });
 }
 
 core::Result<void> DirectController::start()
@@ -100,6 +107,9 @@
 void DirectController::tick()
 {
     const auto now = m_loop.now();
+    if (m_lastTickAt != core::TimePoint {})
+        m_loopDelay.record(now - m_lastTickAt - tickPeriod);
+    m_lastTickAt = now;
     m_register.tick(now, *this);
     m_subscriber.tick(now, *this);
     markOverdue(now);
@@ -226,7 +236,7 @@
         answer({ AnswerKind::Done, {}, {} });
         return;
     }
-    m_waitingReports.push_back({ report.id, record->lastChange, now + answerLimit, std::move(answer) });
+    m_waitingReports.push_back({ report.id, record->lastChange, now, now + answerLimit, std::move(answer) });
 }
 
 // A balancer in contact with the controllers hears each of them; with a majority at least one that still runs
@@ -318,6 +328,8 @@
                     { "controllers", controllerNodes().size() },
                     { "confirmed", m_feed.confirmations(it.change, controllerNodes()) } };
             });
+        if (isDone)
+            m_leaveTime.record(now - it.since);
         if (isDone || now >= it.deadline)
             it.answer({ isDone ? AnswerKind::Done : AnswerKind::AskAgain, {}, {} });
         return isDone || now >= it.deadline;
@@ -332,6 +344,8 @@
             return nlohmann::json { { "version", it.version }, { "held", m_register.version() },
                 { "seconds", core::toSeconds(now - it.since) } };
         });
+        if (status == ReplaceStatus::Accepted)
+            m_changeTime.record(now - it.since);
         it.answer({ status == ReplaceStatus::Accepted ? AnswerKind::Done : AnswerKind::AskAgain, {}, {} });
         return true;
     });
--- a/src/ibisgw/runtime/DirectController.h
+++ b/src/ibisgw/runtime/DirectController.h
@@ -63,6 +63,7 @@
     struct WaitingReport {
         upstream::InstanceId instance;
         std::uint64_t change { 0 };
+        core::TimePoint since;
         core::TimePoint deadline;
         Answerer answer;
     };
@@ -116,6 +117,12 @@
     EventLog m_events;
     DirectoryJournal m_journal;
     adapters::MetricsRegistry m_metrics;
+    // Kept by the registry.
+    adapters::LatencyHistogram& m_changeTime;
+    adapters::LatencyHistogram& m_leaveTime;
+    adapters::LatencyHistogram& m_syncTime;
+    adapters::LatencyHistogram& m_loopDelay;
+    core::TimePoint m_lastTickAt {};
     core::NodeId m_notedLeader;
     std::uint64_t m_notedMembership { 0 };
     configuration::RaftRole m_notedRole { configuration::RaftRole::CheckingDisk };
--- a/tests/adapters/FileLogStoreTests.cpp
+++ b/tests/adapters/FileLogStoreTests.cpp
@@ -99,6 +99,16 @@
         CHECK(state.entries[1].command == "two");
         CHECK(state.entries[2] == command(2, "other three"));
 
+        SUBCASE("the time of each sync is told, which shows a slow disk")
+        {
+            auto store = folder.open();
+            unsigned syncs = 0;
+            store->onSynced([&](core::Duration it) { syncs += it >= core::Duration::zero() ? 1 : 0; });
+            REQUIRE(store->load());
+            const auto before = syncs;
+            REQUIRE(store->sync());
+            CHECK(syncs == before + 1);
+        }
         SUBCASE("the identity stays and every start is counted, so that an older copy is recognized")
         {
             const auto next = folder.reload();
--- a/tests/direct/EgressPacerTests.cpp
+++ b/tests/direct/EgressPacerTests.cpp
@@ -112,6 +112,17 @@
         CHECK(pacer.droppedFull() == 92);
     }
 
+    TEST_CASE("a packet that leaves tells since when it has waited")
+    {
+        EgressPacer pacer({ linkBytesPerSecond });
+        const core::TimePoint queuedAt { 10s };
+        while (pacer.admit(fullPacket, queuedAt)) { }
+        pacer.enqueue(packetOf(EgressClass::Bulk, 1), queuedAt);
+        const auto packet = pacer.next(queuedAt + 100ms);
+        REQUIRE(packet);
+        CHECK(packet->queuedAt == queuedAt);
+    }
+
     TEST_CASE("a link without a limit holds nothing back")
     {
         EgressPacer pacer({ 0 });
--- a/tests/direct/FlowForwarderTests.cpp
+++ b/tests/direct/FlowForwarderTests.cpp
@@ -222,6 +222,47 @@
         }
     }
 
+    // Guards against metrics that show no latency at all: operators see slow upstreams only there.
+    TEST_CASE("a balancer tells how long opens and answers take")
+    {
+        Forwarding it;
+        it.add(1, "booking");
+        const auto segment = it.opening();
+        const auto opened = it.handle(segment);
+        CHECK(!opened.openTime);
+
+        it.now += 7ms;
+        const auto request = it.handle(Forwarding::dataOf(segment, opened.token, 500));
+        CHECK(request.openTime == core::Duration(7ms));
+        CHECK(!request.answerTime);
+
+        it.now += 30ms;
+        auto acknowledgement = Forwarding::dataOf(segment, opened.token, 900);
+        acknowledgement.payloadBytes = 0;
+        const auto answer = it.handle(acknowledgement);
+        CHECK(!answer.openTime);
+        CHECK(answer.answerTime == core::Duration(37ms));
+
+        SUBCASE("more acknowledgements of the same answer tell nothing new")
+        {
+            acknowledgement.acknowledged = 1800;
+            CHECK(!it.handle(acknowledgement).answerTime);
+        }
+        SUBCASE("a later request on the flow counts from its own start")
+        {
+            it.now += 2s;
+            it.handle(Forwarding::dataOf(segment, opened.token, 900));
+            it.now += 20ms;
+            acknowledgement.acknowledged = 2000;
+            CHECK(it.handle(acknowledgement).answerTime == core::Duration(20ms));
+        }
+        SUBCASE("a flow that another balancer opened has no open time here")
+        {
+            it.forwarder.tick(it.now += 61s);
+            CHECK(!it.handle(Forwarding::dataOf(segment, opened.token, 900)).openTime);
+        }
+    }
+
     TEST_CASE("a burst is spread over the upstreams of the own zone, and over other zones once they are busy")
     {
         // Guards against queues at a few upstreams while others are idle.
