Let each balancer ask another controller for a new configuration

Change: each follower has an order of its own, by rendezvous hashing of its process number. Test: 60 balancers and 3 controllers; before, all 60 asked the first, after, each gets at least 10. Seen failing first.

--- a/src/ibisgw/sync/DirectorySubscriber.cpp
+++ b/src/ibisgw/sync/DirectorySubscriber.cpp
@@ -1,5 +1,7 @@
 #include "ibisgw/sync/DirectorySubscriber.h"
 
+#include "ibisgw/core/FlowKey.h"
+
 #include <algorithm>
 
 namespace ibisgw::sync {
@@ -129,8 +131,12 @@
     }
     if (holders.empty())
         return;
-    const auto next = std::ranges::upper_bound(holders, m_lastAsked);
-    m_lastAsked = next == holders.end() ? holders.front() : *next;
+    // Each follower has an order of its own: all hear of a configuration at the same moment, and one controller
+    // could not send it to a large fleet in time.
+    std::ranges::sort(holders, std::ranges::greater {},
+        [this](core::NodeId it) { return core::rendezvousWeight(m_options.process, it.value); });
+    const auto last = std::ranges::find(holders, m_lastAsked);
+    m_lastAsked = last == holders.end() || std::next(last) == holders.end() ? holders.front() : *std::next(last);
     m_nextRequest = now + requestTimeout;
     output.send(m_lastAsked, ConfigurationRequest { held });
 }
--- a/tests/sync/DirectorySyncTests.cpp
+++ b/tests/sync/DirectorySyncTests.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <deque>
+#include <map>
 
 using namespace ibisgw;
 using namespace ibisgw::sync;
@@ -180,6 +181,29 @@
         }
     }
 
+    // Guards against a whole fleet that asks one controller for each new configuration.
+    TEST_CASE("balancers that hear of a configuration together ask different controllers for it")
+    {
+        const std::vector<core::NodeId> controllers { { 10 }, { 11 }, { 12 } };
+        constexpr std::uint64_t fleetSize = 60;
+        const core::TimePoint now { 100s };
+        std::map<core::NodeId, unsigned> asked;
+        InstanceDirectory copy;
+        Outbox outbox;
+        for (std::uint64_t process = 1; process <= fleetSize; ++process) {
+            DirectorySubscriber subscriber({ balancerNode, process, false, controllers }, copy);
+            for (const auto& it : controllers)
+                subscriber.handle(it, { 77, 0, 0, {}, {}, 3, controllers, 1 }, now, outbox);
+            subscriber.fetchConfiguration(2, now, outbox);
+            ++asked[outbox.messages.back().first];
+            const auto first = outbox.messages.back().first;
+            subscriber.fetchConfiguration(2, now + 1s, outbox);
+            CHECK(outbox.messages.back().first != first);
+        }
+        for (const auto& it : controllers)
+            CHECK(asked[it] >= fleetSize / 6);
+    }
+
     TEST_CASE("a controller that acknowledges a drain knows that the others hold it")
     {
         Pair it(true);
