Ask a previous home before a caller is told of an upstream

Its home moves the flow to a second upstream; a balancer that has become the home since does not know the flow and passes on the 'opened' of the first. Packets without a token at the former home go to the second one: a crossed answer. Change: a home holds an 'opened' of a flow that it does not know for 150 ms and asks the previous homes. One that knows the flow answers whether the upstream is the right one; without an answer the packet is passed on. Tests: the cases of the new question, seen failing first.

--- a/src/ibisgw/balancer/Balancer.cpp
+++ b/src/ibisgw/balancer/Balancer.cpp
@@ -96,6 +96,8 @@
 
 void Balancer::handleRelayedPacket(const Packet& packet, core::TimePoint now, BalancerOutput& output)
 {
+    if (m_homeQuestions.takeObjection(packet))
+        return;
     if (isFromUpstream(packet.type))
         handleUpstreamPacket(packet, now, output);
     else
@@ -220,8 +222,22 @@
     }
     placementOf(*service).outliers().noteAnswer(packet.upstream, now);
     dropLeftOver(packet, now);
-    if (m_admission.handleUpstreamPacket(packet, *service, now, output))
+    const bool isOpened = packet.type == PacketType::Opened;
+    const bool isQuestion = isOpened && HomeHandover::isQuestion(packet);
+    const bool isKnown
+        = m_admission.hasDecided(packet.flow) || m_flows.find(packet.flow, now, flow::FlowTable::Touch::No);
+    const bool isHandled = m_admission.handleUpstreamPacket(packet, *service, now, output);
+    if (isQuestion && isKnown && m_homeQuestions.answerOpened(packet, !isHandled, now, output))
+        return;
+    // A home that placed the flow before may have moved it to another upstream since.
+    if (isHandled || (isOpened && !isKnown && askPreviousHomes(packet, now, output)))
         return;
+    passToCaller(packet, *service, now, output);
+}
+
+void Balancer::passToCaller(
+    const Packet& packet, const configuration::Service& service, core::TimePoint now, BalancerOutput& output)
+{
     auto* entry = m_flows.find(packet.flow, now, flow::FlowTable::Touch::No);
     if (entry && entry->upstream() != packet.upstream && m_options.rules.dropCrossedAnswers) {
         ++m_counters.droppedCrossedAnswers;
@@ -237,10 +253,10 @@
         placeAdmitted(now, output);
     } else {
         if (!entry)
-            entry = learn(packet, packet.upstream, *service, now);
+            entry = learn(packet, packet.upstream, service, now);
         else
             entry->touch(now);
-        noteAnswer(packet, entry, *service, now);
+        noteAnswer(packet, entry, service, now);
     }
     auto forwarded = packet;
     forwarded.token = m_tokens.issue(packet.flow, packet.upstream);
@@ -266,6 +282,11 @@
     m_flows.scan(
         m_flows.bucketCount() / scanTicks + 1, [&](flow::FlowEntry& entry) { return maintainFlow(entry, now); });
     m_homeQuestions.tick(now);
+    for (const auto& it : m_homeQuestions.takeUnanswered(now)) {
+        const auto* service = m_document ? m_document->findService(it.flow.service) : nullptr;
+        if (service && serves(it.upstream, *service))
+            passToCaller(it, *service, now, output);
+    }
     m_admission.tick(now, output);
     placeAdmitted(now, output);
     std::size_t streams = 0;
--- a/src/ibisgw/balancer/Balancer.h
+++ b/src/ibisgw/balancer/Balancer.h
@@ -123,6 +123,8 @@
     void closeFlow(const packet::Packet&, const configuration::Service&, core::TimePoint now, BalancerOutput&);
     // Zone whose balancers are the homes of the flow; null when it is not known.
     const core::ZoneName* zoneOf(const core::FlowKey&);
+    // A packet of an upstream that the admission does not object to.
+    void passToCaller(const packet::Packet&, const configuration::Service&, core::TimePoint now, BalancerOutput&);
     // Forgets the entry of an earlier flow of the caller when a later one is established elsewhere.
     void dropLeftOver(const packet::Packet&, core::TimePoint now);
     flow::FlowEntry* learn(const packet::Packet&, core::UpstreamId, const configuration::Service&, core::TimePoint now);
--- a/src/ibisgw/balancer/HomeHandover.cpp
+++ b/src/ibisgw/balancer/HomeHandover.cpp
@@ -3,11 +3,14 @@
 namespace ibisgw::balancer {
 
 using packet::Packet;
+using packet::PacketType;
 
 namespace {
 
 // Above the hop limit of ordinary relays. Even counts are questions, odd counts are answers "not known".
 constexpr std::uint8_t firstQuestionHop = 16;
+// An answer after which no other previous home is asked.
+constexpr std::uint8_t lastAnswerHop = 255;
 constexpr std::size_t maxQuestions = 65'536;
 // A balancer outside the ring has ended when it left two copies for one flow without an answer (the network
 // loses single packets), or the questions about so many flows that it cannot know all of them.
@@ -15,6 +18,11 @@
 constexpr unsigned nodeQuestionsBeforeEnd = 20;
 constexpr core::Duration answerTimeout = std::chrono::milliseconds(150);
 
+bool isAnswer(const Packet& packet)
+{
+    return packet.relayHops >= firstQuestionHop && packet.relayHops % 2 == 1;
+}
+
 } // namespace
 
 HomeHandover::HomeHandover(const FlowHomes& homes, PeerRelay& relay)
@@ -33,9 +41,9 @@
 std::vector<core::NodeId> HomeHandover::previousHomes(const Packet& packet, core::TimePoint now) const
 {
     std::vector<core::NodeId> homes;
+    const bool isOpening = packet.type == PacketType::Open || packet.type == PacketType::Opened;
     for (const auto& it : m_homes.previousHomesOf(packet.flow, now)) {
-        const bool isOpen = packet.type == packet::PacketType::Open;
-        if (isOpen ? now - it.until <= memory : m_homes.ring().isRunning(it.node))
+        if (isOpening ? now - it.until <= memory : m_homes.ring().isRunning(it.node))
             homes.push_back(it.node);
     }
     return homes;
@@ -58,12 +66,16 @@
     return false;
 }
 
+bool HomeHandover::isQuestion(const Packet& packet)
+{
+    return packet.relayHops >= firstQuestionHop && packet.relayHops % 2 == 0;
+}
+
 bool HomeHandover::relay(const Packet& packet, core::TimePoint now, BalancerOutput& output)
 {
     auto relayed = packet;
-    const bool isQuestion = packet.relayHops >= firstQuestionHop && packet.relayHops % 2 == 0;
-    if (isQuestion) {
-        // Not known here either. The asking balancer is the home in the present ring.
+    if (isQuestion(packet)) {
+        // Not known here, or not objected to. The asking balancer is the home in the present ring.
         // The asking balancer has a group; this one has not joined it yet and must not place flows for it.
         if (m_homes.ring().members().size() == 1 && m_homes.isHome(packet.flow))
             return true;
@@ -74,8 +86,9 @@
         m_relay.send(relayed, home, now, output);
         return true;
     }
-    const bool isAnswer = packet.relayHops >= firstQuestionHop;
-    if (isAnswer && !m_homes.isHome(packet.flow)) {
+    if (isAnswer(packet) && packet.type == PacketType::Opened)
+        m_heldOpened.erase(packet.flow);
+    if (isAnswer(packet) && !m_homes.isHome(packet.flow)) {
         // The ring has changed since the question; only the present home may place the flow.
         relayed.relayHops = 0;
         return m_relay.relayToHome(relayed, now, output);
@@ -89,11 +102,61 @@
             continue;
         relayed.relayHops = static_cast<std::uint8_t>(firstQuestionHop + 2 * next);
         m_relay.send(relayed, homes[next], now, output);
+        if (packet.type == PacketType::Opened)
+            hold(packet, now);
         return true;
     }
     return false;
 }
 
+void HomeHandover::hold(const Packet& packet, core::TimePoint now)
+{
+    if (m_heldOpened.size() >= maxQuestions)
+        return;
+    auto& held = m_heldOpened[packet.flow];
+    held = { packet, { packet.payload.begin(), packet.payload.end() }, now + answerTimeout };
+}
+
+bool HomeHandover::answerOpened(const Packet& question, bool isRight, core::TimePoint now, BalancerOutput& output)
+{
+    const auto home = m_homes.homeOf(question.flow);
+    if (!home.isValid() || home == m_homes.self())
+        return false;
+    auto answer = question;
+    answer.relayHops = lastAnswerHop;
+    if (!isRight) {
+        answer.type = PacketType::Reset;
+        answer.payload = {};
+    }
+    m_relay.send(answer, home, now, output);
+    return true;
+}
+
+bool HomeHandover::takeObjection(const Packet& packet)
+{
+    if (!isAnswer(packet) || packet.type != PacketType::Reset)
+        return false;
+    m_heldOpened.erase(packet.flow);
+    return true;
+}
+
+std::vector<Packet> HomeHandover::takeUnanswered(core::TimePoint now)
+{
+    m_released.clear();
+    for (auto it = m_heldOpened.begin(); it != m_heldOpened.end();) {
+        const bool isOver = now >= it->second.until;
+        if (isOver)
+            m_released.push_back(std::move(it->second));
+        it = isOver ? m_heldOpened.erase(it) : std::next(it);
+    }
+    std::vector<Packet> packets;
+    for (const auto& it : m_released) {
+        packets.push_back(it.packet);
+        packets.back().payload = it.payload;
+    }
+    return packets;
+}
+
 void HomeHandover::tick(core::TimePoint now)
 {
     const auto isForgotten = [&](const auto& it) { return now - it.second.firstAskedAt > memory; };
--- a/tests/balancer/OpenAdmissionTests.cpp
+++ b/tests/balancer/OpenAdmissionTests.cpp
@@ -465,4 +465,66 @@
             CHECK(fixture.output.toUpstreams.size() == 1);
         }
     }
+
+    // Guards against a caller that is told of one upstream while a previous home has moved its flow to another one.
+    TEST_CASE("a new home asks the previous home about an upstream that opens a flow it does not know")
+    {
+        Fixture fixture;
+        const core::NodeId self { 1 };
+        const core::NodeId before { 2 };
+        fixture.balancer.setPeers({ before }, fixture.now);
+        fixture.balancer.setPeers({ self }, fixture.now);
+        fixture.fromUpstream(PacketType::Opened, fixture.upstreams[0], 1);
+        REQUIRE(fixture.output.toPeers.size() == 1);
+        CHECK(fixture.output.toPeers.back().first == before);
+        CHECK(fixture.output.toCallers.empty());
+        const auto question = fixture.output.toPeers.back().second;
+
+        SUBCASE("it passes the packet on when the previous home does not know the flow either")
+        {
+            auto answer = question;
+            ++answer.relayHops;
+            fixture.balancer.handleRelayedPacket(answer, fixture.now, fixture.output);
+            CHECK(fixture.sentToCaller(PacketType::Opened) == 1);
+        }
+        SUBCASE("it passes the packet on when the previous home does not answer, which may be cut off")
+        {
+            fixture.pass(100ms);
+            CHECK(fixture.sentToCaller(PacketType::Opened) == 0);
+            // A copy of the open is a question of its own.
+            fixture.fromCaller(Fixture::packetOf(PacketType::Open, 1));
+            fixture.pass(100ms);
+            CHECK(fixture.sentToCaller(PacketType::Opened) == 1);
+            fixture.pass(200ms);
+            CHECK(fixture.sentToCaller(PacketType::Opened) == 1);
+        }
+        SUBCASE("the previous home has moved the flow away from an upstream that refused it")
+        {
+            Fixture previous;
+            const auto first = previous.open(1);
+            previous.fromUpstream(PacketType::Refusal, first, 1);
+            REQUIRE(previous.sentToUpstream(previous.other(first), PacketType::Open) == 1);
+            previous.balancer.setPeers({ before }, previous.now);
+            auto opened = question;
+            opened.upstream = first;
+            SUBCASE("it closes the flow there when that upstream opens it after all")
+            {
+                previous.balancer.handleRelayedPacket(opened, previous.now, previous.output);
+                CHECK(previous.sentToCaller(PacketType::Opened) == 0);
+                CHECK(previous.sentToUpstream(first, PacketType::Close) == 1);
+                REQUIRE(previous.output.toPeers.size() == 1);
+                const auto answer = previous.output.toPeers.back().second;
+                fixture.balancer.handleRelayedPacket(answer, fixture.now, fixture.output);
+                fixture.pass(200ms);
+                CHECK(fixture.output.toCallers.empty());
+            }
+            SUBCASE("it lets the new home learn the flow when the present upstream opens it")
+            {
+                opened.upstream = previous.other(first);
+                previous.balancer.handleRelayedPacket(opened, previous.now, previous.output);
+                CHECK(previous.sentToCaller(PacketType::Opened) == 0);
+                CHECK(previous.output.toPeers.size() == 1);
+            }
+        }
+    }
 }
