Hold packets that come before the configuration or the upstream is known

Cause: after a start a balancer gets the packets that wait in its socket 10 to 20 ms before the first answer of a controller. Ruled out: an earlier answer of the controllers (they are asked every 50 ms, and answer within 3 ms); opening packets refused at once (each refusal costs one of the caller's tries, although the answer is known 20 ms later). Change: PendingPackets holds them for up to 150 ms, less than the time after which senders repeat, in 1 MB at most; they are decided again when a controller answers. A controller that announces itself is asked at once. Tests: order, age and memory of the held packets.

--- a/src/ibisgw/runtime/DirectBalancer.cpp
+++ b/src/ibisgw/runtime/DirectBalancer.cpp
@@ -107,13 +107,20 @@
 void DirectBalancer::receivePacket(std::span<const std::byte> packet)
 {
     const auto now = m_loop.now();
+    m_lastPacketAt = now;
+    handlePacket(packet, now, now);
+}
+
+void DirectBalancer::handlePacket(std::span<const std::byte> packet, core::TimePoint arrivedAt, core::TimePoint now)
+{
     const auto segment = m_packetFormat.read(packet);
     if (!segment) {
         ++m_malformedPackets;
         return;
     }
-    m_lastPacketAt = now;
     const auto decision = m_forwarder.handle(*segment, now);
+    if (mayBeKnownSoon(decision) && m_pending.add(packet, arrivedAt, now))
+        return;
     logDecision(*segment, decision, packet, now);
     noteTimes(decision);
     if (decision.action == direct::ForwardAction::Forward) {
@@ -125,6 +132,21 @@
     }
 }
 
+// Controllers answer within milliseconds after a start; upstreams may be known to them a moment earlier than here.
+bool DirectBalancer::mayBeKnownSoon(const direct::ForwardDecision& decision) const
+{
+    using direct::ForwardReason;
+    if (decision.reason == ForwardReason::NoUpstream)
+        return !m_hasBeenFilled;
+    return decision.reason == ForwardReason::NoConfiguration || decision.reason == ForwardReason::UnknownToken;
+}
+
+void DirectBalancer::handlePending(core::TimePoint now)
+{
+    for (const auto& it : m_pending.take())
+        handlePacket(it.bytes, it.arrivedAt, now);
+}
+
 void DirectBalancer::noteTimes(const direct::ForwardDecision& decision)
 {
     if (decision.openTime)
@@ -172,6 +194,8 @@
             m_announcedAt = now;
         }
         m_subscriber.fetchConfiguration(m_forwarder.version(), now, *this);
+        if (!update->items.empty())
+            handlePending(now);
     } else if (const auto* transfer = std::get_if<sync::ConfigurationTransfer>(&*message)) {
         adopt(*transfer, now);
     }
@@ -196,6 +220,7 @@
     m_events.record(Event::ConfigurationInForce, now, [&] {
         return nlohmann::json { { "version", transfer.version } };
     });
+    handlePending(now);
 }
 
 void DirectBalancer::send(core::NodeId peer, const sync::SyncMessage& message)
@@ -212,6 +237,8 @@
     tickProbes(now);
     m_journal.note(m_directory, m_events, now);
     noteDependencies(now);
+    if (m_pending.hasExpired(now))
+        handlePending(now);
     if (now >= m_nextExpiry) {
         m_nextExpiry = now + expiryInterval;
         m_directory.expire(now);
--- a/src/ibisgw/runtime/DirectBalancer.h
+++ b/src/ibisgw/runtime/DirectBalancer.h
@@ -7,6 +7,7 @@
 #include "ibisgw/direct/EgressPacer.h"
 #include "ibisgw/direct/FlowForwarder.h"
 #include "ibisgw/direct/LeastWorkSelector.h"
+#include "ibisgw/direct/PendingPackets.h"
 #include "ibisgw/runtime/ConfigurationFormat.h"
 #include "ibisgw/runtime/ConnectProber.h"
 #include "ibisgw/runtime/DirectoryJournal.h"
@@ -43,6 +44,9 @@
 
     void send(core::NodeId, const sync::SyncMessage&) override;
     void receivePacket(std::span<const std::byte>);
+    void handlePacket(std::span<const std::byte>, core::TimePoint arrivedAt, core::TimePoint now);
+    bool mayBeKnownSoon(const direct::ForwardDecision&) const;
+    void handlePending(core::TimePoint now);
     void transmit(const direct::FlowSegment&, const direct::ForwardDecision&, std::size_t bytes, core::Endpoint target,
         core::TimePoint now);
     void releasePackets();
@@ -68,6 +72,7 @@
     adapters::UdpSocket m_packets;
     adapters::PeerDatagrams m_peers;
     sync::DirectorySubscriber m_subscriber;
+    direct::PendingPackets m_pending;
     direct::EgressPacer m_pacer;
     adapters::EventLoop::Timer& m_pacerTimer;
     std::array<std::byte, 2048> m_out;
--- a/src/ibisgw/runtime/DirectBalancerMetrics.cpp
+++ b/src/ibisgw/runtime/DirectBalancerMetrics.cpp
@@ -13,6 +13,9 @@
     }
     m_metrics.counter("ibisgw_malformed_packets_total", "Datagrams that are no packet of a caller")
         = m_malformedPackets;
+    m_metrics.counter(
+        "ibisgw_early_packets_expired_total", "Packets held for an unknown upstream or configuration in vain")
+        = m_pending.expiredCount();
     m_metrics.counter("ibisgw_paced_copies_total", "Copies of packets that were not sent again")
         = m_pacer.droppedCopies();
     m_metrics.counter("ibisgw_paced_overflow_total", "Packets dropped because the queue to the link was full")
--- a/src/ibisgw/sync/DirectoryFeed.cpp
+++ b/src/ibisgw/sync/DirectoryFeed.cpp
@@ -136,7 +136,7 @@
     if (now >= m_awaitedUntil)
         m_awaited.clear();
     for (const auto& it : m_awaited)
-        output.send(it, DirectoryUpdate { m_feed, 0, 0, {}, {}, head.version, head.controllers, head.membershipIndex });
+        output.send(it, DirectoryUpdate { m_feed, 0, 0, {}, {}, head.version, head.controllers, head.membershipIndex, true });
 }
 
 } // namespace ibisgw::sync
--- /dev/null
+++ b/tests/direct/PendingPacketsTests.cpp
@@ -0,0 +1,60 @@
+#include "ibisgw/direct/PendingPackets.h"
+
+#include <doctest/doctest.h>
+
+using namespace ibisgw;
+using namespace ibisgw::direct;
+using namespace std::chrono_literals;
+
+namespace {
+
+std::vector<std::byte> packetOf(std::size_t bytes, unsigned char first = 0)
+{
+    std::vector<std::byte> packet(bytes);
+    packet[0] = std::byte { first };
+    return packet;
+}
+
+} // namespace
+
+TEST_SUITE("direct")
+{
+    // Guards against packets of callers that are lost in the 20 ms between the start of a balancer and its first
+    // answer from a controller; their senders repeat them after 200 to 1,600 ms.
+    TEST_CASE("packets that come too early are held for a moment")
+    {
+        PendingPackets pending;
+        const core::TimePoint start { 10s };
+        CHECK(pending.add(packetOf(100, 1), start, start));
+        CHECK(pending.add(packetOf(100, 2), start + 20ms, start + 20ms));
+
+        SUBCASE("they are handled in the order in which they came")
+        {
+            const auto packets = pending.take();
+            REQUIRE(packets.size() == 2);
+            CHECK(packets[0].bytes[0] == std::byte { 1 });
+            CHECK(packets[1].bytes[0] == std::byte { 2 });
+            CHECK(pending.isEmpty());
+        }
+        SUBCASE("one that is still not known can be held again, but not longer in all")
+        {
+            const auto packets = pending.take();
+            REQUIRE(packets.size() == 2);
+            CHECK(pending.add(packets[0].bytes, packets[0].arrivedAt, start + 100ms));
+            CHECK(!pending.hasExpired(start + 150ms));
+            CHECK(pending.hasExpired(start + 151ms));
+            CHECK(!pending.add(packets[1].bytes, packets[1].arrivedAt, start + 200ms));
+            CHECK(pending.expiredCount() == 1);
+        }
+        SUBCASE("memory is bounded, and there is room again afterwards")
+        {
+            while (pending.add(packetOf(1200), start + 20ms, start + 20ms)) { }
+            std::size_t bytes = 0;
+            for (const auto& it : pending.take())
+                bytes += it.bytes.size();
+            CHECK(bytes <= PendingPackets::maxBytes);
+            CHECK(bytes > PendingPackets::maxBytes - 1300);
+            CHECK(pending.add(packetOf(1200), start + 30ms, start + 30ms));
+        }
+    }
+}
