Name every request in the log, in batches

Ruled out: a line for each request; at about 20 us a line it would be a sixth of a balancer's processor time. Change: RequestBatch names placements and requests beyond the sample, up to ten for each line a second that the settings allow, in a line each half second; ibisgw explain reads them as lines of their own. Tests: batches are bounded and counted; a request that only a batch names is explained.

--- a/src/ibisgw/runtime/DirectBalancer.cpp
+++ b/src/ibisgw/runtime/DirectBalancer.cpp
@@ -18,6 +18,9 @@
 constexpr core::Duration withdrawalTime = std::chrono::milliseconds(1500);
 constexpr core::Duration quietTime = std::chrono::milliseconds(300);
 
+// Requests named in batches for each line a second that the settings allow.
+constexpr std::uint32_t requestsPerLine = 10;
+
 // A turn of the event loop that came this late tells of a pause of the process.
 constexpr core::Duration stallLimit = std::chrono::milliseconds(100);
 
@@ -63,6 +66,7 @@
     , m_pacer({ settings.linkBytesPerSecond })
     , m_pacerTimer(loop.addTimer(pacerPeriod, [this] { releasePackets(); }))
     , m_events(settings.logLinesPerSecond)
+    , m_requests(settings.logLinesPerSecond * requestsPerLine)
     , m_prober(loop, [this](upstream::InstanceId id, direct::ProbeResult result) { noteProbe(id, result); })
     , m_openTime(m_metrics.latency("ibisgw_open_seconds", "From an opening packet to the next packet of the caller"))
     , m_answerTime(m_metrics.latency(
@@ -102,6 +106,7 @@
     m_settings.seeds = settings.seeds;
     m_subscriber.setSeeds(settings.seedNodes());
     m_events.setLinesPerSecond(settings.logLinesPerSecond);
+    m_requests.setEntriesPerSecond(settings.logLinesPerSecond * requestsPerLine);
 }
 
 void DirectBalancer::receivePacket(std::span<const std::byte> packet)
@@ -236,6 +241,7 @@
     m_forwarder.tick(now);
     tickProbes(now);
     m_journal.note(m_directory, m_events, now);
+    m_requests.flush(m_events, m_forwarder.version(), now);
     noteDependencies(now);
     if (m_pending.hasExpired(now))
         handlePending(now);
@@ -323,12 +329,24 @@
         m_events.record(Event::TokenUnknown, now, fields);
     else if (decision.reason == direct::ForwardReason::PlacedAgain)
         m_events.record(Event::FlowPlacedAgain, now, fields);
-    else if (decision.reason == direct::ForwardReason::Placed)
-        m_events.record(Event::FlowPlaced, now, fields);
     else if (decision.isRepeated)
         m_events.record(Event::RequestRepeated, now, fields);
-    else if (decision.startsWork)
-        m_events.record(Event::RequestForwarded, now, fields);
+    else
+        logSuccess(segment, decision, packet, fields, now);
+}
+
+// Written whole at a low rate, and named in a batch beyond it.
+template <typename Fields>
+void DirectBalancer::logSuccess(const direct::FlowSegment& segment, const direct::ForwardDecision& decision,
+    std::span<const std::byte> packet, Fields fields, core::TimePoint now)
+{
+    const bool isPlaced = decision.reason == direct::ForwardReason::Placed;
+    if (!isPlaced && !decision.startsWork)
+        return;
+    if (m_events.record(isPlaced ? Event::FlowPlaced : Event::RequestForwarded, now, fields))
+        return;
+    const auto request = isPlaced ? std::string() : m_packetFormat.requestId(packet);
+    m_requests.add(segment.flow, request, decision.instance, now);
 }
 
 bool DirectBalancer::isShutdownOver(core::TimePoint now) const
--- a/src/ibisgw/runtime/DirectBalancer.h
+++ b/src/ibisgw/runtime/DirectBalancer.h
@@ -13,6 +13,7 @@
 #include "ibisgw/runtime/DirectoryJournal.h"
 #include "ibisgw/runtime/EventLog.h"
 #include "ibisgw/runtime/PacketFormat.h"
+#include "ibisgw/runtime/RequestBatch.h"
 #include "ibisgw/settings/DirectSettings.h"
 #include "ibisgw/sync/DirectorySubscriber.h"
 
@@ -59,6 +60,9 @@
     void noteDependencies(core::TimePoint now);
     void logDecision(const direct::FlowSegment&, const direct::ForwardDecision&, std::span<const std::byte> packet,
         core::TimePoint now);
+    template <typename Fields>
+    void logSuccess(const direct::FlowSegment&, const direct::ForwardDecision&, std::span<const std::byte> packet,
+        Fields, core::TimePoint now);
     bool isShutdownOver(core::TimePoint now) const;
 
     settings::DirectSettings m_settings;
@@ -77,6 +81,7 @@
     adapters::EventLoop::Timer& m_pacerTimer;
     std::array<std::byte, 2048> m_out;
     EventLog m_events;
+    RequestBatch m_requests;
     DirectoryJournal m_journal;
     ConnectProber m_prober;
     adapters::MetricsRegistry m_metrics;
--- a/src/ibisgw/runtime/Event.cpp
+++ b/src/ibisgw/runtime/Event.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-constexpr std::size_t eventCount = 37;
+constexpr std::size_t eventCount = 38;
 
 constexpr core::NameTable<Event, eventCount> eventNames { {
     { Event::FlowPlaced, "flow_placed" },
@@ -15,6 +15,7 @@
     { Event::FlowReset, "flow_reset" },
     { Event::TokenUnknown, "token_unknown" },
     { Event::RequestForwarded, "request_forwarded" },
+    { Event::RequestsForwarded, "requests_forwarded" },
     { Event::RequestRepeated, "request_repeated" },
     { Event::UpstreamLearned, "upstream_learned" },
     { Event::UpstreamDraining, "upstream_draining" },
--- a/src/ibisgw/runtime/Event.h
+++ b/src/ibisgw/runtime/Event.h
@@ -17,6 +17,7 @@
     FlowReset,
     TokenUnknown,
     RequestForwarded,
+    RequestsForwarded,
     RequestRepeated,
     // Upstreams; balancers and controllers.
     UpstreamLearned,
--- a/src/ibisgw/runtime/EventLog.h
+++ b/src/ibisgw/runtime/EventLog.h
@@ -16,11 +16,13 @@
 public:
     explicit EventLog(std::uint32_t linesPerSecond);
 
-    // The fields are only made when the line is written.
-    template <typename Fields> void record(Event event, core::TimePoint now, Fields fields)
+    // The fields are only made when the line is written. False when it is left out.
+    template <typename Fields> bool record(Event event, core::TimePoint now, Fields fields)
     {
-        if (admit(event, now))
+        const bool isAdmitted = admit(event, now);
+        if (isAdmitted)
             write(event, now, fields());
+        return isAdmitted;
     }
     void record(Event event, core::TimePoint now)
     {
--- a/src/ibisgw_cli/ExplainCommand.cpp
+++ b/src/ibisgw_cli/ExplainCommand.cpp
@@ -21,6 +21,9 @@
 // Events of upstreams and of the process that may explain a failure lie within this time around it.
 constexpr double relatedSeconds = 15.0;
 
+// A batch of requests is written at least this often.
+constexpr double batchSeconds = 2.0;
+
 struct Line {
     json fields;
     double time { 0 };
@@ -40,6 +43,28 @@
     return found != fields.end() && found->is_number() ? found->get<double>() : 0.0;
 }
 
+// A line that names many requests stands for a line for each. An entry is steady time, request, flow and upstream;
+// a flow that was only placed has no request.
+void addEntries(const Line& batch, std::vector<Line>& lines)
+{
+    constexpr std::size_t entryFields = 4;
+    const auto entries = batch.fields.find("entries");
+    if (entries == batch.fields.end() || !entries->is_array())
+        return;
+    for (const auto& it : *entries) {
+        if (!it.is_array() || it.size() != entryFields || !it[0].is_number())
+            continue;
+        const bool isPlacement = it[1] == "";
+        Line line { { { "message", isPlacement ? "flow_placed" : "request_forwarded" }, { "flow", it[2] },
+                        { "upstream", it[3] }, { "version", batch.fields.value("version", json()) } },
+            0, it[0].get<double>(), batch.process };
+        if (!isPlacement)
+            line.fields["request"] = it[1];
+        line.time = batch.time - (batch.steady - line.steady);
+        lines.push_back(std::move(line));
+    }
+}
+
 // A line may have a prefix of the tool that collected it.
 void addLine(std::string_view text, std::vector<Line>& lines)
 {
@@ -53,6 +78,7 @@
     line.time = numberOf(line.fields, "time");
     line.steady = numberOf(line.fields, "steady");
     line.process = textOf(line.fields, "process");
+    addEntries(line, lines);
     lines.push_back(std::move(line));
 }
 
@@ -72,7 +98,8 @@
     std::map<std::string, std::pair<double, double>> offsets; // offset and last steady time
     for (auto& it : lines) {
         auto [entry, isNew] = offsets.try_emplace(it.process, it.time - it.steady, it.steady);
-        if (!isNew && it.steady < entry->second.second)
+        // Entries of a batch are a little older than the line before them.
+        if (!isNew && it.steady < entry->second.second - batchSeconds)
             entry->second.first = it.time - it.steady;
         entry->second.second = it.steady;
         it.time = entry->second.first + it.steady;
--- a/tests/cli/ExplainCommandTests.cpp
+++ b/tests/cli/ExplainCommandTests.cpp
@@ -45,6 +45,24 @@
         const support::TemporaryFile first(firstLog);
         const support::TemporaryFile second(secondLog);
 
+        SUBCASE("a request that is named in a batch only is found, and its flow and upstream with it")
+        {
+            const support::TemporaryFile batch(
+                R"({"entries":[[7.0,"","f9","u9"],[7.25,"r9","f9","u9"],[7.3,"r8","f8","u8"]],"level":"info",)"
+                R"("message":"requests_forwarded","process":"one","steady":7.5,"time":997.5,"version":4})"
+                "\n"
+                R"({"message":"upstream_gone","process":"one","steady":7.6,"time":997.6,"upstream":"u9"})"
+                "\n");
+            const auto result = run({ "explain", "r9", batch.path(), first.path() });
+            CHECK(result.status == ExitStatus::Ok);
+            const auto gone = result.out.find("upstream_gone");
+            const auto forwarded = result.out.find("997.250000  one  request_forwarded");
+            const auto placed = result.out.find("997.000000  one  flow_placed");
+            REQUIRE(placed != std::string::npos);
+            CHECK(gone < forwarded);
+            CHECK(forwarded < placed);
+            CHECK(result.out.find("r8") == std::string::npos);
+        }
         SUBCASE("the lines of its flow and of its upstream are joined, the newest first")
         {
             const auto result = run({ "explain", "r1", first.path(), second.path() });
--- a/tests/runtime/EventLogTests.cpp
+++ b/tests/runtime/EventLogTests.cpp
@@ -1,5 +1,6 @@
 #include "ibisgw/adapters/BoundedWriter.h"
 #include "ibisgw/runtime/EventLog.h"
+#include "ibisgw/runtime/RequestBatch.h"
 
 #include <boost/log/core.hpp>
 #include <doctest/doctest.h>
@@ -30,6 +31,42 @@
 
 TEST_SUITE("runtime")
 {
+    // Guards against failed requests of which no process has written a line, because they looked like successes here.
+    TEST_CASE("requests are named in batches")
+    {
+        const QuietLog quiet;
+        EventLog log(10);
+        RequestBatch batch(100);
+        const core::FlowKey flow { { 0x64400001, 1000 }, { 0xc6120001, 8080 } };
+        batch.add(flow, "r1", { 7 }, start);
+
+        SUBCASE("a batch is one line, and an empty one is none")
+        {
+            batch.flush(log, 3, start + 600ms);
+            CHECK(log.count(Event::RequestsForwarded) == 1);
+            batch.flush(log, 3, start + 1200ms);
+            CHECK(log.count(Event::RequestsForwarded) == 1);
+        }
+        SUBCASE("it waits for more requests for half a second")
+        {
+            batch.flush(log, 3, start + 600ms);
+            batch.add(flow, "r2", { 7 }, start + 700ms);
+            batch.flush(log, 3, start + 1000ms);
+            CHECK(log.count(Event::RequestsForwarded) == 1);
+            batch.flush(log, 3, start + 1100ms);
+            CHECK(log.count(Event::RequestsForwarded) == 2);
+        }
+        SUBCASE("a storm of requests is bounded and counted")
+        {
+            for (int n = 0; n < 1000; ++n)
+                batch.add(flow, "r", { 7 }, start);
+            CHECK(batch.leftOut() == 951);
+            batch.flush(log, 3, start + 600ms);
+            batch.add(flow, "r", { 7 }, start + 700ms);
+            CHECK(batch.leftOut() == 951);
+        }
+    }
+
     TEST_CASE("a storm of refusals")
     {
         const QuietLog quiet;
