Move the logging of decisions out of the balancer's daemon

DirectBalancer connected sockets, controllers and clock and also chose the log lines and histograms of each packet.

--- a/src/ibisgw/runtime/DirectBalancer.cpp
+++ b/src/ibisgw/runtime/DirectBalancer.cpp
@@ -18,9 +18,6 @@
 constexpr core::Duration withdrawalTime = std::chrono::milliseconds(1500);
 constexpr core::Duration quietTime = std::chrono::milliseconds(300);
 
-// Requests named in batches for each line a second that the settings allow.
-constexpr std::uint32_t requestsPerLine = 10;
-
 // A turn of the event loop that came this late tells of a pause of the process.
 constexpr core::Duration stallLimit = std::chrono::milliseconds(100);
 
@@ -66,11 +63,8 @@
     , m_pacer({ settings.linkBytesPerSecond })
     , m_pacerTimer(loop.addTimer(pacerPeriod, [this] { releasePackets(); }))
     , m_events(settings.logLinesPerSecond)
-    , m_requests(settings.logLinesPerSecond * requestsPerLine)
     , m_prober(loop, [this](upstream::InstanceId id, direct::ProbeResult result) { noteProbe(id, result); })
-    , m_openTime(m_metrics.latency("ibisgw_open_seconds", "From an opening packet to the next packet of the caller"))
-    , m_answerTime(m_metrics.latency(
-          "ibisgw_answer_seconds", "From an opening packet or a request to the caller's acknowledgement of new data"))
+    , m_decisions(m_events, packetFormat, m_metrics, settings.logLinesPerSecond)
     , m_egressWait(
           m_metrics.latency("ibisgw_egress_wait_seconds", "Wait of packets that the link could not take at once"))
     , m_configurationDelay(m_metrics.latency(
@@ -106,7 +100,7 @@
     m_settings.seeds = settings.seeds;
     m_subscriber.setSeeds(settings.seedNodes());
     m_events.setLinesPerSecond(settings.logLinesPerSecond);
-    m_requests.setEntriesPerSecond(settings.logLinesPerSecond * requestsPerLine);
+    m_decisions.setLinesPerSecond(settings.logLinesPerSecond);
 }
 
 void DirectBalancer::receivePacket(std::span<const std::byte> packet)
@@ -126,8 +120,7 @@
     const auto decision = m_forwarder.handle(*segment, now);
     if (mayBeKnownSoon(decision) && m_pending.add(packet, arrivedAt, now))
         return;
-    logDecision(*segment, decision, packet, now);
-    noteTimes(decision);
+    m_decisions.note(*segment, decision, packet, m_forwarder.version(), now);
     if (decision.action == direct::ForwardAction::Forward) {
         const auto n = m_packetFormat.writeForwarded(packet, decision.token, decision.instance, m_out);
         transmit(*segment, decision, n, decision.target, now);
@@ -152,14 +145,6 @@
         handlePacket(it.bytes, it.arrivedAt, now);
 }
 
-void DirectBalancer::noteTimes(const direct::ForwardDecision& decision)
-{
-    if (decision.openTime)
-        m_openTime.record(*decision.openTime);
-    if (decision.answerTime)
-        m_answerTime.record(*decision.answerTime);
-}
-
 // Sends the first bytes of the output buffer, at once or when the link has room.
 void DirectBalancer::transmit(const direct::FlowSegment& segment, const direct::ForwardDecision& decision,
     std::size_t bytes, core::Endpoint target, core::TimePoint now)
@@ -241,7 +226,7 @@
     m_forwarder.tick(now);
     tickProbes(now);
     m_journal.note(m_directory, m_events, now);
-    m_requests.flush(m_events, m_forwarder.version(), now);
+    m_decisions.flush(m_forwarder.version(), now);
     noteDependencies(now);
     if (m_pending.hasExpired(now))
         handlePending(now);
@@ -306,49 +291,6 @@
     }
 }
 
-void DirectBalancer::logDecision(const direct::FlowSegment& segment, const direct::ForwardDecision& decision,
-    std::span<const std::byte> packet, core::TimePoint now)
-{
-    const auto fields = [&] {
-        nlohmann::json json { { "flow", textOf(segment.flow) }, { "reason", nameOf(decision.reason) },
-            { "version", m_forwarder.version() } };
-        if (decision.instance.value != 0)
-            json["upstream"] = textOf(decision.instance);
-        if (const auto id = m_packetFormat.requestId(packet); !id.empty())
-            json["request"] = id;
-        if (decision.candidates > 0) {
-            json["candidates"] = decision.candidates;
-            json["in_progress"] = decision.inProgress;
-            json["open_flows"] = decision.openFlows;
-        }
-        return json;
-    };
-    if (decision.action == direct::ForwardAction::Reset)
-        m_events.record(segment.isOpening ? Event::FlowRefused : Event::FlowReset, now, fields);
-    else if (decision.action == direct::ForwardAction::Drop)
-        m_events.record(Event::TokenUnknown, now, fields);
-    else if (decision.reason == direct::ForwardReason::PlacedAgain)
-        m_events.record(Event::FlowPlacedAgain, now, fields);
-    else if (decision.isRepeated)
-        m_events.record(Event::RequestRepeated, now, fields);
-    else
-        logSuccess(segment, decision, packet, fields, now);
-}
-
-// Written whole at a low rate, and named in a batch beyond it.
-template <typename Fields>
-void DirectBalancer::logSuccess(const direct::FlowSegment& segment, const direct::ForwardDecision& decision,
-    std::span<const std::byte> packet, Fields fields, core::TimePoint now)
-{
-    const bool isPlaced = decision.reason == direct::ForwardReason::Placed;
-    if (!isPlaced && !decision.startsWork)
-        return;
-    if (m_events.record(isPlaced ? Event::FlowPlaced : Event::RequestForwarded, now, fields))
-        return;
-    const auto request = isPlaced ? std::string() : m_packetFormat.requestId(packet);
-    m_requests.add(segment.flow, request, decision.instance, now);
-}
-
 bool DirectBalancer::isShutdownOver(core::TimePoint now) const
 {
     if (!m_shutdownAt)
--- a/src/ibisgw/runtime/DirectBalancer.h
+++ b/src/ibisgw/runtime/DirectBalancer.h
@@ -10,10 +10,10 @@
 #include "ibisgw/direct/PendingPackets.h"
 #include "ibisgw/runtime/ConfigurationFormat.h"
 #include "ibisgw/runtime/ConnectProber.h"
+#include "ibisgw/runtime/DecisionJournal.h"
 #include "ibisgw/runtime/DirectoryJournal.h"
 #include "ibisgw/runtime/EventLog.h"
 #include "ibisgw/runtime/PacketFormat.h"
-#include "ibisgw/runtime/RequestBatch.h"
 #include "ibisgw/settings/DirectSettings.h"
 #include "ibisgw/sync/DirectorySubscriber.h"
 
@@ -51,18 +51,12 @@
     void transmit(const direct::FlowSegment&, const direct::ForwardDecision&, std::size_t bytes, core::Endpoint target,
         core::TimePoint now);
     void releasePackets();
-    void noteTimes(const direct::ForwardDecision&);
     void receiveMessage(core::NodeId sender, std::string_view body);
     void adopt(const sync::ConfigurationTransfer&, core::TimePoint now);
     void tick();
     void noteProbe(upstream::InstanceId, direct::ProbeResult);
     void tickProbes(core::TimePoint now);
     void noteDependencies(core::TimePoint now);
-    void logDecision(const direct::FlowSegment&, const direct::ForwardDecision&, std::span<const std::byte> packet,
-        core::TimePoint now);
-    template <typename Fields>
-    void logSuccess(const direct::FlowSegment&, const direct::ForwardDecision&, std::span<const std::byte> packet,
-        Fields, core::TimePoint now);
     bool isShutdownOver(core::TimePoint now) const;
 
     settings::DirectSettings m_settings;
@@ -81,13 +75,11 @@
     adapters::EventLoop::Timer& m_pacerTimer;
     std::array<std::byte, 2048> m_out;
     EventLog m_events;
-    RequestBatch m_requests;
     DirectoryJournal m_journal;
     ConnectProber m_prober;
     adapters::MetricsRegistry m_metrics;
+    DecisionJournal m_decisions;
     // Kept by the registry.
-    adapters::LatencyHistogram& m_openTime;
-    adapters::LatencyHistogram& m_answerTime;
     adapters::LatencyHistogram& m_egressWait;
     adapters::LatencyHistogram& m_configurationDelay;
     adapters::LatencyHistogram& m_loopDelay;
