Explain: begin the time of a restarted VM anew, and name more requests in a batch

Change: the line 'starting' begins a new offset; 25 requests for each line that the settings allow instead of ten. Test: a log with a restart, seen failing first.

--- a/src/ibisgw/runtime/DecisionJournal.cpp
+++ b/src/ibisgw/runtime/DecisionJournal.cpp
@@ -10,7 +10,7 @@
 namespace {
 
 // Requests named in batches for each line a second that the settings allow.
-constexpr std::uint32_t requestsPerLine = 10;
+constexpr std::uint32_t requestsPerLine = 25;
 
 } // namespace
 
--- a/src/ibisgw_cli/ExplainCommand.cpp
+++ b/src/ibisgw_cli/ExplainCommand.cpp
@@ -98,8 +98,11 @@
     std::map<std::string, std::pair<double, double>> offsets; // offset and last steady time
     for (auto& it : lines) {
         auto [entry, isNew] = offsets.try_emplace(it.process, it.time - it.steady, it.steady);
-        // Entries of a batch are a little older than the line before them.
-        if (!isNew && it.steady < entry->second.second - batchSeconds)
+        // Entries of a batch are a little older than the line before them. The steady clock of a VM that was without
+        // power may go on from any value.
+        const bool isRestart
+            = textOf(it.fields, "message") == "starting" || it.steady < entry->second.second - batchSeconds;
+        if (!isNew && isRestart)
             entry->second.first = it.time - it.steady;
         entry->second.second = it.steady;
         it.time = entry->second.first + it.steady;
--- a/tests/cli/ExplainCommandTests.cpp
+++ b/tests/cli/ExplainCommandTests.cpp
@@ -63,6 +63,19 @@
             CHECK(forwarded < placed);
             CHECK(result.out.find("r8") == std::string::npos);
         }
+        SUBCASE("a VM that comes back with another steady clock is put into the right order")
+        {
+            // Guards against lines that seem to be hours later (seen in a played day that loses all power).
+            const support::TemporaryFile restarted(
+                R"({"flow":"f1","message":"request_forwarded","process":"three","request":"r1","steady":5.0,"time":1000.6})"
+                "\n"
+                R"({"message":"starting","process":"three","steady":90000.0,"time":1000.7})"
+                "\n"
+                R"({"flow":"f1","message":"flow_refused","process":"three","steady":90000.1,"time":1000.8})"
+                "\n");
+            const auto result = run({ "explain", "r1", restarted.path() });
+            CHECK(result.out.find("1000.800000  three  flow_refused") != std::string::npos);
+        }
         SUBCASE("the lines of its flow and of its upstream are joined, the newest first")
         {
             const auto result = run({ "explain", "r1", first.path(), second.path() });
