Keep retries away from upstreams that refuse opens at once

Cause: an upstream that has ended lets its VM refuse flows within a round trip. Ruled out: copies of opens (a refused caller sends none); probes (they begin with repeats, which do not come either). Change: a caller's next flow avoids the upstream of its last open that nothing has confirmed, if that is 4 ms old or more; an upstream with an open that is unconfirmed for 100 ms, and no other sign of life, counts as doubtful for 1 s. Test: 4 upstreams of which one refuses all; 25 of 100 opens refused before, at most 5 after.

--- a/src/ibisgw/direct/FlowForwarder.cpp
+++ b/src/ibisgw/direct/FlowForwarder.cpp
@@ -27,6 +27,9 @@
 // A flow whose caller has closed it or whose opening packet stayed unanswered; later packets use the token.
 constexpr core::Duration unopenedFlowAge = std::chrono::seconds(2);
 
+// A refusal reaches its caller no sooner; flows that are opened at shorter intervals are opened side by side.
+constexpr core::Duration refusalTime = std::chrono::milliseconds(4);
+
 // Work that is not seen to end counts for this long when the route states no latency objective.
 constexpr core::Duration defaultExpectedWork = std::chrono::milliseconds(100);
 
@@ -118,7 +121,8 @@
         }
         forget(found);
     }
-    const auto* record = choose(route, excluded, now);
+    // A caller whose open was refused opens another flow at once.
+    const auto* record = choose(route, excluded ? excluded : unconfirmedInstanceOf(segment.flow, now), now);
     if (!record)
         return { ForwardAction::Reset, ForwardReason::NoUpstream };
     auto decision = forwardTo(*record, excluded ? ForwardReason::PlacedAgain : ForwardReason::Placed);
@@ -129,9 +133,30 @@
     auto& flow = remember(segment.flow, *record, &route, now)->second;
     flow.placedHere = true;
     startWork(segment.flow, flow, now);
+    load(record->report.id).opening(now);
+    m_unconfirmedOpens[segment.flow.caller.address] = { segment.flow, record->report.id, now };
     return decision;
 }
 
+std::optional<upstream::InstanceId> FlowForwarder::unconfirmedInstanceOf(
+    const core::FlowKey& flow, core::TimePoint now) const
+{
+    const auto found = m_unconfirmedOpens.find(flow.caller.address);
+    if (found == m_unconfirmedOpens.end())
+        return std::nullopt;
+    const auto age = now - found->second.at;
+    if (age < refusalTime || age > unopenedFlowAge)
+        return std::nullopt;
+    return found->second.instance;
+}
+
+void FlowForwarder::confirm(const core::FlowKey& flow)
+{
+    const auto found = m_unconfirmedOpens.find(flow.caller.address);
+    if (found != m_unconfirmedOpens.end() && found->second.flow == flow)
+        m_unconfirmedOpens.erase(found);
+}
+
 ForwardDecision FlowForwarder::continueFlow(const FlowSegment& segment, const Route* route, core::TimePoint now)
 {
     const auto found = m_flows.find(segment.flow);
@@ -174,6 +199,7 @@
     std::optional<core::Duration> openTime;
     if (!flow.isOpen && flow.placedHere) {
         openTime = now - flow.openedAt;
+        confirm(segment.flow);
         load(record->report.id).answered();
         m_responses.noteProgress(record->report.id);
     }
@@ -203,6 +229,7 @@
         flow.acknowledged = segment.acknowledged;
     if (hasNewAnswer) {
         m_responses.noteProgress(flow.instance);
+        load(flow.instance).progressed();
         if (flow.isWorking)
             decision.answerTime = now - flow.workStartedAt;
     }
@@ -317,7 +344,8 @@
 bool FlowForwarder::isDoubtful(const InstanceRecord& record, core::TimePoint now) const
 {
     const auto* load = loadOf(record.report.id);
-    return record.isOverdue || m_responses.isUnresponsive(record.report.id) || (load && load->isAvoided(now));
+    return record.isOverdue || m_responses.isUnresponsive(record.report.id)
+        || (load && (load->isAvoided(now) || load->isUnconfirmed(now)));
 }
 
 void FlowForwarder::tick(core::TimePoint now)
@@ -345,6 +373,7 @@
         if (isOver)
             forget(entry);
     }
+    std::erase_if(m_unconfirmedOpens, [now](const auto& it) { return now - it.second.at > unopenedFlowAge; });
     std::erase_if(m_loads, [this](const auto& it) {
         if (m_directory.find(it.first))
             return false;
--- a/src/ibisgw/direct/FlowForwarder.h
+++ b/src/ibisgw/direct/FlowForwarder.h
@@ -113,6 +113,12 @@
 
         bool operator>(const WorkDeadline& other) const { return at > other.at; }
     };
+    // The newest flow of a caller that has shown no sign of being open.
+    struct UnconfirmedOpen {
+        core::FlowKey flow;
+        upstream::InstanceId instance;
+        core::TimePoint at;
+    };
     using FlowMap = std::unordered_map<core::FlowKey, Flow>;
 
     ForwardDecision decide(const FlowSegment&, const Route*, core::TimePoint now);
@@ -121,6 +127,8 @@
     ForwardDecision forwardOpen(
         FlowMap::iterator, const upstream::InstanceRecord&, const FlowSegment&, core::TimePoint now);
     ForwardDecision resolveToken(const FlowSegment&, const Route*, core::TimePoint now);
+    std::optional<upstream::InstanceId> unconfirmedInstanceOf(const core::FlowKey&, core::TimePoint now) const;
+    void confirm(const core::FlowKey&);
     const upstream::InstanceRecord* choose(
         const Route&, std::optional<upstream::InstanceId> excluded, core::TimePoint now);
     const core::ServiceName& drawService(const Route&);
@@ -145,6 +153,8 @@
     std::shared_ptr<const RouteConfiguration> m_configuration;
     std::unordered_map<core::Endpoint, const Route*> m_routes;
     FlowMap m_flows;
+    // By the address of the caller.
+    std::unordered_map<std::uint32_t, UnconfirmedOpen> m_unconfirmedOpens;
     std::unordered_map<upstream::InstanceId, InstanceLoad> m_loads;
     std::priority_queue<WorkDeadline, std::vector<WorkDeadline>, std::greater<>> m_workDeadlines;
     ResponseMonitor m_responses;
--- a/src/ibisgw/direct/InstanceLoad.h
+++ b/src/ibisgw/direct/InstanceLoad.h
@@ -3,6 +3,7 @@
 #include "ibisgw/core/Time.h"
 
 #include <cstdint>
+#include <optional>
 
 namespace ibisgw::direct {
 
@@ -14,6 +15,14 @@
     void workStarted(core::TimePoint now);
     void workEnded() { m_inProgress -= m_inProgress > 0 ? 1 : 0; }
 
+    // An opening packet was sent to the upstream.
+    void opening(core::TimePoint now);
+    // A caller showed that the upstream works on its flow.
+    void progressed() { m_unconfirmedSince.reset(); }
+    // True when the upstream has shown nothing since an opening packet that is long overdue: it has ended, and its VM
+    // refuses flows so quickly that it seems to be idle, or it is full.
+    bool isUnconfirmed(core::TimePoint now) const;
+
     // The upstream answered an opening packet.
     void answered();
     // A caller repeated an opening packet that had been sent to the upstream.
@@ -29,6 +38,8 @@
     std::uint32_t m_inProgress { 0 };
     std::uint32_t m_openFlows { 0 };
     core::TimePoint m_lastWorkAt {};
+    // When the first opening packet was sent of which nothing has come so far.
+    std::optional<core::TimePoint> m_unconfirmedSince;
     std::uint32_t m_unansweredInRow { 0 };
     core::Duration m_avoidance { 0 };
     core::TimePoint m_avoidUntil {};
--- a/tests/direct/FlowForwarderTests.cpp
+++ b/tests/direct/FlowForwarderTests.cpp
@@ -316,6 +316,68 @@
         }
     }
 
+    // Guards against an upstream that has ended and whose VM refuses flows at once: it seems to be idle, so it
+    // attracted the retries of callers until they gave up (gravur-ch trouble-3, request 82b1d2dfa96817d8).
+    TEST_CASE("an upstream that refuses flows at once does not attract the retries")
+    {
+        constexpr std::uint64_t dead = 1;
+        constexpr int callers = 40;
+        Forwarding it;
+        for (std::uint64_t id = 1; id <= 4; ++id)
+            it.add(id, "booking");
+        const auto openFrom = [&](std::uint32_t caller) {
+            auto segment = it.opening();
+            segment.flow.caller.address = caller;
+            const auto decision = it.handle(segment);
+            it.now += 10ms;
+            if (decision.instance.value != dead)
+                it.handle(Forwarding::dataOf(segment, decision.token));
+            return decision.instance.value;
+        };
+
+        SUBCASE("a caller whose open was refused gets another upstream for its next one")
+        {
+            for (std::uint32_t caller = 1; caller <= callers; ++caller) {
+                if (openFrom(caller) == dead)
+                    CHECK(openFrom(caller) != dead);
+            }
+        }
+        SUBCASE("other callers are kept away from it until it is tried again")
+        {
+            int refused = 0;
+            const auto start = it.now;
+            for (std::uint32_t caller = 1; it.now < start + 1s; ++caller) {
+                refused += openFrom(caller) == dead ? 1 : 0;
+                it.forwarder.tick(it.now);
+            }
+            // 100 opens of which each fourth would be refused.
+            CHECK(refused <= 5);
+            while (openFrom(1000) != dead && it.now < start + 3s)
+                it.forwarder.tick(it.now);
+            CHECK(it.now < start + 3s);
+        }
+        SUBCASE("a sign of life of an open flow ends the doubt")
+        {
+            auto segment = it.opening();
+            const auto opened = it.handle(segment);
+            it.handle(Forwarding::dataOf(segment, opened.token, 500));
+            auto other = it.opening();
+            while (it.handle(other).instance != opened.instance)
+                other = it.opening();
+            it.now += 150ms;
+            CHECK(it.forwarder.loadOf(opened.instance)->isUnconfirmed(it.now));
+            it.handle(Forwarding::dataOf(segment, opened.token, 900));
+            CHECK(!it.forwarder.loadOf(opened.instance)->isUnconfirmed(it.now));
+        }
+        SUBCASE("when all are in doubt, flows are still placed")
+        {
+            for (std::uint64_t id = 2; id <= 4; ++id)
+                it.leave(id, InstanceState::Gone);
+            CHECK(openFrom(1) == dead);
+            CHECK(openFrom(1) == dead);
+        }
+    }
+
     TEST_CASE("configurations")
     {
         Forwarding it;
