Let controllers take the parts of all other directories at the same time

Cause: found by reading: a controller that is behind on two others took the parts of one first; the other does not push to one that is behind, so its drains would be acknowledged up to 0.4 s later. Only balancers need one source. Test: parts of two controllers are both followed at once; the second was not before.

--- a/src/ibisgw/sync/DirectorySubscriber.cpp
+++ b/src/ibisgw/sync/DirectorySubscriber.cpp
@@ -107,23 +107,26 @@
     const bool isNew = update.to > feed.acknowledged;
     feed.acknowledged = std::max(feed.acknowledged, update.to);
     feed.isComplete = !update.hasMore;
-    if (update.hasMore) {
-        // One feed fills the directory; the others then have little to add, which the digest tells.
-        if (!m_filling.isValid())
-            m_filling = from;
-        if (m_filling == from) {
-            m_filledAt = now;
-            subscribe(from, feed, now, output);
-        }
-        return;
-    }
-    if (m_filling == from)
-        m_filling = {};
     // Other controllers wait for the acknowledgement before they answer an upstream that leaves.
-    if (m_options.isController && isNew && !update.items.empty())
+    const bool isAwaited = m_options.isController && isNew && !update.items.empty();
+    const bool isNextPart = m_options.isController ? update.hasMore : fillsFrom(from, update.hasMore, now);
+    if (isAwaited || isNextPart)
         subscribe(from, feed, now, output);
 }
 
+// One controller fills the directory of a balancer; the others then have little to add, which the digest tells.
+bool DirectorySubscriber::fillsFrom(core::NodeId from, bool hasMore, core::TimePoint now)
+{
+    if (!m_filling.isValid() && hasMore)
+        m_filling = from;
+    if (m_filling != from)
+        return false;
+    m_filledAt = now;
+    if (!hasMore)
+        m_filling = {};
+    return hasMore;
+}
+
 void DirectorySubscriber::merge(core::NodeId from, const DirectoryUpdate& update, core::TimePoint now)
 {
     for (const auto& it : update.items) {
--- a/src/ibisgw/sync/DirectorySubscriber.h
+++ b/src/ibisgw/sync/DirectorySubscriber.h
@@ -54,6 +54,7 @@
 
     void subscribe(core::NodeId, Feed&, core::TimePoint now, SyncOutput&);
     core::Duration intervalOf(const Feed&, core::TimePoint now);
+    bool fillsFrom(core::NodeId, bool hasMore, core::TimePoint now);
     void resumeFilling(core::TimePoint now);
     void merge(core::NodeId from, const DirectoryUpdate&, core::TimePoint now);
     std::vector<core::NodeId> heardControllers(core::TimePoint now, core::Duration limit) const;
--- a/tests/sync/DirectorySyncTests.cpp
+++ b/tests/sync/DirectorySyncTests.cpp
@@ -306,6 +306,22 @@
         }
     }
 
+    // Guards against acknowledgements of drains that wait for the directory of a third controller.
+    TEST_CASE("a controller takes the parts of all other directories at the same time")
+    {
+        InstanceDirectory copy;
+        DirectorySubscriber subscriber({ balancerNode, 5, true, {} }, copy);
+        Outbox outbox;
+        const core::TimePoint now { 100s };
+        for (const core::NodeId other : { core::NodeId { 10 }, core::NodeId { 11 } }) {
+            DirectoryUpdate part { other.value, 0, 1, {}, {}, 0, {}, 0, true };
+            part.items.push_back({ reportOf(other.value, 1), {}, false });
+            subscriber.handle(other, part, now, outbox);
+            REQUIRE(!outbox.messages.empty());
+            CHECK(outbox.messages.back().first == other);
+        }
+    }
+
     TEST_CASE("a balancer takes a directory from one controller and learns from the others that they know the same")
     {
         constexpr core::NodeId otherNode { 11 };
