--- a/src/ibisgw/runtime/DirectBalancer.cpp
+++ b/src/ibisgw/runtime/DirectBalancer.cpp
@@ -84,7 +84,8 @@
 
 bool DirectBalancer::isReady() const
 {
-    return !m_shutdownAt && m_forwarder.version() > 0 && m_directory.hasReady() && m_hasBeenFilled;
+    return !m_shutdownAt && !m_isolation.isIsolated() && m_forwarder.version() > 0 && m_directory.hasReady()
+        && m_hasBeenFilled;
 }
 
 void DirectBalancer::beginShutdown()
@@ -277,6 +278,8 @@
 
 void DirectBalancer::noteDependencies(core::TimePoint now)
 {
+    const bool hasControllers = m_subscriber.reachableControllers(now) > 0;
+    m_isolation.note(hasControllers, now);
     if (isReady() != m_wasReady) {
         m_wasReady = isReady();
         m_events.record(m_wasReady ? Event::Ready : Event::NotReady, now, [this] {
@@ -284,7 +287,6 @@
                 { "stopping", m_shutdownAt.has_value() } };
         });
     }
-    const bool hasControllers = m_subscriber.reachableControllers(now) > 0;
     if (hasControllers != m_hadControllers) {
         m_hadControllers = hasControllers;
         m_events.record(hasControllers ? Event::ControllersRegained : Event::ControllersLost, now);
--- a/src/ibisgw/runtime/DirectBalancer.h
+++ b/src/ibisgw/runtime/DirectBalancer.h
@@ -13,6 +13,7 @@
 #include "ibisgw/runtime/DecisionJournal.h"
 #include "ibisgw/runtime/DirectoryJournal.h"
 #include "ibisgw/runtime/EventLog.h"
+#include "ibisgw/runtime/IsolationMonitor.h"
 #include "ibisgw/runtime/PacketFormat.h"
 #include "ibisgw/settings/DirectSettings.h"
 #include "ibisgw/sync/DirectorySubscriber.h"
@@ -30,7 +31,7 @@
         const PacketFormat&, const ConfigurationFormat&, std::uint64_t seed);
 
     void start();
-    // Whether new flows may come: there is a configuration and the upstreams are known.
+    // Whether new flows may come: there is a configuration, and the upstreams are known and kept up to date.
     bool isReady() const;
     // Stops taking new flows, goes on forwarding and ends the loop before the grace period is over.
     void beginShutdown();
@@ -92,6 +93,7 @@
     core::Duration m_longestStall { 0 };
     // New flows would crowd the first upstreams that become known.
     bool m_hasBeenFilled { false };
+    IsolationMonitor m_isolation;
     bool m_wasReady { false };
     bool m_hadControllers { false };
     std::optional<core::TimePoint> m_shutdownAt;
