Encode reports between controllers for each follower

Cause: found by reading the diff: the bytes of a part are kept by its change numbers and counts, but the reports in an update depend on whom the follower hears, so one controller could have got the selection of another. Change: only updates without reports are kept. The rest are names.

--- a/src/ibisgw/adapters/SyncEncoder.cpp
+++ b/src/ibisgw/adapters/SyncEncoder.cpp
@@ -14,7 +14,8 @@
 std::string_view SyncEncoder::encode(const sync::SyncMessage& message, core::TimePoint now)
 {
     const auto* update = std::get_if<sync::DirectoryUpdate>(&message);
-    if (update && !update->items.empty())
+    // Reports between controllers depend on whom the follower hears.
+    if (update && !update->items.empty() && update->renewals.empty())
         return encodeUpdate(*update, message, now);
     ++m_encodedCount;
     m_other = encodeSyncMessage(message);
@@ -24,8 +25,8 @@
 std::string_view SyncEncoder::encodeUpdate(
     const sync::DirectoryUpdate& update, const sync::SyncMessage& message, core::TimePoint now)
 {
-    const Key key { update.from, update.to, update.items.size(), update.renewals.size(), update.version,
-        update.membershipIndex, update.hasMore };
+    const Key key { update.from, update.to, update.items.size(), update.version, update.membershipIndex,
+        update.hasMore };
     const auto found = m_entries.find(key);
     if (found != m_entries.end() && now - found->second.madeAt <= entryLifetime)
         return found->second.bytes;
--- a/src/ibisgw/balancer/HomeHandover.cpp
+++ b/src/ibisgw/balancer/HomeHandover.cpp
@@ -75,7 +75,7 @@
 {
     auto relayed = packet;
     if (isQuestion(packet)) {
-        // Not known here, or not objected to. The asking balancer is the home in the present ring.
+        // Not known here either. The asking balancer is the home in the present ring.
         // The asking balancer has a group; this one has not joined it yet and must not place flows for it.
         if (m_homes.ring().members().size() == 1 && m_homes.isHome(packet.flow))
             return true;
--- a/src/ibisgw/direct/FlowForwarder.cpp
+++ b/src/ibisgw/direct/FlowForwarder.cpp
@@ -133,7 +133,7 @@
     auto& flow = remember(segment.flow, *record, &route, now)->second;
     flow.placedHere = true;
     startWork(segment.flow, flow, now);
-    load(record->report.id).opening(now);
+    load(record->report.id).openSent(now);
     m_unconfirmedOpens[segment.flow.caller.address] = { segment.flow, record->report.id, now };
     return decision;
 }
--- a/src/ibisgw/direct/InstanceLoad.cpp
+++ b/src/ibisgw/direct/InstanceLoad.cpp
@@ -25,7 +25,7 @@
     m_lastWorkAt = now;
 }
 
-void InstanceLoad::opening(core::TimePoint now)
+void InstanceLoad::openSent(core::TimePoint now)
 {
     if (!m_unconfirmedSince || now - *m_unconfirmedSince > unconfirmedLimit)
         m_unconfirmedSince = now;
--- a/src/ibisgw/direct/InstanceLoad.h
+++ b/src/ibisgw/direct/InstanceLoad.h
@@ -16,7 +16,7 @@
     void workEnded() { m_inProgress -= m_inProgress > 0 ? 1 : 0; }
 
     // An opening packet was sent to the upstream.
-    void opening(core::TimePoint now);
+    void openSent(core::TimePoint now);
     // A caller showed that the upstream works on its flow.
     void progressed() { m_unconfirmedSince.reset(); }
     // True when the upstream has shown nothing since an opening packet that is long overdue: it has ended, and its VM
