--- a/src/ibisgw_cli/ExplainCommand.cpp
+++ b/src/ibisgw_cli/ExplainCommand.cpp
@@ -54,7 +54,7 @@
     for (const auto& it : *entries) {
         if (!it.is_array() || it.size() != entryFields || !it[0].is_number())
             continue;
-        const bool isPlacement = it[1] == "";
+        const bool isPlacement = it[1].is_string() && it[1].get_ref<const std::string&>().empty();
         Line line { { { "message", isPlacement ? "flow_placed" : "request_forwarded" }, { "flow", it[2] },
                         { "upstream", it[3] }, { "version", batch.fields.value("version", json()) } },
             0, it[0].get<double>(), batch.process };
