Measure the event loop and count log and messages in one place

Found by reading the change: both daemons of the direct-return mode measured the lateness of their loops and set the same three counters. ProcessMonitor does that for both. Names, help texts and values stay as they are; a controller and a balancer now treat the first turn alike. Checks: all unit tests, the linter on the files of the change.

--- a/src/ibisgw/runtime/DirectBalancer.cpp
+++ b/src/ibisgw/runtime/DirectBalancer.cpp
@@ -64,12 +64,12 @@
     , m_pacerTimer(loop.addTimer(pacerPeriod, [this] { releasePackets(); }))
     , m_events(settings.logLinesPerSecond)
     , m_prober(loop, [this](upstream::InstanceId id, direct::ProbeResult result) { noteProbe(id, result); })
+    , m_process(m_metrics, tickPeriod)
     , m_decisions(m_events, packetFormat, m_metrics, settings.logLinesPerSecond)
     , m_egressWait(
           m_metrics.latency("ibisgw_egress_wait_seconds", "Wait of packets that the link could not take at once"))
     , m_configurationDelay(m_metrics.latency(
           "ibisgw_configuration_delay_seconds", "From hearing of an accepted configuration to its coming into force"))
-    , m_loopDelay(m_metrics.latency("ibisgw_loop_delay_seconds", "How late the periodic turns of the event loop came"))
 {
 }
 
@@ -243,11 +243,8 @@
 void DirectBalancer::tickProbes(core::TimePoint now)
 {
     // Probes that ran while this process stood still have timed out for no fault of the upstream.
-    const auto gap = m_lastTickAt == core::TimePoint {} ? core::Duration::zero() : now - m_lastTickAt;
-    m_lastTickAt = now;
+    const auto gap = m_process.noteTurn(now);
     m_longestStall = std::max(m_longestStall, gap);
-    if (gap > core::Duration::zero())
-        m_loopDelay.record(gap - tickPeriod);
     if (gap > stallLimit) {
         m_prober.abandon();
         m_forwarder.responses().discardProbes();
--- a/src/ibisgw/runtime/DirectBalancer.h
+++ b/src/ibisgw/runtime/DirectBalancer.h
@@ -15,6 +15,7 @@
 #include "ibisgw/runtime/EventLog.h"
 #include "ibisgw/runtime/IsolationMonitor.h"
 #include "ibisgw/runtime/PacketFormat.h"
+#include "ibisgw/runtime/ProcessMonitor.h"
 #include "ibisgw/settings/DirectSettings.h"
 #include "ibisgw/sync/DirectorySubscriber.h"
 
@@ -79,17 +80,16 @@
     DirectoryJournal m_journal;
     ConnectProber m_prober;
     adapters::MetricsRegistry m_metrics;
+    ProcessMonitor m_process;
     DecisionJournal m_decisions;
     // Kept by the registry.
     adapters::LatencyHistogram& m_egressWait;
     adapters::LatencyHistogram& m_configurationDelay;
-    adapters::LatencyHistogram& m_loopDelay;
     // Newest configuration that a controller has named, and when it did so first.
     direct::ConfigurationVersion m_announcedVersion { 0 };
     core::TimePoint m_announcedAt {};
     core::TimePoint m_nextExpiry {};
     core::TimePoint m_lastPacketAt {};
-    core::TimePoint m_lastTickAt {};
     core::Duration m_longestStall { 0 };
     // New flows would crowd the first upstreams that become known.
     bool m_hasBeenFilled { false };
--- a/src/ibisgw/runtime/DirectBalancerMetrics.cpp
+++ b/src/ibisgw/runtime/DirectBalancerMetrics.cpp
@@ -22,10 +22,7 @@
         = m_pacer.droppedFull();
     m_metrics.counter("ibisgw_probes_total", "Connections opened to find out whether an upstream answers")
         = m_prober.probeCount();
-    m_metrics.counter("ibisgw_log_lines_left_out_total", "Events over the rate of their kind") = m_events.leftOut();
-    m_metrics.counter("ibisgw_log_lines_dropped_total", "Lines that standard output did not take")
-        = adapters::droppedLogLines();
-    m_metrics.counter("ibisgw_peer_bytes_sent_total", "Bytes sent to other daemons") = m_peers.counters().bytesSent;
+    m_process.updateCounters(m_events, m_peers);
     m_metrics.gauge("ibisgw_open_flows", "Flows that this balancer has seen and that are not over")
         = static_cast<double>(m_forwarder.openFlows());
     m_metrics.gauge("ibisgw_egress_queue_bytes", "Bytes that wait for the link")
--- a/src/ibisgw/runtime/DirectController.cpp
+++ b/src/ibisgw/runtime/DirectController.cpp
@@ -76,12 +76,12 @@
     , m_feed(m_random->next() | 1, m_directory)
     , m_subscriber(controllerSubscription(settings, m_peers.self(), *m_random), m_directory)
     , m_events(settings.logLinesPerSecond)
+    , m_process(m_metrics, tickPeriod)
     , m_changeTime(m_metrics.latency(
           "ibisgw_configuration_commit_seconds", "From proposing a configuration to its acknowledgement"))
     , m_leaveTime(m_metrics.latency(
           "ibisgw_leave_confirmation_seconds", "From the report of an upstream that leaves to its acknowledgement"))
     , m_syncTime(m_metrics.latency("ibisgw_disk_sync_seconds", "Time of a sync of the log"))
-    , m_loopDelay(m_metrics.latency("ibisgw_loop_delay_seconds", "How late the periodic turns of the event loop came"))
 {
     m_store->onSynced([this](core::Duration it) { m_syncTime.record(it); });
 }
@@ -107,9 +107,7 @@
 void DirectController::tick()
 {
     const auto now = m_loop.now();
-    if (m_lastTickAt != core::TimePoint {})
-        m_loopDelay.record(now - m_lastTickAt - tickPeriod);
-    m_lastTickAt = now;
+    m_process.noteTurn(now);
     m_register.tick(now, *this);
     m_subscriber.tick(now, *this);
     markOverdue(now);
--- a/src/ibisgw/runtime/DirectController.h
+++ b/src/ibisgw/runtime/DirectController.h
@@ -10,6 +10,7 @@
 #include "ibisgw/core/PcgRandomSource.h"
 #include "ibisgw/runtime/DirectoryJournal.h"
 #include "ibisgw/runtime/EventLog.h"
+#include "ibisgw/runtime/ProcessMonitor.h"
 #include "ibisgw/settings/DirectSettings.h"
 #include "ibisgw/sync/DirectoryFeed.h"
 #include "ibisgw/sync/DirectorySubscriber.h"
@@ -119,12 +120,11 @@
     EventLog m_events;
     DirectoryJournal m_journal;
     adapters::MetricsRegistry m_metrics;
+    ProcessMonitor m_process;
     // Kept by the registry.
     adapters::LatencyHistogram& m_changeTime;
     adapters::LatencyHistogram& m_leaveTime;
     adapters::LatencyHistogram& m_syncTime;
-    adapters::LatencyHistogram& m_loopDelay;
-    core::TimePoint m_lastTickAt {};
     core::NodeId m_notedLeader;
     std::uint64_t m_notedMembership { 0 };
     configuration::RaftRole m_notedRole { configuration::RaftRole::CheckingDisk };
--- a/src/ibisgw/runtime/DirectControllerMetrics.cpp
+++ b/src/ibisgw/runtime/DirectControllerMetrics.cpp
@@ -25,10 +25,7 @@
         m_metrics.counter("ibisgw_calls_total", "Calls of operators and upstreams by outcome",
             { { "outcome", std::string(nameOf(event)) } })
             = m_events.count(event);
-    m_metrics.counter("ibisgw_log_lines_left_out_total", "Events over the rate of their kind") = m_events.leftOut();
-    m_metrics.counter("ibisgw_log_lines_dropped_total", "Lines that standard output did not take")
-        = adapters::droppedLogLines();
-    m_metrics.counter("ibisgw_peer_bytes_sent_total", "Bytes sent to other daemons") = m_peers.counters().bytesSent;
+    m_process.updateCounters(m_events, m_peers);
     countUpstreams(m_directory, m_metrics);
     return m_metrics.render();
 }
