Look a flow up only for packets that open it, and send answers of previous homes in one place

Found by reading the change: each answer of an upstream cost a second look-up of its flow, needed for an 'opened' only; the answer to a question was sent in two places; packets of held 'opened' were kept in a member until the next call.

--- a/src/ibisgw/balancer/Balancer.cpp
+++ b/src/ibisgw/balancer/Balancer.cpp
@@ -224,8 +224,8 @@
     dropLeftOver(packet, now);
     const bool isOpened = packet.type == PacketType::Opened;
     const bool isQuestion = isOpened && HomeHandover::isQuestion(packet);
-    const bool isKnown
-        = m_admission.hasDecided(packet.flow) || m_flows.find(packet.flow, now, flow::FlowTable::Touch::No);
+    const bool isKnown = isOpened
+        && (m_admission.hasDecided(packet.flow) || m_flows.find(packet.flow, now, flow::FlowTable::Touch::No));
     const bool isHandled = m_admission.handleUpstreamPacket(packet, *service, now, output);
     if (isQuestion && isKnown && m_homeQuestions.answerOpened(packet, !isHandled, now, output))
         return;
@@ -283,9 +283,9 @@
         m_flows.bucketCount() / scanTicks + 1, [&](flow::FlowEntry& entry) { return maintainFlow(entry, now); });
     m_homeQuestions.tick(now);
     for (const auto& it : m_homeQuestions.takeUnanswered(now)) {
-        const auto* service = m_document ? m_document->findService(it.flow.service) : nullptr;
-        if (service && serves(it.upstream, *service))
-            passToCaller(it, *service, now, output);
+        const auto* service = m_document ? m_document->findService(it.packet.flow.service) : nullptr;
+        if (service && serves(it.packet.upstream, *service))
+            passToCaller(it.packet, *service, now, output);
     }
     m_admission.tick(now, output);
     placeAdmitted(now, output);
--- a/src/ibisgw/balancer/HomeHandover.cpp
+++ b/src/ibisgw/balancer/HomeHandover.cpp
@@ -79,12 +79,8 @@
         // The asking balancer has a group; this one has not joined it yet and must not place flows for it.
         if (m_homes.ring().members().size() == 1 && m_homes.isHome(packet.flow))
             return true;
-        const auto home = m_homes.homeOf(packet.flow);
-        if (!home.isValid() || home == m_homes.self())
-            return false;
         ++relayed.relayHops;
-        m_relay.send(relayed, home, now, output);
-        return true;
+        return answer(relayed, now, output);
     }
     if (isAnswer(packet) && packet.type == PacketType::Opened)
         m_heldOpened.erase(packet.flow);
@@ -115,21 +111,27 @@
         return;
     auto& held = m_heldOpened[packet.flow];
     held = { packet, { packet.payload.begin(), packet.payload.end() }, now + answerTimeout };
+    held.packet.payload = held.payload;
 }
 
-bool HomeHandover::answerOpened(const Packet& question, bool isRight, core::TimePoint now, BalancerOutput& output)
+bool HomeHandover::answer(const Packet& packet, core::TimePoint now, BalancerOutput& output)
 {
-    const auto home = m_homes.homeOf(question.flow);
+    const auto home = m_homes.homeOf(packet.flow);
     if (!home.isValid() || home == m_homes.self())
         return false;
-    auto answer = question;
-    answer.relayHops = lastAnswerHop;
+    m_relay.send(packet, home, now, output);
+    return true;
+}
+
+bool HomeHandover::answerOpened(const Packet& question, bool isRight, core::TimePoint now, BalancerOutput& output)
+{
+    auto packet = question;
+    packet.relayHops = lastAnswerHop;
     if (!isRight) {
-        answer.type = PacketType::Reset;
-        answer.payload = {};
+        packet.type = PacketType::Reset;
+        packet.payload = {};
     }
-    m_relay.send(answer, home, now, output);
-    return true;
+    return answer(packet, now, output);
 }
 
 bool HomeHandover::takeObjection(const Packet& packet)
@@ -140,21 +142,16 @@
     return true;
 }
 
-std::vector<Packet> HomeHandover::takeUnanswered(core::TimePoint now)
+std::vector<HomeHandover::HeldOpened> HomeHandover::takeUnanswered(core::TimePoint now)
 {
-    m_released.clear();
+    std::vector<HeldOpened> unanswered;
     for (auto it = m_heldOpened.begin(); it != m_heldOpened.end();) {
         const bool isOver = now >= it->second.until;
         if (isOver)
-            m_released.push_back(std::move(it->second));
+            unanswered.push_back(std::move(it->second));
         it = isOver ? m_heldOpened.erase(it) : std::next(it);
     }
-    std::vector<Packet> packets;
-    for (const auto& it : m_released) {
-        packets.push_back(it.packet);
-        packets.back().payload = it.payload;
-    }
-    return packets;
+    return unanswered;
 }
 
 void HomeHandover::tick(core::TimePoint now)
--- a/src/ibisgw/balancer/HomeHandover.h
+++ b/src/ibisgw/balancer/HomeHandover.h
@@ -21,6 +21,13 @@
     // previous homes that still run are asked, as long as the ring retains them.
     static constexpr core::Duration memory = std::chrono::seconds(5);
 
+    // An `opened` of a flow that is not known here. The packet's payload is the one held with it.
+    struct HeldOpened {
+        packet::Packet packet;
+        std::vector<std::byte> payload;
+        core::TimePoint until;
+    };
+
     HomeHandover(const FlowHomes&, PeerRelay&);
 
     // Whether another balancer asks with this packet.
@@ -35,17 +42,11 @@
     bool answerOpened(const packet::Packet&, bool isRight, core::TimePoint now, BalancerOutput&);
     // True when the packet is such an answer; the `opened` it is about is dropped.
     bool takeObjection(const packet::Packet&);
-    // The `opened` packets whose questions stayed without an answer. Valid until the next call.
-    std::vector<packet::Packet> takeUnanswered(core::TimePoint now);
+    // The `opened` packets whose questions stayed without an answer.
+    std::vector<HeldOpened> takeUnanswered(core::TimePoint now);
     void tick(core::TimePoint now);
 
 private:
-    struct HeldOpened {
-        packet::Packet packet;
-        std::vector<std::byte> payload;
-        core::TimePoint until;
-    };
-
     // Questions that were not answered. Balancers that know the flow forward the packet and do not answer.
     struct Question {
         core::TimePoint firstAskedAt;
@@ -53,6 +54,8 @@
     };
 
     void hold(const packet::Packet&, core::TimePoint now);
+    // Sends an answer to the present home of the flow. False when that is this balancer, or there is none.
+    bool answer(const packet::Packet&, core::TimePoint now, BalancerOutput&);
     std::vector<core::NodeId> previousHomes(const packet::Packet&, core::TimePoint now) const;
     bool hasEnded(const core::FlowKey&, core::NodeId, core::TimePoint now);
 
@@ -62,7 +65,6 @@
     std::unordered_map<core::FlowKey, Question> m_questionsByFlow;
     std::unordered_map<core::NodeId, Question> m_questionsByNode;
     std::unordered_map<core::FlowKey, HeldOpened> m_heldOpened;
-    std::vector<HeldOpened> m_released;
 };
 
 } // namespace ibisgw::balancer
