Decide in one place which members of the group are silent

Found by reading the change: the removal of silent voters and the limit of voters tested the same condition, once each way; two loops of the test group that try the leader again differed in one call. No behaviour changes.

--- a/src/ibisgw/configuration/RaftMembership.cpp
+++ b/src/ibisgw/configuration/RaftMembership.cpp
@@ -166,11 +166,14 @@
 // voters that has lost one could otherwise neither remove it nor take up its successor.
 std::size_t RaftNode::votersInContact(core::TimePoint now) const
 {
-    return static_cast<std::size_t>(std::ranges::count_if(m_log.membership().members, [&](const Member& it) {
-        const auto progress = m_progress.find(it.node);
-        return it.voter
-            && (progress == m_progress.end() || now - progress->second.lastContact < m_options.removalTimeout);
-    }));
+    return static_cast<std::size_t>(std::ranges::count_if(
+        m_log.membership().members, [&](const Member& it) { return it.voter && !isSilent(it.node, now); }));
+}
+
+bool RaftNode::isSilent(core::NodeId node, core::TimePoint now) const
+{
+    const auto progress = m_progress.find(node);
+    return progress != m_progress.end() && now - progress->second.lastContact >= m_options.removalTimeout;
 }
 
 // A learner gets its vote once its durable log holds every committed entry (dissertation, 4.2.1).
@@ -204,10 +207,7 @@
     const std::size_t minVoters = 2 * m_options.toleratedDiskLosses + 1;
     const auto voters = m_log.membership().voterCount();
     for (const auto& it : m_log.membership().members) {
-        const auto progress = m_progress.find(it.node);
-        if (progress == m_progress.end() || now - progress->second.lastContact < m_options.removalTimeout)
-            continue;
-        if (it.voter && voters <= minVoters)
+        if (!isSilent(it.node, now) || (it.voter && voters <= minVoters))
             continue;
         auto membership = m_log.membership();
         membership.remove(it.node);
--- a/src/ibisgw/configuration/RaftNode.h
+++ b/src/ibisgw/configuration/RaftNode.h
@@ -136,6 +136,8 @@
     void recordStart(const Member&, core::TimePoint now);
     void promoteLearners(core::TimePoint now);
     std::size_t votersInContact(core::TimePoint now) const;
+    // On the leader: whether a member may be gone for good.
+    bool isSilent(core::NodeId, core::TimePoint now) const;
     void removeSilentMembers(core::TimePoint now);
     std::set<core::NodeId> contacts() const;
     bool mayFoundGroup() const;
--- a/tests/support/RegisterGroup.cpp
+++ b/tests/support/RegisterGroup.cpp
@@ -145,37 +145,40 @@
     return nodes;
 }
 
-bool RegisterGroup::replace(std::uint64_t version, core::Duration limit)
+template <typename Attempt> bool RegisterGroup::tryAtLeader(core::Duration limit, Attempt attempt)
 {
-    const auto text = "configuration " + std::to_string(version);
     for (const auto end = m_now + limit; m_now < end; runFor(20ms)) {
         const auto node = leader();
         if (!node.isValid())
             continue;
-        auto& instance = *m_members.at(node).instance;
         Output output(*this, node);
-        if (instance.replace(version, text, m_now, output) == ReplaceStatus::Accepted)
+        if (attempt(*m_members.at(node).instance, output))
             return true;
     }
     return false;
 }
 
+bool RegisterGroup::replace(std::uint64_t version, core::Duration limit)
+{
+    const auto text = "configuration " + std::to_string(version);
+    return tryAtLeader(limit, [&](ConfigurationRegister& instance, RaftOutput& output) {
+        return instance.replace(version, text, m_now, output) == ReplaceStatus::Accepted;
+    });
+}
+
 std::uint64_t RegisterGroup::read(core::Duration limit)
 {
-    for (const auto end = m_now + limit; m_now < end; runFor(20ms)) {
-        const auto node = leader();
-        if (!node.isValid())
-            continue;
-        auto& instance = *m_members.at(node).instance;
-        Output output(*this, node);
+    std::uint64_t version = 0;
+    tryAtLeader(limit, [&](ConfigurationRegister& instance, RaftOutput& output) {
         const auto ticket = instance.beginRead(m_now, output);
         if (!ticket)
-            continue;
+            return false;
         runFor(100ms);
-        if (m_members.at(node).instance && instance.readState(*ticket) == ReadState::Ready)
-            return instance.version();
-    }
-    return 0;
+        const bool isReady = instance.readState(*ticket) == ReadState::Ready;
+        version = isReady ? instance.version() : 0;
+        return isReady;
+    });
+    return version;
 }
 
 } // namespace support
--- a/tests/support/RegisterGroup.h
+++ b/tests/support/RegisterGroup.h
@@ -61,6 +61,8 @@
     core::NodeId create(bool isFirstStart);
     void start(core::NodeId, bool isFirstStart);
     void step();
+    // Repeats the attempt at whoever leads, until it succeeds or the time is over.
+    template <typename Attempt> bool tryAtLeader(core::Duration limit, Attempt);
 
     std::size_t m_toleratedDiskLosses;
     std::uint64_t m_seed;
