Run the register group of the tests on the shared message queue; list what is proved and what is not

Found by reading the change: RegisterGroup had a message queue, a clock, loss and delivery of its own beside MessageQueue. It uses that one now, with varying delays in addition.

--- a/tests/support/RegisterGroup.cpp
+++ b/tests/support/RegisterGroup.cpp
@@ -11,9 +11,7 @@
 
 namespace {
 
-constexpr core::Duration messageTime = 1ms;
-constexpr core::Duration stepTime = 1ms;
-constexpr int stepsPerTick = 20;
+constexpr core::Duration tickInterval = 20ms;
 constexpr std::size_t seedCount = 3;
 
 } // namespace
@@ -27,7 +25,8 @@
 
     void send(core::NodeId to, const RaftMessage& message) override
     {
-        group.m_messages.push_back({ from, to, message, group.m_now + messageTime });
+        group.m_queue.send(from.value, to.value,
+            [&group = group, from = from, to, message](core::TimePoint) { group.deliver(from, to, message); });
     }
 
     RegisterGroup& group;
@@ -38,6 +37,7 @@
     : m_toleratedDiskLosses(toleratedDiskLosses)
     , m_seed(seed)
     , m_random(seed)
+    , m_queue({}, m_random)
 {
     for (std::size_t n = 1; n <= seedCount; ++n)
         m_seeds.push_back({ n });
@@ -81,7 +81,7 @@
     options.diskCheckInterval = 100ms;
     auto& member = m_members.at(node);
     member.instance = std::make_unique<ConfigurationRegister>(options, *member.store, *member.random);
-    if (!member.instance->start(m_now))
+    if (!member.instance->start(m_queue.now()))
         throw std::runtime_error("a controller did not start");
 }
 
@@ -97,31 +97,24 @@
     m_members.at(node).store->wipe();
 }
 
-void RegisterGroup::step()
+void RegisterGroup::deliver(core::NodeId from, core::NodeId to, const RaftMessage& message)
 {
-    m_now += stepTime;
-    while (!m_messages.empty() && m_messages.front().at <= m_now) {
-        const auto message = std::move(m_messages.front());
-        m_messages.pop_front();
-        const bool isCut = m_cutOff.contains(message.from) || m_cutOff.contains(message.to);
-        const auto target = m_members.find(message.to);
-        if (isCut || m_random.chance(m_loss) || target == m_members.end() || !target->second.instance)
-            continue;
-        Output output(*this, message.to);
-        target->second.instance->handleMessage(message.from, message.message, m_now, output);
-    }
+    const auto target = m_members.find(to);
+    if (m_cutOff.contains(from) || m_cutOff.contains(to) || target == m_members.end() || !target->second.instance)
+        return;
+    Output output(*this, to);
+    target->second.instance->handleMessage(from, message, m_queue.now(), output);
 }
 
 void RegisterGroup::runFor(core::Duration duration)
 {
-    const auto end = m_now + duration;
-    while (m_now < end) {
-        for (int n = 0; n < stepsPerTick; ++n)
-            step();
+    const auto end = m_queue.now() + duration;
+    while (m_queue.now() < end) {
+        m_queue.runFor(tickInterval);
         for (auto& [node, member] : m_members) {
             Output output(*this, node);
             if (member.instance)
-                member.instance->tick(m_now, output);
+                member.instance->tick(m_queue.now(), output);
         }
     }
 }
@@ -147,7 +140,7 @@
 
 template <typename Attempt> bool RegisterGroup::tryAtLeader(core::Duration limit, Attempt attempt)
 {
-    for (const auto end = m_now + limit; m_now < end; runFor(20ms)) {
+    for (const auto end = m_queue.now() + limit; m_queue.now() < end; runFor(tickInterval)) {
         const auto node = leader();
         if (!node.isValid())
             continue;
@@ -162,7 +155,7 @@
 {
     const auto text = "configuration " + std::to_string(version);
     return tryAtLeader(limit, [&](ConfigurationRegister& instance, RaftOutput& output) {
-        return instance.replace(version, text, m_now, output) == ReplaceStatus::Accepted;
+        return instance.replace(version, text, m_queue.now(), output) == ReplaceStatus::Accepted;
     });
 }
 
@@ -170,7 +163,7 @@
 {
     std::uint64_t version = 0;
     tryAtLeader(limit, [&](ConfigurationRegister& instance, RaftOutput& output) {
-        const auto ticket = instance.beginRead(m_now, output);
+        const auto ticket = instance.beginRead(m_queue.now(), output);
         if (!ticket)
             return false;
         runFor(100ms);
--- a/tests/support/RegisterGroup.h
+++ b/tests/support/RegisterGroup.h
@@ -3,8 +3,8 @@
 #include "ibisgw/configuration/ConfigurationRegister.h"
 #include "ibisgw/core/PcgRandomSource.h"
 #include "support/MemoryLogStore.h"
+#include "support/MessageQueue.h"
 
-#include <deque>
 #include <map>
 #include <memory>
 #include <set>
@@ -14,8 +14,8 @@
 namespace core = ibisgw::core;
 namespace configuration = ibisgw::configuration;
 
-// Controllers with an open membership in one virtual time. Messages take 1 ms; those to and from a cut off or stopped
-// controller are lost.
+// Registers with an open membership on one message queue, for groups whose members come and go. ControllerGroup runs
+// a fixed number of machines with the document service. Messages to and from a cut off or stopped controller are lost.
 class RegisterGroup {
 public:
     // The first three controllers are the seeds.
@@ -31,7 +31,7 @@
     void rejoin(core::NodeId node) { m_cutOff.erase(node); }
 
     // Share of the messages that are lost.
-    void setLoss(double loss) { m_loss = loss; }
+    void setLoss(double loss) { m_queue.conditions().loss = loss; }
 
     void runFor(core::Duration);
     // Tries the leader again and again; false when the change was not accepted in time.
@@ -50,17 +50,11 @@
         // Null while the controller is stopped.
         std::unique_ptr<configuration::ConfigurationRegister> instance;
     };
-    struct Message {
-        core::NodeId from;
-        core::NodeId to;
-        configuration::RaftMessage message;
-        core::TimePoint at;
-    };
     struct Output;
 
     core::NodeId create(bool isFirstStart);
     void start(core::NodeId, bool isFirstStart);
-    void step();
+    void deliver(core::NodeId from, core::NodeId to, const configuration::RaftMessage&);
     // Repeats the attempt at whoever leads, until it succeeds or the time is over.
     template <typename Attempt> bool tryAtLeader(core::Duration limit, Attempt);
 
@@ -69,10 +63,8 @@
     std::vector<core::NodeId> m_seeds;
     std::map<core::NodeId, Member> m_members;
     std::set<core::NodeId> m_cutOff;
-    double m_loss { 0 };
     core::PcgRandomSource m_random;
-    std::deque<Message> m_messages;
-    core::TimePoint m_now { std::chrono::seconds(100) };
+    MessageQueue m_queue;
 };
 
 } // namespace support
