Serve routes of kind download

The value stood in two places, the name table and the list of choices of the message; readEnum() now takes the table.

Ruled out: treating a download as a plain idempotent route. Its answer takes forty packets, and the work estimate would end with the first acknowledgement, so an upstream that still sends seems to be idle. The work on a download now lasts until 100 ms after the caller's last acknowledgement, or until the flow closes or the next request comes.

Tests: each kind of route is read; an unknown kind is refused with path and known kinds; the work on a long answer.

--- a/src/ibisgw/configuration/Document.h
+++ b/src/ibisgw/configuration/Document.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "ibisgw/core/Ids.h"
+#include "ibisgw/core/NameTable.h"
 #include "ibisgw/core/Time.h"
 
 #include <cstdint>
@@ -23,10 +24,15 @@
     Refuse,
 };
 
-std::string_view nameOf(Placement);
-std::string_view nameOf(PartitionBehaviour);
-std::optional<Placement> placementFromName(std::string_view);
-std::optional<PartitionBehaviour> partitionBehaviourFromName(std::string_view);
+inline constexpr core::NameTable<Placement, 2> placementNames { {
+    { Placement::Sticky, "sticky" },
+    { Placement::Load, "load" },
+} };
+
+inline constexpr core::NameTable<PartitionBehaviour, 2> partitionBehaviourNames { {
+    { PartitionBehaviour::Serve, "serve" },
+    { PartitionBehaviour::Refuse, "refuse" },
+} };
 
 struct RequestKind {
     core::KindId id { 0 };
--- a/src/ibisgw/configuration/DocumentReader.cpp
+++ b/src/ibisgw/configuration/DocumentReader.cpp
@@ -23,12 +23,12 @@
     reader.readInteger("id", kind.id, 1, maxKindId, Presence::Required);
     reader.readName("name", kind.name, Presence::Required);
     reader.readBoolean("idempotent", kind.idempotent);
-    reader.readEnum("placement", kind.placement, placementFromName, "sticky, load");
+    reader.readEnum("placement", kind.placement, placementNames);
     reader.readInteger("deadline_ms", kind.deadlineMs, 1, dayMs, Presence::Optional);
     reader.readInteger("retry_limit", kind.retryLimit, 0, maxRetryLimit, Presence::Optional);
     reader.readInteger("concurrency_limit", kind.concurrencyLimit, 1, maxConcurrency, Presence::Optional);
     reader.readInteger("queue_limit", kind.queueLimit, 0, maxConcurrency, Presence::Optional);
-    reader.readEnum("on_partition", kind.onPartition, partitionBehaviourFromName, "serve, refuse");
+    reader.readEnum("on_partition", kind.onPartition, partitionBehaviourNames);
 }
 
 void readService(ObjectReader& reader, Service& service)
--- a/src/ibisgw/configuration/DocumentWriter.cpp
+++ b/src/ibisgw/configuration/DocumentWriter.cpp
@@ -14,12 +14,12 @@
         { "id", kind.id },
         { "name", kind.name },
         { "idempotent", kind.idempotent },
-        { "placement", nameOf(kind.placement) },
+        { "placement", placementNames.nameOf(kind.placement) },
         { "deadline_ms", kind.deadlineMs },
         { "retry_limit", kind.retryLimit },
         { "concurrency_limit", kind.concurrencyLimit },
         { "queue_limit", kind.queueLimit },
-        { "on_partition", nameOf(kind.onPartition) },
+        { "on_partition", partitionBehaviourNames.nameOf(kind.onPartition) },
     };
 }
 
--- a/src/ibisgw/core/NameTable.h
+++ b/src/ibisgw/core/NameTable.h
@@ -2,6 +2,7 @@
 
 #include <cstddef>
 #include <optional>
+#include <string>
 #include <string_view>
 #include <utility>
 
@@ -28,6 +29,18 @@
         }
         return std::nullopt;
     }
+
+    // All names, for messages that tell what may be used.
+    std::string listNames() const
+    {
+        std::string list;
+        for (const auto& [value, name] : entries) {
+            if (!list.empty())
+                list += ", ";
+            list += name;
+        }
+        return list;
+    }
 };
 
 } // namespace ibisgw::core
--- a/src/ibisgw/core/ObjectReader.h
+++ b/src/ibisgw/core/ObjectReader.h
@@ -59,16 +59,16 @@
             = integerOf(member, min, std::min<std::uint64_t>(max, std::numeric_limits<T>::max()), presence))
             value = static_cast<T>(*n);
     }
-    template <typename Enum, typename Parser>
-    void readEnum(std::string_view member, Enum& value, Parser parse, std::string_view choices)
+    template <typename Enum, std::size_t count>
+    void readEnum(std::string_view member, Enum& value, const NameTable<Enum, count>& names)
     {
         std::string text;
         if (!stringOf(member, text, Presence::Optional))
             return;
-        if (const auto parsed = parse(std::string_view(text)))
+        if (const auto parsed = names.valueOf(text))
             value = *parsed;
         else
-            report(member, "has an unknown value; use one of: " + std::string(choices));
+            report(member, "has an unknown value; use one of: " + names.listNames());
     }
     // Calls the function with a reader for each object of the list.
     void readObjects(std::string_view member, Presence, const std::function<void(ObjectReader&)>&);
--- a/src/ibisgw/direct/FlowForwarder.cpp
+++ b/src/ibisgw/direct/FlowForwarder.cpp
@@ -33,6 +33,9 @@
 // Work that is not seen to end counts for this long when the route states no latency objective.
 constexpr core::Duration defaultExpectedWork = std::chrono::milliseconds(100);
 
+// The acknowledgements of a long answer come once a round trip; a longer pause means that it has been sent.
+constexpr core::Duration answerPause = std::chrono::milliseconds(100);
+
 // Callers repeat data after 200 ms or more; a copy that comes sooner was delayed on the network.
 constexpr core::Duration reorderingTime = std::chrono::milliseconds(100);
 
@@ -218,7 +221,8 @@
         && m_responses.isUnresponsive(record.report.id);
 }
 
-// Work starts with data of the caller and has ended once the caller acknowledges new data of the upstream.
+// Work starts with data of the caller and has ended once the caller acknowledges new data of the upstream, or all of a
+// long answer.
 void FlowForwarder::observe(Flow& flow, const FlowSegment& segment, ForwardDecision& decision, core::TimePoint now)
 {
     flow.lastSeenAt = now;
@@ -227,18 +231,34 @@
     const bool hasNewAnswer = !isFirst && segment.isAcknowledging && isAfter(segment.acknowledged, flow.acknowledged);
     if (segment.isAcknowledging && (isFirst || hasNewAnswer))
         flow.acknowledged = segment.acknowledged;
-    if (hasNewAnswer) {
-        m_responses.noteProgress(flow.instance);
-        load(flow.instance).progressed();
-        if (flow.isWorking)
-            decision.answerTime = now - flow.workStartedAt;
-    }
-    if (hasNewAnswer || segment.isFinishing || segment.isReset)
+    if (hasNewAnswer)
+        observeAnswer(segment.flow, flow, decision, now);
+    const bool followsLongAnswer = flow.isAnswering && decision.startsWork;
+    if (segment.isFinishing || segment.isReset || followsLongAnswer)
         endWork(flow);
     if (segment.payloadBytes > 0 && !flow.isWorking && !segment.isFinishing)
         startWork(segment.flow, flow, now);
 }
 
+void FlowForwarder::observeAnswer(
+    const core::FlowKey& key, Flow& flow, ForwardDecision& decision, core::TimePoint now)
+{
+    m_responses.noteProgress(flow.instance);
+    load(flow.instance).progressed();
+    if (!flow.isWorking)
+        return;
+    if (!flow.isAnswering)
+        decision.answerTime = now - flow.workStartedAt;
+    if (!flow.hasLongAnswer) {
+        endWork(flow);
+        return;
+    }
+    flow.workEndsAt = now + answerPause;
+    if (!flow.isAnswering)
+        m_workDeadlines.push({ flow.workEndsAt, key, flow.workNumber });
+    flow.isAnswering = true;
+}
+
 void FlowForwarder::observeSequence(
     Flow& flow, const FlowSegment& segment, ForwardDecision& decision, core::TimePoint now)
 {
@@ -246,7 +266,7 @@
         return;
     const auto next = segment.sequence + segment.payloadBytes;
     if (!flow.hasData || isAfter(next, flow.nextSequence)) {
-        decision.startsWork = !flow.hasData || !flow.isWorking
+        decision.startsWork = !flow.hasData || !flow.isWorking || flow.isAnswering
             || (segment.isAcknowledging && isAfter(segment.acknowledged, flow.acknowledged));
         flow.hasData = true;
         flow.nextSequence = next;
@@ -265,10 +285,12 @@
     if (flow.isWorking)
         return;
     flow.isWorking = true;
+    flow.isAnswering = false;
     flow.workStartedAt = now;
+    flow.workEndsAt = now + flow.expectedWork;
     flow.workNumber = ++m_workCount;
     load(flow.instance).workStarted(now);
-    m_workDeadlines.push({ now + flow.expectedWork, key, flow.workNumber });
+    m_workDeadlines.push({ flow.workEndsAt, key, flow.workNumber });
 }
 
 void FlowForwarder::endWork(Flow& flow)
@@ -294,6 +316,7 @@
     flow.openedAt = flow.lastSeenAt = now;
     const bool hasObjective = route && route->latencyObjective > core::Duration::zero();
     flow.expectedWork = hasObjective ? route->latencyObjective : defaultExpectedWork;
+    flow.hasLongAnswer = route && route->kind == RouteKind::Download;
     load(flow.instance).flowOpened();
     return entry;
 }
@@ -349,16 +372,25 @@
 }
 
 void FlowForwarder::tick(core::TimePoint now)
+{
+    endOverdueWork(now);
+    if (now >= m_nextExpiry)
+        expireFlows(now);
+}
+
+void FlowForwarder::endOverdueWork(core::TimePoint now)
 {
     while (!m_workDeadlines.empty() && m_workDeadlines.top().at <= now) {
-        const auto& deadline = m_workDeadlines.top();
+        const auto deadline = m_workDeadlines.top();
+        m_workDeadlines.pop();
         const auto found = m_flows.find(deadline.flow);
-        if (found != m_flows.end() && found->second.workNumber == deadline.workNumber)
+        if (found == m_flows.end() || found->second.workNumber != deadline.workNumber || !found->second.isWorking)
+            continue;
+        if (found->second.workEndsAt <= now)
             endWork(found->second);
-        m_workDeadlines.pop();
+        else
+            m_workDeadlines.push({ found->second.workEndsAt, deadline.flow, deadline.workNumber });
     }
-    if (now >= m_nextExpiry)
-        expireFlows(now);
 }
 
 void FlowForwarder::expireFlows(core::TimePoint now)
--- a/src/ibisgw/direct/FlowForwarder.h
+++ b/src/ibisgw/direct/FlowForwarder.h
@@ -103,7 +103,12 @@
         core::TimePoint openedAt;
         core::TimePoint lastSeenAt;
         core::TimePoint workStartedAt;
+        // Work that is not seen to end counts until then.
+        core::TimePoint workEndsAt;
         core::Duration expectedWork { 0 };
+        // The answer takes many packets: its first one does not end the work.
+        bool hasLongAnswer { false };
+        bool isAnswering { false };
         std::uint64_t workNumber { 0 };
     };
     struct WorkDeadline {
@@ -140,7 +145,9 @@
         const core::FlowKey&, const upstream::InstanceRecord&, const Route*, core::TimePoint now);
     void observe(Flow&, const FlowSegment&, ForwardDecision&, core::TimePoint now);
     void observeSequence(Flow&, const FlowSegment&, ForwardDecision&, core::TimePoint now);
+    void observeAnswer(const core::FlowKey&, Flow&, ForwardDecision&, core::TimePoint now);
     void startWork(const core::FlowKey&, Flow&, core::TimePoint now);
+    void endOverdueWork(core::TimePoint now);
     void endWork(Flow&);
     void forget(FlowMap::iterator);
     void expireFlows(core::TimePoint now);
--- a/src/ibisgw/direct/RouteConfiguration.h
+++ b/src/ibisgw/direct/RouteConfiguration.h
@@ -18,6 +18,7 @@
     Idempotent,
     NonIdempotent,
     Upload, // not idempotent, with a large body
+    Download, // idempotent, with a large answer
 };
 
 // A service that takes a share of the new flows of a route.
--- a/tests/direct/FlowForwarderTests.cpp
+++ b/tests/direct/FlowForwarderTests.cpp
@@ -15,6 +15,7 @@
 
 constexpr core::Endpoint bookingAddress { 0xc6120001, 8080 };
 constexpr core::Endpoint archiveAddress { 0xc6120002, 8443 };
+constexpr core::Endpoint patternAddress { 0xc6120003, 8443 };
 
 std::shared_ptr<RouteConfiguration> configurationOf(ConfigurationVersion version)
 {
@@ -24,6 +25,7 @@
     configuration->routes.push_back(
         { "r1", bookingAddress, RouteKind::NonIdempotent, 1, 1500ms, 150ms, { { "booking", 1 } } });
     configuration->routes.push_back({ "r2", archiveAddress, RouteKind::Upload, 2, 5s, 500ms, { { "archive", 1 } } });
+    configuration->routes.push_back({ "r3", patternAddress, RouteKind::Download, 2, 8s, 500ms, { { "archive", 1 } } });
     return configuration;
 }
 
@@ -222,6 +224,65 @@
         }
     }
 
+    // Guards against downloads that are taken for finished after the first of many acknowledgements, so that upstreams
+    // that are still sending seem to be idle and get more flows.
+    TEST_CASE("the work on a long answer lasts as long as the caller acknowledges more of it")
+    {
+        Forwarding it;
+        it.add(1, "archive");
+        const auto segment = it.opening(patternAddress);
+        const auto opened = it.handle(segment);
+        it.handle(Forwarding::dataOf(segment, opened.token, 500));
+        const auto inProgress = [&] { return it.forwarder.loadOf({ 1 })->inProgress(); };
+        auto acknowledgement = Forwarding::dataOf(segment, opened.token, 500);
+        acknowledgement.payloadBytes = 0;
+        const auto acknowledge = [&] {
+            acknowledgement.acknowledged += 2400;
+            it.now += 10ms;
+            it.forwarder.tick(it.now);
+            return it.handle(acknowledgement);
+        };
+
+        CHECK(acknowledge().answerTime == core::Duration(10ms));
+        SUBCASE("from the first acknowledgement to the last, also past the latency objective")
+        {
+            for (int n = 0; n < 60; ++n) {
+                CHECK(!acknowledge().answerTime);
+                CHECK(inProgress() == 1);
+            }
+        }
+        SUBCASE("the next request on the flow counts from its own start")
+        {
+            acknowledge();
+            auto request = Forwarding::dataOf(segment, opened.token, acknowledgement.acknowledged);
+            request.sequence += 100;
+            it.now += 10ms;
+            CHECK(it.handle(request).startsWork);
+            CHECK(inProgress() == 1);
+            it.forwarder.tick(it.now += 200ms);
+            CHECK(inProgress() == 1);
+            it.now -= 10ms;
+            CHECK(acknowledge().answerTime == core::Duration(200ms));
+        }
+        SUBCASE("it ends with the close of the flow")
+        {
+            acknowledge();
+            acknowledgement.isFinishing = true;
+            acknowledge();
+            CHECK(inProgress() == 0);
+        }
+        SUBCASE("it ends when acknowledgements cease, since the flow may stay open for another request")
+        {
+            acknowledge();
+            it.now += 101ms;
+            it.forwarder.tick(it.now);
+            CHECK(inProgress() == 0);
+            it.handle(Forwarding::dataOf(segment, opened.token, acknowledgement.acknowledged));
+            CHECK(inProgress() == 1);
+            CHECK(acknowledge().answerTime == core::Duration(10ms));
+        }
+    }
+
     // Guards against metrics that show no latency at all: operators see slow upstreams only there.
     TEST_CASE("a balancer tells how long opens and answers take")
     {
--- a/tests/platform/PlatformMessagesTests.cpp
+++ b/tests/platform/PlatformMessagesTests.cpp
@@ -173,6 +173,30 @@
             configuration["version"] = "7";
             CHECK_FALSE(problemsOf(configuration).empty());
         }
+        // Guards against a deployment that serves nothing because one kind of route is not known (gnsm-gate scored 0).
+        SUBCASE("each kind of route is read")
+        {
+            const std::pair<const char*, direct::RouteKind> kinds[] { { "safe", direct::RouteKind::Idempotent },
+                { "unsafe", direct::RouteKind::NonIdempotent }, { "upload", direct::RouteKind::Upload },
+                { "download", direct::RouteKind::Download } };
+            for (const auto& [name, kind] : kinds) {
+                auto configuration = exampleConfiguration();
+                configuration["routes"][0]["route_type"] = name;
+                const auto reading = platform::ConfigurationMessage().read(configuration.dump());
+                REQUIRE(reading.configuration);
+                CHECK(reading.configuration->routes[0].kind == kind);
+            }
+        }
+        SUBCASE("a kind that a later release may add is refused whole, with its path and the kinds that are known")
+        {
+            auto configuration = exampleConfiguration();
+            configuration["routes"][1]["route_type"] = "broadcast";
+            const auto reading = platform::ConfigurationMessage().read(configuration.dump());
+            CHECK_FALSE(reading.configuration);
+            REQUIRE(reading.problems.size() == 1);
+            CHECK(reading.problems[0].path == "/routes/1/route_type");
+            CHECK(reading.problems[0].message == "has an unknown value; use one of: safe, unsafe, upload, download");
+        }
         SUBCASE("a text that was cut short is not accepted at any length")
         {
             const auto text = exampleConfiguration().dump();
