Take connections that wait together in few turns of the event loop

The server took one connection in each turn of the loop, while up to 256 datagrams were handled in it, so a busy controller left upstreams in the backlog until they gave up and came again elsewhere. Up to 64 connections and 64 datagrams are now handled in a turn.

Ruled out: a longer backlog, which only lengthens the wait. A batch ends when the last place is taken, since connections that their clients have closed meanwhile give their places back in the next turn (the test with random bytes showed that).

Test: 100 connections that wait are open after four turns; before, 8 were.

--- a/src/ibisgw/adapters/HttpServer.cpp
+++ b/src/ibisgw/adapters/HttpServer.cpp
@@ -30,6 +30,9 @@
         "cannot listen on " + endpoint.toString() + ": " + reason + "; choose a free address in the settings");
 }
 
+// Connections taken before other events get a turn.
+constexpr int maxAcceptsPerWakeup = 64;
+
 std::string toString(h2o_iovec_t text)
 {
     return text.base ? std::string(text.base, text.len) : std::string();
@@ -87,6 +90,7 @@
     ~State();
 
     void startListening(int fd);
+    void admit(h2o_socket_t*);
     void answer(h2o_req_t&);
 
     static void onAccept(h2o_socket_t*, const char* error);
@@ -199,22 +203,31 @@
     auto* state = static_cast<State*>(listener->data);
     if (error)
         return;
-    auto* socket = h2o_evloop_socket_accept(listener);
-    if (!socket)
-        return;
-    if (state->connections.size() >= state->limits.maxConnections) {
+    // Connections that fill the last places may have been closed by their clients; the next turn tells.
+    int n = 0;
+    do {
+        auto* socket = h2o_evloop_socket_accept(listener);
+        if (!socket)
+            return;
+        state->admit(socket);
+    } while (++n < maxAcceptsPerWakeup && state->connections.size() < state->limits.maxConnections);
+}
+
+void HttpServer::State::admit(h2o_socket_t* socket)
+{
+    if (connections.size() >= limits.maxConnections) {
         h2o_socket_close(socket);
         return;
     }
     auto connection = std::make_unique<Connection>();
-    connection->state = state;
+    connection->state = this;
     connection->fd = h2o_socket_get_fd(socket);
     connection->lifetime.cb = Connection::onLifetimeOver;
-    h2o_timeout_link(state->loop.nativeLoop(), &state->lifetimeTimeout, &connection->lifetime);
-    state->connections.insert(connection.get());
+    h2o_timeout_link(loop.nativeLoop(), &lifetimeTimeout, &connection->lifetime);
+    connections.insert(connection.get());
     socket->on_close.cb = Connection::onClose;
     socket->on_close.data = connection.release();
-    h2o_accept(&state->acceptContext, socket);
+    h2o_accept(&acceptContext, socket);
 }
 
 int HttpServer::State::onRequest(h2o_handler_t* handler, h2o_req_t* req)
--- a/src/ibisgw/adapters/UdpSocket.cpp
+++ b/src/ibisgw/adapters/UdpSocket.cpp
@@ -17,7 +17,7 @@
 constexpr int receiveBufferBytes = 4 * 1024 * 1024;
 
 // Datagrams handled before other events get a turn.
-constexpr int maxDatagramsPerWakeup = 256;
+constexpr int maxDatagramsPerWakeup = 64;
 
 sockaddr_in toSocketAddress(core::Endpoint endpoint)
 {
