Find upstreams at an address through an index

The record also keeps when its report changed last, apart from being overdue.

Test: an upstream that moves or is forgotten leaves its address to others.

--- a/src/ibisgw/upstream/InstanceDirectory.cpp
+++ b/src/ibisgw/upstream/InstanceDirectory.cpp
@@ -70,13 +70,15 @@
 void InstanceDirectory::store(
     InstanceRecord& record, const InstanceReport& report, core::Duration age, core::TimePoint now, core::NodeId source)
 {
+    removeAddress(record);
+    m_addresses.emplace(report.address, report.id);
     record.report = report;
     record.source = source;
     record.renewedAt = now - age;
     record.isOverdue = false;
     record.changedAt = now;
     record.warmAt = now - age + report.coldRemaining;
-    noteChange(record);
+    noteReportChange(record);
     if (report.state == InstanceState::Gone)
         return;
     record.token = tokenOf(report);
@@ -100,7 +102,13 @@
     retire(record, reason, now);
     record.report.state = InstanceState::Gone;
     record.changedAt = now;
+    noteReportChange(record);
+}
+
+void InstanceDirectory::noteReportChange(InstanceRecord& record)
+{
     noteChange(record);
+    record.lastReportChange = record.lastChange;
 }
 
 void InstanceDirectory::noteChange(InstanceRecord& record)
@@ -130,9 +138,11 @@
 // Addresses are used again. Of two upstreams at one address the one that started later is there now.
 bool InstanceDirectory::isReplacedAtAddress(const InstanceReport& report, core::TimePoint now)
 {
-    for (auto& [id, record] : m_records) {
+    const auto [first, last] = m_addresses.equal_range(report.address);
+    for (auto it = first; it != last; ++it) {
+        auto& record = m_records.at(it->second);
         const auto& other = record.report;
-        if (id == report.id || other.address != report.address)
+        if (other.id == report.id)
             continue;
         if (other.incarnation > report.incarnation)
             return true;
@@ -142,6 +152,14 @@
     return false;
 }
 
+void InstanceDirectory::removeAddress(const InstanceRecord& record)
+{
+    const auto [first, last] = m_addresses.equal_range(record.report.address);
+    const auto entry = std::find_if(first, last, [&](const auto& it) { return it.second == record.report.id; });
+    if (entry != last)
+        m_addresses.erase(entry);
+}
+
 bool InstanceDirectory::renew(
     InstanceId id, core::Incarnation incarnation, std::uint64_t sequence, core::TimePoint now, core::NodeId source)
 {
@@ -231,8 +249,10 @@
             = isGone ? sinceChange > goneRetention : it->second.isOverdue && sinceChange > silentRetention;
         if (isOver && !isGone)
             retire(it->second, EndReason::Left, now);
-        if (isOver)
+        if (isOver) {
             removeFromIndexes(it->second);
+            removeAddress(it->second);
+        }
         it = isOver ? m_records.erase(it) : std::next(it);
     }
 }
--- a/src/ibisgw/upstream/InstanceDirectory.h
+++ b/src/ibisgw/upstream/InstanceDirectory.h
@@ -30,6 +30,8 @@
     // Part of the digest of the directory.
     std::uint64_t digest { 0 };
     std::uint64_t lastChange { 0 };
+    // Last change of the report itself; becoming overdue is none.
+    std::uint64_t lastReportChange { 0 };
     // Last change or renewal.
     std::uint64_t lastNews { 0 };
 };
@@ -90,12 +92,16 @@
     bool isReplacedAtAddress(const InstanceReport&, core::TimePoint now);
     void markGone(InstanceRecord&, EndReason, core::TimePoint now);
     void noteOverdue(InstanceRecord&, bool isOverdue, core::TimePoint now);
+    void noteReportChange(InstanceRecord&);
     void noteChange(InstanceRecord&);
     void noteRenewal(InstanceRecord&);
     void removeFromIndexes(const InstanceRecord&);
+    void removeAddress(const InstanceRecord&);
 
     std::map<InstanceId, InstanceRecord> m_records;
     std::unordered_multimap<std::uint32_t, InstanceId> m_tokens;
+    // Those that are gone included.
+    std::unordered_multimap<core::Endpoint, InstanceId> m_addresses;
     std::unordered_map<std::uint32_t, RetiredToken> m_retiredTokens;
     ChangeIndex m_byChange;
     ChangeIndex m_byNews;
--- a/tests/upstream/InstanceDirectoryTests.cpp
+++ b/tests/upstream/InstanceDirectoryTests.cpp
@@ -81,6 +81,22 @@
             CHECK(directory.find({ 1 })->report.state == InstanceState::Gone);
             CHECK(directory.findByToken(token) == nullptr);
         }
+        SUBCASE("an upstream that has moved away leaves its address to others")
+        {
+            auto moved = reportOf(1, 1000, 5);
+            moved.address.port += 1;
+            directory.apply(moved, {}, start);
+            CHECK(directory.apply(successor, {}, start) == ReportOutcome::Changed);
+            CHECK(directory.find({ 1 })->report.state == InstanceState::Ready);
+        }
+        SUBCASE("one that was forgotten no longer counts")
+        {
+            directory.apply(reportOf(1, 1000, 0, InstanceState::Gone), {}, start);
+            directory.expire(start + 10min);
+            auto older = successor;
+            older.incarnation = 900;
+            CHECK(directory.apply(older, {}, start + 10min) == ReportOutcome::Changed);
+        }
         SUBCASE("a report of the earlier one that a partition held up does not come back")
         {
             directory.apply(successor, {}, start);
