Mark no upstream as overdue while the controller itself was late

Cause: overdue was judged by the time since the last report that was handled. A controller that stood still, had too much to do or was cut off from the others still has reports in its sockets, or others have got them; it marked them all at once, and each mark and its end went to every balancer. It now marks nothing until each upstream has had the time to report again.

Ruled out: reading the sockets once more before judging, which does not help against upstreams that have gone elsewhere.

--- a/src/ibisgw/runtime/DirectController.cpp
+++ b/src/ibisgw/runtime/DirectController.cpp
@@ -75,6 +75,7 @@
     , m_register(raftOptions(settings, m_peers.self()), *m_store, *m_random)
     , m_feed(m_random->next() | 1, m_directory)
     , m_subscriber(controllerSubscription(settings, m_peers.self(), *m_random), m_directory)
+    , m_overdue(settings.reportInterval)
     , m_events(settings.logLinesPerSecond)
     , m_process(m_metrics, tickPeriod)
     , m_changeTime(m_metrics.latency(
@@ -110,7 +111,7 @@
     m_process.noteTurn(now);
     m_register.tick(now, *this);
     m_subscriber.tick(now, *this);
-    markOverdue(now);
+    m_overdue.tick(m_directory, hearsMajority(now), now);
     m_feed.publish(feedHead(), now, *this);
     settle(now);
     noteAgreement(now);
@@ -160,14 +161,10 @@
     }
 }
 
-// A controller that is cut off from the others misses reports that they have got.
-void DirectController::markOverdue(core::TimePoint now)
+bool DirectController::hearsMajority(core::TimePoint now) const
 {
-    // Two reports may be lost or late.
-    const auto timeout = 2 * m_settings.reportInterval + m_settings.reportInterval / 2;
     const auto others = controllerNodes().size() - 1;
-    if (m_subscriber.reachableControllers(now) >= (others + 1) / 2)
-        m_directory.markOverdue(timeout, now);
+    return m_subscriber.reachableControllers(now) >= (others + 1) / 2;
 }
 
 // The directory is not agreed state: a lost or old file costs time at the start, nothing else.
--- a/src/ibisgw/runtime/DirectController.h
+++ b/src/ibisgw/runtime/DirectController.h
@@ -14,6 +14,7 @@
 #include "ibisgw/settings/DirectSettings.h"
 #include "ibisgw/sync/DirectoryFeed.h"
 #include "ibisgw/sync/DirectorySubscriber.h"
+#include "ibisgw/upstream/OverdueMonitor.h"
 
 #include <functional>
 #include <memory>
@@ -92,7 +93,7 @@
     void tick();
     void settle(core::TimePoint now);
     void noteAgreement(core::TimePoint now);
-    void markOverdue(core::TimePoint now);
+    bool hearsMajority(core::TimePoint now) const;
     void loadInstances();
     void saveInstances();
     bool isConfirmed(std::uint64_t change) const;
@@ -111,6 +112,7 @@
     sync::DirectoryFeed m_feed;
     adapters::SyncEncoder m_syncEncoder;
     sync::DirectorySubscriber m_subscriber;
+    upstream::OverdueMonitor m_overdue;
     std::vector<WaitingReport> m_waitingReports;
     std::vector<WaitingChange> m_waitingChanges;
     std::vector<WaitingRead> m_waitingReads;
--- a/src/ibisgw/runtime/Subscription.cpp
+++ b/src/ibisgw/runtime/Subscription.cpp
@@ -9,6 +9,7 @@
     options.self = self;
     options.process = random.next();
     options.seeds = settings.seedNodes();
+    options.zone = settings.zone;
     return options;
 }
 
