Let each balancer follow one controller, and tell it of marks without the report

Each balancer followed all controllers, so each change and each mark reached it five times; a mark carried the whole report; each first report of an upstream was sent to each other controller in a message of its own, which was acknowledged and answered at once.

Now a balancer follows the one controller that hears most of the others and holds what they know, its own zone's first, and asks the others only for their heads; it goes to another within a second when its own falls silent or loses the others. A mark is a number and a state.

Ruled out: relays between the balancers of a zone (more hops for departures, which must be known in time), and one feed without heads (a controller that is cut off from the others would go unnoticed).

The daemons of one deployment must have the same version of this protocol (now 3).

--- a/src/ibisgw/adapters/SyncCodec.cpp
+++ b/src/ibisgw/adapters/SyncCodec.cpp
@@ -11,7 +11,7 @@
 
 using Json = nlohmann::json;
 
-constexpr std::uint64_t syncProtocolVersion = 2;
+constexpr std::uint64_t syncProtocolVersion = 3;
 constexpr std::uint64_t maxAgeMs = 86'400'000;
 
 std::int64_t toMs(core::Duration duration)
@@ -69,6 +69,20 @@
     return renewal;
 }
 
+OverdueMark readMark(const Json& json, detail::JsonArrayReader& parent)
+{
+    detail::JsonArrayReader reader(json);
+    OverdueMark mark;
+    mark.id.value = reader.number();
+    mark.incarnation = reader.number();
+    mark.sequence = reader.number();
+    mark.age = fromMs(reader.number(maxAgeMs));
+    mark.isOverdue = reader.boolean();
+    if (!reader.finished())
+        parent.fail();
+    return mark;
+}
+
 Json toJson(const std::vector<core::NodeId>& nodes)
 {
     auto json = Json::array();
@@ -98,6 +112,7 @@
     json.push_back(message.acknowledged);
     json.push_back(message.digest);
     json.push_back(toJson(message.heard));
+    json.push_back(static_cast<unsigned>(message.mode));
 }
 
 void write(const DirectoryUpdate& message, Json& json)
@@ -108,6 +123,9 @@
     auto renewals = Json::array();
     for (const auto& it : message.renewals)
         renewals.push_back(Json::array({ it.id.value, it.incarnation, it.sequence }));
+    auto marks = Json::array();
+    for (const auto& it : message.marks)
+        marks.push_back(Json::array({ it.id.value, it.incarnation, it.sequence, toMs(it.age), it.isOverdue }));
     json.push_back(message.feed);
     json.push_back(message.from);
     json.push_back(message.to);
@@ -117,6 +135,9 @@
     json.push_back(toJson(message.controllers));
     json.push_back(message.membershipIndex);
     json.push_back(message.hasMore);
+    json.push_back(std::move(marks));
+    json.push_back(message.zone);
+    json.push_back(message.isCurrent);
 }
 
 void write(const ConfigurationRequest& message, Json& json)
@@ -138,6 +159,7 @@
     message.acknowledged = reader.number();
     message.digest = reader.number();
     message.heard = readNodes(reader);
+    message.mode = static_cast<FollowMode>(reader.number(1));
 }
 
 void read(detail::JsonArrayReader& reader, DirectoryUpdate& message)
@@ -153,6 +175,10 @@
     message.controllers = readNodes(reader);
     message.membershipIndex = reader.number();
     message.hasMore = reader.boolean();
+    for (const auto& it : reader.array())
+        message.marks.push_back(readMark(it, reader));
+    message.zone = reader.text();
+    message.isCurrent = reader.boolean();
 }
 
 void read(detail::JsonArrayReader& reader, ConfigurationRequest& message)
--- a/src/ibisgw/adapters/SyncEncoder.cpp
+++ b/src/ibisgw/adapters/SyncEncoder.cpp
@@ -15,7 +15,8 @@
 {
     const auto* update = std::get_if<sync::DirectoryUpdate>(&message);
     // Reports between controllers depend on whom the follower hears.
-    if (update && !update->items.empty() && update->renewals.empty())
+    const bool hasChanges = update && (!update->items.empty() || !update->marks.empty());
+    if (hasChanges && update->renewals.empty())
         return encodeUpdate(*update, message, now);
     ++m_encodedCount;
     m_other = encodeSyncMessage(message);
@@ -25,8 +26,8 @@
 std::string_view SyncEncoder::encodeUpdate(
     const sync::DirectoryUpdate& update, const sync::SyncMessage& message, core::TimePoint now)
 {
-    const Key key { update.from, update.to, update.items.size(), update.version, update.membershipIndex,
-        update.hasMore };
+    const Key key { update.from, update.to, update.items.size(), update.marks.size(), update.version,
+        update.membershipIndex, update.hasMore, update.isCurrent };
     const auto found = m_entries.find(key);
     if (found != m_entries.end() && now - found->second.madeAt <= entryLifetime)
         return found->second.bytes;
--- a/src/ibisgw/adapters/SyncEncoder.h
+++ b/src/ibisgw/adapters/SyncEncoder.h
@@ -26,9 +26,11 @@
         std::uint64_t from { 0 };
         std::uint64_t to { 0 };
         std::size_t items { 0 };
+        std::size_t marks { 0 };
         direct::ConfigurationVersion version { 0 };
         std::uint64_t membershipIndex { 0 };
         bool hasMore { false };
+        bool isCurrent { false };
 
         auto operator<=>(const Key&) const = default;
     };
--- a/src/ibisgw/runtime/DirectController.cpp
+++ b/src/ibisgw/runtime/DirectController.cpp
@@ -223,10 +223,11 @@
 {
     const auto now = m_loop.now();
     const auto outcome = m_directory.apply(report, {}, now);
-    if (outcome == upstream::ReportOutcome::Changed)
-        m_feed.publish(feedHead(), now, *this);
     const auto* record = m_directory.find(report.id);
     const bool isLeaving = report.state != upstream::InstanceState::Ready;
+    // The next tick tells of others; after a start of the fleet there are thousands at a time.
+    if (isLeaving && outcome == upstream::ReportOutcome::Changed)
+        m_feed.publish(feedHead(), now, *this);
     if (!isLeaving || !record || isConfirmed(record->lastChange)) {
         answer({ AnswerKind::Done, {}, {} });
         return;
@@ -234,8 +235,7 @@
     m_waitingReports.push_back({ report.id, record->lastChange, now, now + answerLimit, std::move(answer) });
 }
 
-// A balancer in contact with the controllers hears each of them; with a majority at least one that still runs
-// after a failure knows that the upstream leaves.
+// A balancer follows a controller that hears a majority, so that one hears at least one that knows of the upstream.
 bool DirectController::isConfirmed(std::uint64_t change) const
 {
     const auto nodes = controllerNodes();
@@ -251,7 +251,10 @@
 
 sync::FeedHead DirectController::feedHead() const
 {
-    return { m_register.version(), controllerNodes(), m_register.raft().log().membershipIndex() };
+    const auto nodes = controllerNodes();
+    const bool isAlone = nodes.size() <= 1;
+    const bool isCurrent = isAlone || (m_subscriber.isFilled() && hearsMajority(m_loop.now()));
+    return { m_register.version(), nodes, m_register.raft().log().membershipIndex(), m_settings.zone, isCurrent };
 }
 
 void DirectController::replaceConfiguration(
--- a/src/ibisgw/sync/DirectoryFeed.cpp
+++ b/src/ibisgw/sync/DirectoryFeed.cpp
@@ -20,6 +20,7 @@
 // upstreams.
 constexpr std::size_t maxItems = 100;
 constexpr std::size_t maxRenewals = 300;
+constexpr std::size_t maxMarks = 300;
 
 } // namespace
 
@@ -36,13 +37,15 @@
     if (subscriber.process != subscription.subscriber)
         subscriber = { subscription.subscriber };
     subscriber.isController = subscription.isController;
+    subscriber.mode = subscription.mode;
     subscriber.heardAt = now;
     subscriber.heard = subscription.heard;
     if (subscription.feed == m_feed)
         subscriber.acknowledged = std::max(subscriber.acknowledged, subscription.acknowledged);
     if (subscription.digest != 0 && subscription.digest == m_directory.digest())
         subscriber.acknowledged = m_directory.newestChange();
-    auto update = makeUpdate(subscriber.acknowledged, subscriber, head, now);
+    auto update = subscription.mode == FollowMode::Heads ? makeHead(subscriber.acknowledged, head)
+                                                         : makeUpdate(subscriber.acknowledged, subscriber, head, now);
     update.from = subscription.feed == m_feed ? subscription.acknowledged : 0;
     subscriber.sent = update.to;
     subscriber.isBehind = update.hasMore;
@@ -56,9 +59,23 @@
     if (now < m_nextBalancerUpdate)
         return;
     m_nextBalancerUpdate = now + balancerInterval;
+    publishHead(head, output);
     publishTo(false, head, now, output);
 }
 
+// Balancers that follow another controller learn of a new configuration and of the loss of contact at once, too.
+void DirectoryFeed::publishHead(const FeedHead& head, SyncOutput& output)
+{
+    const bool isNews = head.version != m_publishedVersion[0] || head.isCurrent != m_publishedCurrent;
+    m_publishedCurrent = head.isCurrent;
+    if (!isNews)
+        return;
+    for (const auto& [node, subscriber] : m_subscribers) {
+        if (subscriber.mode == FollowMode::Heads)
+            output.send(node, makeHead(subscriber.acknowledged, head));
+    }
+}
+
 void DirectoryFeed::publishTo(bool toControllers, const FeedHead& head, core::TimePoint now, SyncOutput& output)
 {
     auto& publishedChange = m_publishedChange[toControllers ? 1 : 0];
@@ -72,7 +89,7 @@
     std::map<std::pair<std::uint64_t, std::vector<core::NodeId>>, DirectoryUpdate> updates;
     for (auto& [node, subscriber] : m_subscribers) {
         // One that is behind asks for the rest itself, at its own pace.
-        if (subscriber.isController != toControllers || subscriber.isBehind)
+        if (subscriber.isController != toControllers || subscriber.isBehind || subscriber.mode == FollowMode::Heads)
             continue;
         const auto [entry, isNew] = updates.try_emplace({ subscriber.sent, subscriber.heard });
         if (isNew)
@@ -83,27 +100,45 @@
     }
 }
 
+DirectoryUpdate DirectoryFeed::makeHead(std::uint64_t acknowledged, const FeedHead& head) const
+{
+    return { m_feed, acknowledged, acknowledged, {}, {}, head.version, head.controllers, head.membershipIndex,
+        acknowledged < m_directory.newestRealChange(), {}, head.zone, head.isCurrent };
+}
+
 DirectoryUpdate DirectoryFeed::makeUpdate(
     std::uint64_t from, const Subscriber& subscriber, const FeedHead& head, core::TimePoint now) const
 {
-    DirectoryUpdate update { m_feed, from, m_directory.newestChange(), {}, {}, head.version, head.controllers,
-        head.membershipIndex };
+    auto update = makeHead(from, head);
+    update.to = m_directory.newestChange();
+    update.hasMore = false;
     const auto& index = subscriber.isController ? m_directory.byNews() : m_directory.byChange();
     for (auto it = index.upper_bound(from); it != index.end(); ++it) {
-        if (update.items.size() >= maxItems || update.renewals.size() >= maxRenewals) {
+        const bool isFull = update.items.size() >= maxItems || update.marks.size() >= maxMarks
+            || update.renewals.size() >= maxRenewals;
+        if (isFull) {
             update.to = std::prev(it)->first;
             update.hasMore = true;
             break;
         }
-        const auto& record = *m_directory.find(it->second);
-        if (record.lastChange > from)
-            update.items.push_back({ record.report, now - record.renewedAt, record.isOverdue });
-        else if (std::ranges::find(subscriber.heard, record.source) == subscriber.heard.end())
-            update.renewals.push_back({ it->second, record.report.incarnation, record.report.sequence });
+        addNews(update, *m_directory.find(it->second), from, subscriber, now);
     }
     return update;
 }
 
+void DirectoryFeed::addNews(DirectoryUpdate& update, const upstream::InstanceRecord& record, std::uint64_t from,
+    const Subscriber& subscriber, core::TimePoint now) const
+{
+    const auto& report = record.report;
+    const auto age = now - record.renewedAt;
+    if (record.lastReportChange > from)
+        update.items.push_back({ report, age, record.isOverdue });
+    else if (record.lastChange > from)
+        update.marks.push_back({ report.id, report.incarnation, report.sequence, age, record.isOverdue });
+    else if (std::ranges::find(subscriber.heard, record.source) == subscriber.heard.end())
+        update.renewals.push_back({ report.id, report.incarnation, report.sequence });
+}
+
 std::size_t DirectoryFeed::confirmations(std::uint64_t change, std::span<const core::NodeId> controllers) const
 {
     return static_cast<std::size_t>(std::ranges::count_if(controllers, [&](core::NodeId node) {
@@ -136,9 +171,10 @@
     std::erase_if(m_awaited, [this](core::NodeId it) { return m_subscribers.contains(it); });
     if (now >= m_awaitedUntil)
         m_awaited.clear();
+    auto update = makeHead(0, head);
+    update.hasMore = true;
     for (const auto& it : m_awaited)
-        output.send(
-            it, DirectoryUpdate { m_feed, 0, 0, {}, {}, head.version, head.controllers, head.membershipIndex, true });
+        output.send(it, update);
 }
 
 } // namespace ibisgw::sync
--- a/src/ibisgw/sync/DirectoryFeed.h
+++ b/src/ibisgw/sync/DirectoryFeed.h
@@ -13,10 +13,13 @@
     direct::ConfigurationVersion version { 0 };
     std::vector<core::NodeId> controllers;
     std::uint64_t membershipIndex { 0 };
+    core::ZoneName zone;
+    // The controller hears most of the others and holds what they know.
+    bool isCurrent { false };
 };
 
-// Spreads the directory of one controller to balancers and to the other controllers. A change is sent at once and
-// again with each subscription until it is acknowledged.
+// Spreads the directory of one controller to the balancers that follow it and to the other controllers. A change is
+// sent at once and again with each subscription until it is acknowledged.
 class DirectoryFeed {
 public:
     // `feed` is a random number that is new with each start.
@@ -40,6 +43,7 @@
     struct Subscriber {
         std::uint64_t process { 0 };
         bool isController { false };
+        FollowMode mode { FollowMode::Changes };
         std::uint64_t acknowledged { 0 };
         // Up to here changes were sent. A subscription starts again from what it acknowledges.
         std::uint64_t sent { 0 };
@@ -50,9 +54,13 @@
         core::TimePoint heardAt;
     };
     void announce(const FeedHead&, core::TimePoint now, SyncOutput&);
+    DirectoryUpdate makeHead(std::uint64_t acknowledged, const FeedHead&) const;
     // What a subscriber is to learn after the change `from`.
     DirectoryUpdate makeUpdate(std::uint64_t from, const Subscriber&, const FeedHead&, core::TimePoint now) const;
+    void addNews(
+        DirectoryUpdate&, const upstream::InstanceRecord&, std::uint64_t from, const Subscriber&, core::TimePoint) const;
     void publishTo(bool toControllers, const FeedHead&, core::TimePoint now, SyncOutput&);
+    void publishHead(const FeedHead&, SyncOutput&);
 
     std::uint64_t m_feed;
     const upstream::InstanceDirectory& m_directory;
@@ -60,6 +68,7 @@
     // By kind of subscriber, balancers first.
     std::uint64_t m_publishedChange[2] {};
     direct::ConfigurationVersion m_publishedVersion[2] {};
+    bool m_publishedCurrent { false };
     core::TimePoint m_nextBalancerUpdate {};
     std::vector<core::NodeId> m_awaited;
     core::TimePoint m_awaitedUntil {};
--- a/src/ibisgw/sync/DirectorySubscriber.cpp
+++ b/src/ibisgw/sync/DirectorySubscriber.cpp
@@ -3,6 +3,7 @@
 #include "ibisgw/core/FlowKey.h"
 
 #include <algorithm>
+#include <tuple>
 
 namespace ibisgw::sync {
 
@@ -11,6 +12,15 @@
 // A transfer that has not arrived by then is asked of the next controller.
 constexpr core::Duration requestTimeout = std::chrono::milliseconds(300);
 
+// Balancers ask controllers that they do not follow for their heads this often; shorter than the contact limit.
+constexpr core::Duration headInterval = std::chrono::milliseconds(1500);
+
+// A controller that leaves a subscription unanswered for this long is not followed; one that is lost is repeated before.
+constexpr core::Duration followLimit = std::chrono::milliseconds(600);
+
+// A controller that has been ahead of the followed one for this long knows something that did not get there.
+constexpr core::Duration aheadLimit = std::chrono::seconds(5);
+
 // A controller that has not answered for this long is asked less often.
 constexpr core::Duration silenceLimit = std::chrono::seconds(10);
 constexpr core::Duration silentInterval = std::chrono::seconds(1);
@@ -25,6 +35,11 @@
 // A controller that has been silent for this long may be cut off from this one; others then relay its reports.
 constexpr core::Duration relayLimit = std::chrono::seconds(1);
 
+bool isLeaving(const InstanceItem& item)
+{
+    return item.report.state != upstream::InstanceState::Ready;
+}
+
 } // namespace
 
 DirectorySubscriber::DirectorySubscriber(SubscriberOptions options, upstream::InstanceDirectory& directory)
@@ -43,6 +58,7 @@
         }
     }
     resumeFilling(now);
+    chooseFollowed(now);
     for (auto& [node, feed] : m_feeds) {
         if (now >= feed.nextSubscription)
             subscribe(node, feed, now, output);
@@ -56,33 +72,75 @@
         return;
     m_filling = {};
     for (auto& [node, feed] : m_feeds) {
-        if (feed.heardAt && !feed.isComplete)
+        if (feed.heardAt && !feed.isComplete && modeOf(node, feed, now) == FollowMode::Changes)
             feed.nextSubscription = now;
     }
 }
 
+bool DirectorySubscriber::answers(const Feed& feed, core::TimePoint now) const
+{
+    return feed.heardAt && (!feed.unansweredSince || now - *feed.unansweredSince <= followLimit);
+}
+
+// The controllers of the own zone come first: the way is short, and a cut between zones does not matter.
+void DirectorySubscriber::chooseFollowed(core::TimePoint now)
+{
+    if (m_options.isController)
+        return;
+    const auto current = m_feeds.find(m_followed);
+    const bool isFollowing = current != m_feeds.end() && answers(current->second, now);
+    if (isFollowing && m_filling == m_followed)
+        return;
+    const auto rank = [this](const auto& it) {
+        const auto& [node, feed] = it;
+        return std::tuple { feed.isCurrent, feed.zone == m_options.zone,
+            core::rendezvousWeight(m_options.process, node.value) };
+    };
+    auto best = m_feeds.end();
+    for (auto it = m_feeds.begin(); it != m_feeds.end(); ++it) {
+        if (answers(it->second, now) && (best == m_feeds.end() || rank(*it) > rank(*best)))
+            best = it;
+    }
+    if (best == m_feeds.end() || best->first == m_followed)
+        return;
+    m_followed = best->first;
+    best->second.nextSubscription = now;
+}
+
+FollowMode DirectorySubscriber::modeOf(core::NodeId node, const Feed& feed, core::TimePoint now) const
+{
+    const bool isLeftBehind = feed.aheadSince && now - *feed.aheadSince > aheadLimit;
+    return m_options.isController || node == m_followed || isLeftBehind ? FollowMode::Changes : FollowMode::Heads;
+}
+
 bool DirectorySubscriber::isFilled() const
 {
     return std::ranges::any_of(m_feeds, [](const auto& it) { return it.second.isComplete; });
 }
 
-core::Duration DirectorySubscriber::intervalOf(const Feed& feed, core::TimePoint now)
+core::Duration DirectorySubscriber::intervalOf(core::NodeId node, const Feed& feed, core::TimePoint now)
 {
     if (!m_startedAt)
         m_startedAt = now;
     if (!feed.heardAt)
         return now - *m_startedAt < startTime ? firstContactInterval : m_options.interval;
+    if (modeOf(node, feed, now) == FollowMode::Heads)
+        return headInterval;
     return now - *feed.heardAt > silenceLimit ? silentInterval : m_options.interval;
 }
 
 void DirectorySubscriber::subscribe(core::NodeId node, Feed& feed, core::TimePoint now, SyncOutput& output)
 {
-    feed.nextSubscription = now + intervalOf(feed, now);
+    feed.nextSubscription = now + intervalOf(node, feed, now);
+    feed.unansweredSince = feed.unansweredSince.value_or(now);
+    const auto mode = modeOf(node, feed, now);
     // Controllers count on each other's acknowledgements, so they take all changes.
-    const auto digest = feed.isComplete || m_options.isController ? 0 : m_directory.digest();
+    const bool needsDigest = !m_options.isController && (mode == FollowMode::Heads || !feed.isComplete);
+    const auto digest = needsDigest ? m_directory.digest() : 0;
     const auto heard = m_options.isController ? heardControllers(now, relayLimit) : std::vector<core::NodeId> {};
-    output.send(
-        node, Subscription { m_options.process, m_options.isController, feed.feed, feed.acknowledged, digest, heard });
+    output.send(node,
+        Subscription {
+            m_options.process, m_options.isController, feed.feed, feed.acknowledged, digest, heard, mode });
 }
 
 void DirectorySubscriber::handle(
@@ -93,7 +151,10 @@
         addController(from);
     auto& feed = m_feeds[from];
     feed.heardAt = now;
+    feed.unansweredSince.reset();
     feed.version = update.version;
+    feed.zone = update.zone;
+    feed.isCurrent = update.isCurrent;
     if (update.feed != feed.feed) {
         // Another process: everything is new. An update that builds on an earlier one cannot be used.
         feed.feed = update.feed;
@@ -107,8 +168,20 @@
     const bool isNew = update.to > feed.acknowledged;
     feed.acknowledged = std::max(feed.acknowledged, update.to);
     feed.isComplete = !update.hasMore;
+    if (feed.isComplete)
+        feed.aheadSince.reset();
+    else
+        feed.aheadSince = feed.aheadSince.value_or(now);
+    if (!m_followed.isValid())
+        chooseFollowed(now);
+    if (modeOf(from, feed, now) == FollowMode::Heads)
+        return;
+    if (feed.nextSubscription == now) {
+        subscribe(from, feed, now, output);
+        return;
+    }
     // Other controllers wait for the acknowledgement before they answer an upstream that leaves.
-    const bool isAwaited = m_options.isController && isNew && !update.items.empty();
+    const bool isAwaited = m_options.isController && isNew && std::ranges::any_of(update.items, isLeaving);
     const bool isNextPart = m_options.isController ? update.hasMore : fillsFrom(from, update.hasMore, now);
     if (isAwaited || isNextPart)
         subscribe(from, feed, now, output);
@@ -133,6 +206,11 @@
         m_directory.apply(it.report, it.age, now, from);
         m_directory.setOverdue(it.report.id, it.report.incarnation, it.report.sequence, it.isOverdue, now);
     }
+    for (const auto& it : update.marks) {
+        if (!it.isOverdue)
+            m_directory.renew(it.id, it.incarnation, it.sequence, now - it.age, from);
+        m_directory.setOverdue(it.id, it.incarnation, it.sequence, it.isOverdue, now);
+    }
     for (const auto& it : update.renewals)
         m_directory.renew(it.id, it.incarnation, it.sequence, now, from);
 }
--- a/src/ibisgw/sync/DirectorySubscriber.h
+++ b/src/ibisgw/sync/DirectorySubscriber.h
@@ -19,11 +19,15 @@
     bool isController { false };
     // The first contacts; the others are learned from their updates.
     std::vector<core::NodeId> seeds;
-    core::Duration interval { std::chrono::milliseconds(800) };
+    // Between subscriptions to a controller whose changes are followed.
+    core::Duration interval { std::chrono::milliseconds(500) };
+    core::ZoneName zone;
 };
 
-// Follows the feeds of all controllers and merges them into one directory, so that it holds what any of
-// them has acknowledged. Also fetches newer configurations.
+// Keeps a directory up to date. A controller follows all others, so that it holds what any of them has acknowledged.
+// A balancer follows one that hears most of the others and so holds the same: each change reaches a balancer once, not
+// once from each controller. It asks the others only for their heads and follows one of them when its own falls silent.
+// Also fetches newer configurations.
 class DirectorySubscriber {
 public:
     DirectorySubscriber(SubscriberOptions, upstream::InstanceDirectory&);
@@ -40,6 +44,8 @@
     bool isFilled() const;
     // Controllers that are in contact.
     std::size_t reachableControllers(core::TimePoint now) const;
+    // The controller that a balancer follows; invalid when it has heard of none.
+    core::NodeId followed() const { return m_followed; }
 
 private:
     struct Feed {
@@ -48,12 +54,21 @@
         // Everything that the controller knew when it sent its last update was in it.
         bool isComplete { false };
         direct::ConfigurationVersion version { 0 };
+        core::ZoneName zone;
+        bool isCurrent { false };
         std::optional<core::TimePoint> heardAt;
+        // First subscription since then that has not been answered.
+        std::optional<core::TimePoint> unansweredSince;
+        // Since when it has had changes that are not known here.
+        std::optional<core::TimePoint> aheadSince;
         core::TimePoint nextSubscription;
     };
 
     void subscribe(core::NodeId, Feed&, core::TimePoint now, SyncOutput&);
-    core::Duration intervalOf(const Feed&, core::TimePoint now);
+    core::Duration intervalOf(core::NodeId, const Feed&, core::TimePoint now);
+    FollowMode modeOf(core::NodeId, const Feed&, core::TimePoint now) const;
+    void chooseFollowed(core::TimePoint now);
+    bool answers(const Feed&, core::TimePoint now) const;
     bool fillsFrom(core::NodeId, bool hasMore, core::TimePoint now);
     void resumeFilling(core::TimePoint now);
     void merge(core::NodeId from, const DirectoryUpdate&, core::TimePoint now);
@@ -70,6 +85,7 @@
     std::optional<core::TimePoint> m_startedAt;
     core::TimePoint m_nextRequest {};
     core::NodeId m_lastAsked;
+    core::NodeId m_followed;
     // The feed that is followed part by part, and when its last part came.
     core::NodeId m_filling;
     core::TimePoint m_filledAt {};
--- a/src/ibisgw/sync/SyncMessage.h
+++ b/src/ibisgw/sync/SyncMessage.h
@@ -9,6 +9,12 @@
 
 namespace ibisgw::sync {
 
+// What a subscriber takes from a controller.
+enum class FollowMode : std::uint8_t {
+    Changes, // the changes of the directory, and what the controller says about itself
+    Heads, // only what the controller says about itself
+};
+
 // Asks a controller for everything that has changed since the last update, and acknowledges that one.
 struct Subscription {
     // Random number of the subscriber's process.
@@ -21,6 +27,7 @@
     std::uint64_t digest { 0 };
     // Controllers that the subscriber hears itself; reports that these have told of need no relay. Controllers only.
     std::vector<core::NodeId> heard;
+    FollowMode mode { FollowMode::Changes };
 
     bool operator==(const Subscription&) const = default;
 };
@@ -42,6 +49,18 @@
     bool operator==(const InstanceRenewal&) const = default;
 };
 
+// An upstream that has become overdue or reports itself again, for a follower that holds its report.
+struct OverdueMark {
+    upstream::InstanceId id;
+    core::Incarnation incarnation { 0 };
+    std::uint64_t sequence { 0 };
+    // Time since the upstream reported itself.
+    core::Duration age { 0 };
+    bool isOverdue { false };
+
+    bool operator==(const OverdueMark&) const = default;
+};
+
 // The changes of one controller's directory after `from` up to `to`.
 struct DirectoryUpdate {
     // Random number of the controller's process; change numbers of different feeds are unrelated.
@@ -58,6 +77,11 @@
     std::uint64_t membershipIndex { 0 };
     // There are changes after `to`; the follower asks for them.
     bool hasMore { false };
+    std::vector<OverdueMark> marks;
+    // Zone of the controller.
+    core::ZoneName zone;
+    // The controller hears most of the others and holds what they know.
+    bool isCurrent { false };
 
     bool operator==(const DirectoryUpdate&) const = default;
 };
