Keep departures on the disk before they are confirmed

Cause (found by reading, asked for by the users: "a server that had left was in use again"): a controller confirmed that an upstream drains or has left once a majority held it in memory; the file of upstreams is written once a second. When all controllers lost power in between, they loaded the upstream as ready. Each controller now appends departures to a log and syncs it before it counts itself or acknowledges them to others; departures of one turn cost one sync. A disk that refuses them makes the controller say that it is not current, so that balancers follow another one.

Ruled out: saving the whole directory for each departure (200 kB and three syncs at 3,000 upstreams), and putting departures into the agreement's log, which would make a leader a condition for stopping an upstream.

Tests: DepartureLogTests and DepartureKeeperTests; before, the subscriber acknowledged with the disk full. A saved directory that cannot be read is logged.

--- a/src/ibisgw/adapters/InstanceFile.cpp
+++ b/src/ibisgw/adapters/InstanceFile.cpp
@@ -19,13 +19,14 @@
 {
     std::ifstream in(folder + "/" + fileName, std::ios::binary);
     const std::string bytes { std::istreambuf_iterator<char>(in), {} };
+    const SavedDirectory unreadable { {}, {}, in.is_open() };
     detail::LogRecordReader reader(bytes);
     detail::LogRecord record;
     if (reader.next(record) != detail::RecordStatus::Valid || record.type != detail::RecordType::Snapshot)
-        return {};
+        return unreadable;
     auto message = decodeSyncMessage(record.payload);
     auto* update = message ? std::get_if<sync::DirectoryUpdate>(&*message) : nullptr;
-    return update ? SavedDirectory { std::move(update->items), std::move(update->controllers) } : SavedDirectory {};
+    return update ? SavedDirectory { std::move(update->items), std::move(update->controllers) } : unreadable;
 }
 
 core::Result<void> saveDirectory(const std::string& folder, SavedDirectory directory)
--- a/src/ibisgw/adapters/InstanceFile.h
+++ b/src/ibisgw/adapters/InstanceFile.h
@@ -13,9 +13,11 @@
     std::vector<sync::InstanceItem> instances;
     // Balancers that followed the controller.
     std::vector<core::NodeId> balancers;
+    // There is a file that cannot be read: it is damaged, or of another version.
+    bool isUnreadable { false };
 };
 
-// Empty when the folder holds none or a damaged one.
+// Empty when the folder holds none or one that cannot be read.
 SavedDirectory loadDirectory(const std::string& folder);
 
 core::Result<void> saveDirectory(const std::string& folder, SavedDirectory);
--- a/src/ibisgw/adapters/detail/DataFolderContents.cpp
+++ b/src/ibisgw/adapters/detail/DataFolderContents.cpp
@@ -71,6 +71,7 @@
             m_state.commitIndex = reader.number();
             return reader.finished() && m_hasIdentity;
         case RecordType::Snapshot:
+        case RecordType::Departures:
             return false;
         }
         return false;
--- a/src/ibisgw/adapters/detail/LogRecord.h
+++ b/src/ibisgw/adapters/detail/LogRecord.h
@@ -13,6 +13,7 @@
     Truncation = 4,
     Snapshot = 5,
     Commit = 6,
+    Departures = 7,
 };
 
 // One record of a file: magic, type, length, checksum of the payload and checksum of the header.
--- a/src/ibisgw/runtime/DirectController.cpp
+++ b/src/ibisgw/runtime/DirectController.cpp
@@ -74,7 +74,9 @@
           [this](core::NodeId sender, PeerChannel channel, std::string_view body) { receive(sender, channel, body); })
     , m_register(raftOptions(settings, m_peers.self()), *m_store, *m_random)
     , m_feed(m_random->next() | 1, m_directory)
-    , m_subscriber(controllerSubscription(settings, m_peers.self(), *m_random), m_directory)
+    , m_departureLog(settings.dataFolder)
+    , m_departures(*this)
+    , m_subscriber(controllerSubscription(settings, m_peers.self(), *m_random), m_directory, &m_departures)
     , m_overdue(settings.reportInterval)
     , m_events(settings.logLinesPerSecond)
     , m_process(m_metrics, tickPeriod)
@@ -112,6 +114,7 @@
     m_register.tick(now, *this);
     m_subscriber.tick(now, *this);
     m_overdue.tick(m_directory, hearsMajority(now), now);
+    m_departures.flush(now);
     m_feed.publish(feedHead(), now, *this);
     settle(now);
     noteAgreement(now);
@@ -172,8 +175,12 @@
 {
     const auto now = m_loop.now();
     auto saved = adapters::loadDirectory(m_settings.dataFolder);
+    if (saved.isUnreadable)
+        noteStoreFailure("the saved upstreams cannot be read; they report themselves again");
     for (const auto& it : saved.instances)
         m_directory.apply(it.report, m_settings.reportInterval, now);
+    for (const auto& it : m_departureLog.load())
+        m_directory.apply(it, m_settings.reportInterval, now);
     m_savedChange = m_directory.newestRealChange();
     m_savedBalancers = saved.balancers;
     m_feed.remember(std::move(saved.balancers), now);
@@ -192,12 +199,14 @@
     adapters::SavedDirectory saved { {}, std::move(balancers) };
     for (const auto& [id, record] : m_directory.records())
         saved.instances.push_back({ record.report, {}, record.isOverdue });
-    const auto note = [this](const std::string& reason) {
-        m_events.record(Event::StoreFailed, m_loop.now(), [&] { return nlohmann::json { { "reason", reason } }; });
-    };
     boost::leaf::try_handle_all(
-        [&]() -> core::Result<void> { return adapters::saveDirectory(m_settings.dataFolder, std::move(saved)); },
-        [&](const core::Error& error) { note(error.message); }, [&] { note("the upstreams could not be saved"); });
+        [&]() -> core::Result<void> {
+            BOOST_LEAF_CHECK(adapters::saveDirectory(m_settings.dataFolder, std::move(saved)));
+            m_departures.noteDirectorySaved();
+            return m_departureLog.clear();
+        },
+        [&](const core::Error& error) { noteStoreFailure(error.message); },
+        [&] { noteStoreFailure("the upstreams could not be saved"); });
 }
 
 void DirectController::beginShutdown()
@@ -225,10 +234,10 @@
     const auto outcome = m_directory.apply(report, {}, now);
     const auto* record = m_directory.find(report.id);
     const bool isLeaving = report.state != upstream::InstanceState::Ready;
-    // The next tick tells of others; after a start of the fleet there are thousands at a time.
-    if (isLeaving && outcome == upstream::ReportOutcome::Changed)
-        m_feed.publish(feedHead(), now, *this);
-    if (!isLeaving || !record || isConfirmed(record->lastChange)) {
+    // The next tick writes and tells all of them; after a start of the fleet there are thousands at a time.
+    if (isLeaving && record && outcome == upstream::ReportOutcome::Changed)
+        m_departures.add(record->report);
+    if (!isLeaving || !record || isConfirmed(report.id, record->lastChange)) {
         answer({ AnswerKind::Done, {}, {} });
         return;
     }
@@ -236,11 +245,34 @@
 }
 
 // A balancer follows a controller that hears a majority, so that one hears at least one that knows of the upstream.
-bool DirectController::isConfirmed(std::uint64_t change) const
+bool DirectController::isConfirmed(upstream::InstanceId id, std::uint64_t change) const
 {
     const auto nodes = controllerNodes();
-    const auto isMember = std::ranges::find(nodes, m_peers.self()) != nodes.end() ? 1U : 0U;
-    return m_feed.confirmations(change, nodes) + isMember >= nodes.size() / 2 + 1;
+    const bool isMember = std::ranges::find(nodes, m_peers.self()) != nodes.end();
+    const std::size_t own = isMember && m_departures.isKept(id) ? 1 : 0;
+    return m_feed.confirmations(change, nodes) + own >= nodes.size() / 2 + 1;
+}
+
+bool DirectController::keep(std::span<const upstream::InstanceReport> reports)
+{
+    return boost::leaf::try_handle_all(
+        [&]() -> core::Result<bool> {
+            BOOST_LEAF_CHECK(m_departureLog.append(reports));
+            return true;
+        },
+        [&](const core::Error& error) {
+            noteStoreFailure(error.message);
+            return false;
+        },
+        [&] {
+            noteStoreFailure("departures could not be written");
+            return false;
+        });
+}
+
+void DirectController::noteStoreFailure(const std::string& reason)
+{
+    m_events.record(Event::StoreFailed, m_loop.now(), [&] { return nlohmann::json { { "reason", reason } }; });
 }
 
 std::vector<core::NodeId> DirectController::controllerNodes() const
@@ -253,7 +285,8 @@
 {
     const auto nodes = controllerNodes();
     const bool isAlone = nodes.size() <= 1;
-    const bool isCurrent = isAlone || (m_subscriber.isFilled() && hearsMajority(m_loop.now()));
+    const bool isCurrent
+        = isAlone || (m_subscriber.isFilled() && hearsMajority(m_loop.now()) && !m_departures.isFailing());
     return { m_register.version(), nodes, m_register.raft().log().membershipIndex(), m_settings.zone, isCurrent };
 }
 
@@ -319,7 +352,7 @@
 void DirectController::settle(core::TimePoint now)
 {
     std::erase_if(m_waitingReports, [&](const WaitingReport& it) {
-        const bool isDone = isConfirmed(it.change);
+        const bool isDone = isConfirmed(it.instance, it.change);
         if (!isDone && now >= it.deadline)
             m_events.record(Event::ReportUnconfirmed, now, [&] {
                 return nlohmann::json { { "upstream", textOf(it.instance) },
--- a/src/ibisgw/runtime/DirectController.h
+++ b/src/ibisgw/runtime/DirectController.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "ibisgw/adapters/DepartureLog.h"
 #include "ibisgw/adapters/EventLoop.h"
 #include "ibisgw/adapters/FileLogStore.h"
 #include "ibisgw/adapters/MetricsRegistry.h"
@@ -38,7 +39,9 @@
 
 // A controller: takes reports of upstreams and configurations of operators, agrees with the other controllers and
 // feeds the balancers.
-class DirectController final : private configuration::RaftOutput, private sync::SyncOutput {
+class DirectController final : private configuration::RaftOutput,
+                               private sync::SyncOutput,
+                               private sync::DepartureStore {
 public:
     using Answerer = std::function<void(const ControlAnswer&)>;
 
@@ -87,6 +90,7 @@
 
     void send(core::NodeId, const configuration::RaftMessage&) override;
     void send(core::NodeId, const sync::SyncMessage&) override;
+    bool keep(std::span<const upstream::InstanceReport>) override;
     void receive(core::NodeId sender, adapters::PeerChannel, std::string_view body);
     void handle(core::NodeId sender, const sync::Subscription&, core::TimePoint now);
     void handle(core::NodeId sender, const sync::ConfigurationRequest&);
@@ -96,7 +100,8 @@
     bool hearsMajority(core::TimePoint now) const;
     void loadInstances();
     void saveInstances();
-    bool isConfirmed(std::uint64_t change) const;
+    bool isConfirmed(upstream::InstanceId, std::uint64_t change) const;
+    void noteStoreFailure(const std::string& reason);
     ControlAnswer askElsewhere() const;
     std::vector<core::NodeId> controllerNodes() const;
     sync::FeedHead feedHead() const;
@@ -111,6 +116,8 @@
     upstream::InstanceDirectory m_directory;
     sync::DirectoryFeed m_feed;
     adapters::SyncEncoder m_syncEncoder;
+    adapters::DepartureLog m_departureLog;
+    sync::DepartureKeeper m_departures;
     sync::DirectorySubscriber m_subscriber;
     upstream::OverdueMonitor m_overdue;
     std::vector<WaitingReport> m_waitingReports;
--- a/src/ibisgw/sync/DirectorySubscriber.cpp
+++ b/src/ibisgw/sync/DirectorySubscriber.cpp
@@ -42,9 +42,11 @@
 
 } // namespace
 
-DirectorySubscriber::DirectorySubscriber(SubscriberOptions options, upstream::InstanceDirectory& directory)
+DirectorySubscriber::DirectorySubscriber(
+    SubscriberOptions options, upstream::InstanceDirectory& directory, DepartureKeeper* departures)
     : m_options(std::move(options))
     , m_directory(directory)
+    , m_departures(departures)
 {
 }
 
@@ -164,7 +166,11 @@
     adoptControllers(update);
     if (update.from > feed.acknowledged)
         return;
+    const bool isKept = keepDepartures(update, now);
     merge(from, update, now);
+    // What is not kept here is used, but another controller must not count on it.
+    if (!isKept)
+        return;
     const bool isNew = update.to > feed.acknowledged;
     feed.acknowledged = std::max(feed.acknowledged, update.to);
     feed.isComplete = !update.hasMore;
@@ -200,6 +206,21 @@
     return hasMore;
 }
 
+// An acknowledgement says that a loss of power cannot undo the departures in the update.
+bool DirectorySubscriber::keepDepartures(const DirectoryUpdate& update, core::TimePoint now)
+{
+    if (!m_departures)
+        return true;
+    for (const auto& it : update.items) {
+        const auto* known = m_directory.find(it.report.id);
+        const bool isKnown = known && known->report.incarnation == it.report.incarnation
+            && known->report.state == it.report.state;
+        if (isLeaving(it) && !isKnown)
+            m_departures->add(it.report);
+    }
+    return m_departures->flush(now);
+}
+
 void DirectorySubscriber::merge(core::NodeId from, const DirectoryUpdate& update, core::TimePoint now)
 {
     for (const auto& it : update.items) {
--- a/src/ibisgw/sync/DirectorySubscriber.h
+++ b/src/ibisgw/sync/DirectorySubscriber.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "ibisgw/sync/DepartureKeeper.h"
 #include "ibisgw/sync/SyncMessage.h"
 #include "ibisgw/upstream/InstanceDirectory.h"
 
@@ -30,7 +31,8 @@
 // Also fetches newer configurations.
 class DirectorySubscriber {
 public:
-    DirectorySubscriber(SubscriberOptions, upstream::InstanceDirectory&);
+    // A controller keeps departures before it acknowledges them.
+    DirectorySubscriber(SubscriberOptions, upstream::InstanceDirectory&, DepartureKeeper* = nullptr);
 
     void handle(core::NodeId from, const DirectoryUpdate&, core::TimePoint now, SyncOutput&);
     // Asks for the configurations that the controllers hold beyond the given version, one controller at a time.
@@ -71,6 +73,7 @@
     bool answers(const Feed&, core::TimePoint now) const;
     bool fillsFrom(core::NodeId, bool hasMore, core::TimePoint now);
     void resumeFilling(core::TimePoint now);
+    bool keepDepartures(const DirectoryUpdate&, core::TimePoint now);
     void merge(core::NodeId from, const DirectoryUpdate&, core::TimePoint now);
     std::vector<core::NodeId> heardControllers(core::TimePoint now, core::Duration limit) const;
     void adoptControllers(const DirectoryUpdate&);
@@ -78,6 +81,7 @@
 
     SubscriberOptions m_options;
     upstream::InstanceDirectory& m_directory;
+    DepartureKeeper* m_departures;
     std::map<core::NodeId, Feed> m_feeds;
     std::vector<core::NodeId> m_members;
     std::vector<core::NodeId> m_contacts;
--- /dev/null
+++ b/tests/adapters/DepartureLogTests.cpp
@@ -0,0 +1,71 @@
+#include "ibisgw/adapters/DepartureLog.h"
+#include "support/TemporaryFolder.h"
+
+#include <doctest/doctest.h>
+
+#include <filesystem>
+#include <fstream>
+
+using namespace ibisgw;
+using namespace ibisgw::adapters;
+
+namespace {
+
+upstream::InstanceReport leaving(std::uint64_t id, upstream::InstanceState state)
+{
+    upstream::InstanceReport report;
+    report.id = { id };
+    report.incarnation = 1000;
+    report.sequence = 7;
+    report.state = state;
+    report.service = "booking";
+    report.address = { 0x0a000000 + static_cast<std::uint32_t>(id), 8080 };
+    return report;
+}
+
+} // namespace
+
+TEST_SUITE("adapters")
+{
+    // Guards against an upstream that has left and is in use again after all controllers have lost power.
+    TEST_CASE("departures are on the disk once they are appended")
+    {
+        const support::TemporaryFolder folder;
+        const auto file = folder.path() + "/departures";
+        DepartureLog log(folder.path());
+        CHECK(log.load().empty());
+        const upstream::InstanceReport first[] { leaving(1, upstream::InstanceState::Draining),
+            leaving(2, upstream::InstanceState::Gone) };
+        const upstream::InstanceReport second[] { leaving(3, upstream::InstanceState::Gone) };
+        REQUIRE(log.append(first));
+        REQUIRE(log.append(second));
+
+        SUBCASE("another process reads them in order")
+        {
+            const auto loaded = DepartureLog(folder.path()).load();
+            REQUIRE(loaded.size() == 3);
+            CHECK(loaded[0].state == upstream::InstanceState::Draining);
+            CHECK(loaded[1].id.value == 2);
+            CHECK(loaded[2].state == upstream::InstanceState::Gone);
+            CHECK(loaded[2].incarnation == 1000);
+        }
+        SUBCASE("an interrupted write at the end costs nothing that was confirmed")
+        {
+            std::filesystem::resize_file(file, std::filesystem::file_size(file) - 3);
+            CHECK(DepartureLog(folder.path()).load().size() == 2);
+        }
+        SUBCASE("they go when the directory was saved, and later ones are kept")
+        {
+            REQUIRE(log.clear());
+            CHECK(log.load().empty());
+            REQUIRE(log.append(second));
+            CHECK(DepartureLog(folder.path()).load().size() == 1);
+        }
+        SUBCASE("a disk that cannot be written is an error, not a confirmation")
+        {
+            DepartureLog lost(folder.path() + "/missing");
+            CHECK(!lost.append(second));
+            CHECK(lost.clear());
+        }
+    }
+}
--- /dev/null
+++ b/tests/sync/DepartureKeeperTests.cpp
@@ -0,0 +1,126 @@
+#include "ibisgw/sync/DepartureKeeper.h"
+#include "ibisgw/sync/DirectorySubscriber.h"
+
+#include <doctest/doctest.h>
+
+#include <vector>
+
+using namespace ibisgw;
+using namespace ibisgw::sync;
+using namespace ibisgw::upstream;
+using namespace std::chrono_literals;
+
+namespace {
+
+struct FakeDisk final : DepartureStore {
+    std::vector<InstanceReport> reports;
+    int writes { 0 };
+    bool isFull { false };
+
+    bool keep(std::span<const InstanceReport> added) override
+    {
+        ++writes;
+        if (!isFull)
+            reports.insert(reports.end(), added.begin(), added.end());
+        return !isFull;
+    }
+};
+
+struct LastSubscription final : SyncOutput {
+    Subscription subscription;
+
+    void send(core::NodeId, const SyncMessage& message) override { subscription = std::get<Subscription>(message); }
+};
+
+InstanceReport reportOf(std::uint64_t id, InstanceState state)
+{
+    InstanceReport report;
+    report.id = { id };
+    report.incarnation = 1000;
+    report.sequence = 5;
+    report.state = state;
+    report.service = "booking";
+    report.address = { 0x0a000000 + static_cast<std::uint32_t>(id), 8080 };
+    return report;
+}
+
+} // namespace
+
+TEST_SUITE("sync")
+{
+    TEST_CASE("departures of one turn are written together")
+    {
+        FakeDisk disk;
+        DepartureKeeper keeper(disk);
+        core::TimePoint now { 100s };
+        keeper.add(reportOf(1, InstanceState::Draining));
+        keeper.add(reportOf(2, InstanceState::Draining));
+        CHECK(!keeper.isKept({ 1 }));
+
+        SUBCASE("and then kept")
+        {
+            CHECK(keeper.flush(now));
+            CHECK(disk.writes == 1);
+            CHECK(disk.reports.size() == 2);
+            CHECK(keeper.isKept({ 1 }));
+        }
+        SUBCASE("a disk that is full is tried again, not at each turn")
+        {
+            disk.isFull = true;
+            for (int n = 0; n < 20; ++n)
+                CHECK(!keeper.flush(now += 20ms));
+            CHECK(disk.writes == 1);
+            disk.isFull = false;
+            CHECK(keeper.flush(now += 200ms));
+            CHECK(disk.reports.size() == 2);
+        }
+        SUBCASE("a directory that was saved holds them, too")
+        {
+            keeper.noteDirectorySaved();
+            CHECK(keeper.isKept({ 1 }));
+            CHECK(keeper.flush(now));
+            CHECK(disk.writes == 0);
+        }
+    }
+
+    // Guards against an upstream that was acknowledged as gone and is in use again after all controllers lost power:
+    // the acknowledgement counted controllers that held the departure in memory only.
+    TEST_CASE("a controller acknowledges the departures of another one when they are on its disk")
+    {
+        constexpr core::NodeId other { 11 };
+        FakeDisk disk;
+        DepartureKeeper keeper(disk);
+        InstanceDirectory directory;
+        DirectorySubscriber subscriber({ { 20 }, 5, true, { other } }, directory, &keeper);
+        LastSubscription output;
+        core::TimePoint now { 100s };
+        DirectoryUpdate update { 77, 0, 3, {}, {}, 0, { other }, 1 };
+        update.items.push_back({ reportOf(1, InstanceState::Gone) });
+        update.items.push_back({ reportOf(2, InstanceState::Ready) });
+
+        SUBCASE("at once when the disk takes them")
+        {
+            subscriber.handle(other, update, now, output);
+            CHECK(output.subscription.acknowledged == 3);
+            CHECK(disk.reports.size() == 1);
+        }
+        SUBCASE("not while the disk is full, although it no longer uses the upstream")
+        {
+            disk.isFull = true;
+            subscriber.handle(other, update, now, output);
+            subscriber.tick(now += 1s, output);
+            CHECK(output.subscription.acknowledged == 0);
+            CHECK(directory.find({ 1 })->report.state == InstanceState::Gone);
+            disk.isFull = false;
+            subscriber.handle(other, update, now += 1s, output);
+            CHECK(output.subscription.acknowledged == 3);
+            CHECK(disk.reports.size() == 1);
+        }
+        SUBCASE("once: what is known is not written again")
+        {
+            subscriber.handle(other, update, now, output);
+            subscriber.handle(other, update, now += 1s, output);
+            CHECK(disk.writes == 1);
+        }
+    }
+}
