Let upstreams report themselves to a controller of their own zone

The answer now names a controller of the upstream's zone that answers and holds what the others know; the headers stay on the pages.

Ruled out: reports to balancers (a departure must reach a majority of the controllers), and kept connections (each would have to be watched for silence, and a controller would hold 600).

Test: a controller names only others that are current and answer.

--- a/src/ibisgw/adapters/HttpServer.cpp
+++ b/src/ibisgw/adapters/HttpServer.cpp
@@ -121,6 +121,7 @@
 struct HttpServer::State::PendingAnswer {
     h2o_timeout_entry_t timeout {};
     h2o_req_t* req { nullptr };
+    bool hasBrowserClient { true };
 
     void detach()
     {
@@ -145,8 +146,10 @@
             h2o_add_header(
                 &target->pool, &target->res.headers, H2O_TOKEN_LOCATION, nullptr, location.base, location.len);
         }
-        addHeader(*target, "content-security-policy", contentSecurityPolicy);
-        addHeader(*target, "x-content-type-options", "nosniff");
+        if (hasBrowserClient) {
+            addHeader(*target, "content-security-policy", contentSecurityPolicy);
+            addHeader(*target, "x-content-type-options", "nosniff");
+        }
         h2o_send_inline(target, response.body.data(), response.body.size());
     }
 
@@ -241,6 +244,7 @@
     req.http1_is_persistent = 0;
     const auto pending = std::make_shared<PendingAnswer>();
     pending->req = &req;
+    pending->hasBrowserClient = limits.hasBrowserClients;
     pending->timeout.cb = PendingAnswer::onTimeout;
     h2o_timeout_link(loop.nativeLoop(), &answerTimeout, &pending->timeout);
     // h2o disposes of the request's pool when the client has gone or the answer is sent.
--- a/src/ibisgw/adapters/HttpServer.h
+++ b/src/ibisgw/adapters/HttpServer.h
@@ -42,6 +42,8 @@
     std::chrono::milliseconds answerTimeout { 15'000 };
     // For request, answer and sending together; cuts off clients that read slowly.
     std::chrono::milliseconds connectionLifetime { 60'000 };
+    // Answers carry headers that tell browsers what pages may do. Other programs would only pay for their bytes.
+    bool hasBrowserClients { true };
 };
 
 // HTTP/1.1 server on the h2o library that shares the event loop of the process. Each connection
--- a/src/ibisgw/runtime/DirectController.cpp
+++ b/src/ibisgw/runtime/DirectController.cpp
@@ -4,6 +4,7 @@
 #include "ibisgw/adapters/RaftCodec.h"
 #include "ibisgw/adapters/SyncCodec.h"
 #include "ibisgw/configuration/DocumentCompression.h"
+#include "ibisgw/core/FlowKey.h"
 #include "ibisgw/runtime/LogFields.h"
 #include "ibisgw/runtime/Subscription.h"
 
@@ -238,12 +239,26 @@
     if (isLeaving && record && outcome == upstream::ReportOutcome::Changed)
         m_departures.add(record->report);
     if (!isLeaving || !record || isConfirmed(report.id, record->lastChange)) {
-        answer({ AnswerKind::Done, {}, {} });
+        answer({ AnswerKind::Done, {}, {}, reportTargetOf(report, now) });
         return;
     }
     m_waitingReports.push_back({ report.id, record->lastChange, now, now + answerLimit, std::move(answer) });
 }
 
+// Reports that stay in the zone of their upstream take a short way, and cost no bytes between zones.
+std::optional<core::Endpoint> DirectController::reportTargetOf(
+    const upstream::InstanceReport& report, core::TimePoint now) const
+{
+    if (report.state != upstream::InstanceState::Ready || report.zone == m_settings.zone)
+        return std::nullopt;
+    const auto nodes = m_subscriber.currentControllersIn(report.zone, now);
+    const auto best = std::ranges::max_element(
+        nodes, {}, [&report](core::NodeId it) { return core::rendezvousWeight(report.id.value, it.value); });
+    if (best == nodes.end())
+        return std::nullopt;
+    return core::Endpoint { best->endpoint().address, m_settings.control.port };
+}
+
 // A balancer follows a controller that hears a majority, so that one hears at least one that knows of the upstream.
 bool DirectController::isConfirmed(upstream::InstanceId id, std::uint64_t change) const
 {
--- a/src/ibisgw/runtime/DirectController.h
+++ b/src/ibisgw/runtime/DirectController.h
@@ -35,6 +35,8 @@
     std::optional<core::Endpoint> leader;
     // The configuration, for a read.
     std::string text;
+    // Where an upstream had better report itself from now on, if that is elsewhere.
+    std::optional<core::Endpoint> reportTo;
 };
 
 // A controller: takes reports of upstreams and configurations of operators, agrees with the other controllers and
@@ -103,6 +105,7 @@
     bool isConfirmed(upstream::InstanceId, std::uint64_t change) const;
     void noteStoreFailure(const std::string& reason);
     ControlAnswer askElsewhere() const;
+    std::optional<core::Endpoint> reportTargetOf(const upstream::InstanceReport&, core::TimePoint now) const;
     std::vector<core::NodeId> controllerNodes() const;
     sync::FeedHead feedHead() const;
 
--- a/src/ibisgw/sync/DirectorySubscriber.cpp
+++ b/src/ibisgw/sync/DirectorySubscriber.cpp
@@ -295,6 +295,17 @@
     return nodes;
 }
 
+std::vector<core::NodeId> DirectorySubscriber::currentControllersIn(
+    const core::ZoneName& zone, core::TimePoint now) const
+{
+    std::vector<core::NodeId> nodes;
+    for (const auto& [node, feed] : m_feeds) {
+        if (feed.isCurrent && feed.zone == zone && answers(feed, now))
+            nodes.push_back(node);
+    }
+    return nodes;
+}
+
 std::size_t DirectorySubscriber::reachableControllers(core::TimePoint now) const
 {
     return heardControllers(now, contactLimit).size();
--- a/src/ibisgw/sync/DirectorySubscriber.h
+++ b/src/ibisgw/sync/DirectorySubscriber.h
@@ -46,6 +46,8 @@
     bool isFilled() const;
     // Controllers that are in contact.
     std::size_t reachableControllers(core::TimePoint now) const;
+    // Controllers of a zone that answer and say that they hold what the others know.
+    std::vector<core::NodeId> currentControllersIn(const core::ZoneName&, core::TimePoint now) const;
     // The controller that a balancer follows; invalid when it has heard of none.
     core::NodeId followed() const { return m_followed; }
 
--- a/tests/sync/DirectorySyncTests.cpp
+++ b/tests/sync/DirectorySyncTests.cpp
@@ -396,6 +396,28 @@
         CHECK(it.feed.confirmations(change, others) == 1);
     }
 
+    // Guards against reports that cross zones for as long as an upstream lives.
+    TEST_CASE("a controller knows which others an upstream of a zone had better report to")
+    {
+        Pair it(true);
+        it.subscribe();
+        CHECK(it.subscriber.currentControllersIn("a", it.now) == std::vector { controllerNode });
+        CHECK(it.subscriber.currentControllersIn("b", it.now).empty());
+
+        SUBCASE("not one that has lost the others")
+        {
+            it.head.isCurrent = false;
+            it.subscribe();
+            CHECK(it.subscriber.currentControllersIn("a", it.now).empty());
+        }
+        SUBCASE("not one that is silent")
+        {
+            for (int n = 0; n < 3; ++n)
+                it.subscriber.tick(it.now += 500ms, it.toController);
+            CHECK(it.subscriber.currentControllersIn("a", it.now).empty());
+        }
+    }
+
     TEST_CASE("a controller that is back before the seeds finds its balancers")
     {
         // Guards against a fleet that waits for seeds that start last after a loss of all machines.
