Tell callers of idle flows that their upstream has ended

Flows without a request in progress are now reset as soon as the loss is known (no answer to callers and probes, another start at its address, 500 ms after its farewell), so the next request opens a flow.

Ruled out: resetting flows with a request in progress too; its answer may come past the balancer.

--- a/src/ibisgw/direct/FlowForwarder.cpp
+++ b/src/ibisgw/direct/FlowForwarder.cpp
@@ -24,27 +24,14 @@
 
 constexpr core::Duration expiryInterval = std::chrono::milliseconds(500);
 
-// A flow whose caller has closed it or whose opening packet stayed unanswered; later packets use the token.
-constexpr core::Duration unopenedFlowAge = std::chrono::seconds(2);
+// After a loss the flows are searched at once and again until requests that were in progress and the time that an upstream
+// has after its farewell are over.
+constexpr core::Duration lossSearchInterval = std::chrono::milliseconds(250);
+constexpr core::Duration lossSearchTime = std::chrono::milliseconds(1000);
 
 // A refusal reaches its caller no sooner; flows that are opened at shorter intervals are opened side by side.
 constexpr core::Duration refusalTime = std::chrono::milliseconds(4);
 
-// Work that is not seen to end counts for this long when the route states no latency objective.
-constexpr core::Duration defaultExpectedWork = std::chrono::milliseconds(100);
-
-// The acknowledgements of a long answer come once a round trip; a longer pause means that it has been sent.
-constexpr core::Duration answerPause = std::chrono::milliseconds(100);
-
-// Callers repeat data after 200 ms or more; a copy that comes sooner was delayed on the network.
-constexpr core::Duration reorderingTime = std::chrono::milliseconds(100);
-
-// Sequence numbers wrap around (RFC 1982).
-bool isAfter(std::uint32_t a, std::uint32_t b)
-{
-    return static_cast<std::int32_t>(a - b) > 0;
-}
-
 ForwardDecision forwardTo(const InstanceRecord& record, ForwardReason reason)
 {
     return { ForwardAction::Forward, reason, record.report.address, record.report.id, record.token };
@@ -63,6 +50,7 @@
     , m_directory(directory)
     , m_selector(selector)
     , m_random(random)
+    , m_flows(m_options.limits, m_responses)
 {
 }
 
@@ -77,12 +65,6 @@
     return true;
 }
 
-const InstanceLoad* FlowForwarder::loadOf(upstream::InstanceId id) const
-{
-    const auto found = m_loads.find(id);
-    return found == m_loads.end() ? nullptr : &found->second;
-}
-
 ForwardDecision FlowForwarder::handle(const FlowSegment& segment, core::TimePoint now)
 {
     const auto found = m_routes.find(segment.flow.service);
@@ -115,28 +97,28 @@
     const auto found = m_flows.find(segment.flow);
     if (found != m_flows.end()) {
         auto& flow = found->second;
-        if (flow.isOpen && now - flow.openedAt < unopenedFlowAge)
+        if (flow.isOpen && now - flow.openedAt < FlowTracker::unopenedFlowAge)
             return { ForwardAction::Drop, ForwardReason::LateCopy };
         if (!flow.isOpen && segment.acknowledged > 0) {
-            load(flow.instance).unanswered(now);
+            m_flows.load(flow.instance).unanswered(now);
             m_responses.noteRepeated(flow.instance, now);
             excluded = flow.instance;
         }
-        forget(found);
+        m_flows.forget(found);
     }
     // A caller whose open was refused opens another flow at once.
     const auto* record = choose(route, excluded ? excluded : unconfirmedInstanceOf(segment.flow, now), now);
     if (!record)
         return { ForwardAction::Reset, ForwardReason::NoUpstream };
     auto decision = forwardTo(*record, excluded ? ForwardReason::PlacedAgain : ForwardReason::Placed);
-    const auto& chosen = load(record->report.id);
+    const auto& chosen = m_flows.load(record->report.id);
     decision.candidates = static_cast<std::uint32_t>(m_candidates.size());
     decision.inProgress = chosen.inProgress();
     decision.openFlows = chosen.openFlows();
-    auto& flow = remember(segment.flow, *record, &route, now)->second;
+    auto& flow = m_flows.remember(segment.flow, *record, &route, now)->second;
     flow.placedHere = true;
-    startWork(segment.flow, flow, now);
-    load(record->report.id).openSent(now);
+    m_flows.startWork(segment.flow, flow, now);
+    m_flows.load(record->report.id).openSent(now);
     m_unconfirmedOpens[segment.flow.caller.address] = { segment.flow, record->report.id, now };
     return decision;
 }
@@ -148,7 +130,7 @@
     if (found == m_unconfirmedOpens.end())
         return std::nullopt;
     const auto age = now - found->second.at;
-    if (age < refusalTime || age > unopenedFlowAge)
+    if (age < refusalTime || age > FlowTracker::unopenedFlowAge)
         return std::nullopt;
     return found->second.instance;
 }
@@ -171,16 +153,19 @@
 }
 
 ForwardDecision FlowForwarder::forwardOpen(
-    FlowMap::iterator entry, const InstanceRecord& record, const FlowSegment& segment, core::TimePoint now)
+    FlowTracker::Entry entry, const InstanceRecord& record, const FlowSegment& segment, core::TimePoint now)
 {
     auto decision = forwardTo(record, ForwardReason::OpenFlow);
-    observe(entry->second, segment, decision, now);
+    const auto observation = m_flows.observe(entry->second, segment, now);
+    decision.isRepeated = observation.isRepeated;
+    decision.startsWork = observation.startsWork;
+    decision.answerTime = observation.answerTime;
     if (isLost(record, segment)) {
         decision.action = ForwardAction::Reset;
         decision.reason = ForwardReason::UpstreamUnresponsive;
     }
     if (segment.isReset || decision.action == ForwardAction::Reset)
-        forget(entry);
+        m_flows.forget(entry);
     return decision;
 }
 
@@ -192,18 +177,18 @@
         if (!m_directory.isRetired(segment.token) || m_directory.mayStillRun(segment.token, now))
             return { ForwardAction::Drop, ForwardReason::UnknownToken };
         if (known != m_flows.end())
-            forget(known);
+            m_flows.forget(known);
         return { segment.isReset ? ForwardAction::Drop : ForwardAction::Reset, ForwardReason::UpstreamGone };
     }
     if (known != m_flows.end() && known->second.instance != record->report.id)
-        forget(known);
-    const auto entry = remember(segment.flow, *record, route, now);
+        m_flows.forget(known);
+    const auto entry = m_flows.remember(segment.flow, *record, route, now);
     auto& flow = entry->second;
     std::optional<core::Duration> openTime;
     if (!flow.isOpen && flow.placedHere) {
         openTime = now - flow.openedAt;
         confirm(segment.flow);
-        load(record->report.id).answered();
+        m_flows.load(record->report.id).answered();
         m_responses.noteProgress(record->report.id);
     }
     flow.isOpen = true;
@@ -221,113 +206,6 @@
         && m_responses.isUnresponsive(record.report.id);
 }
 
-// Work starts with data of the caller and has ended once the caller acknowledges new data of the upstream, or all of a
-// long answer.
-void FlowForwarder::observe(Flow& flow, const FlowSegment& segment, ForwardDecision& decision, core::TimePoint now)
-{
-    flow.lastSeenAt = now;
-    observeSequence(flow, segment, decision, now);
-    const bool isFirst = flow.acknowledged == 0;
-    const bool hasNewAnswer = !isFirst && segment.isAcknowledging && isAfter(segment.acknowledged, flow.acknowledged);
-    if (segment.isAcknowledging && (isFirst || hasNewAnswer))
-        flow.acknowledged = segment.acknowledged;
-    if (hasNewAnswer)
-        observeAnswer(segment.flow, flow, decision, now);
-    const bool followsLongAnswer = flow.isAnswering && decision.startsWork;
-    if (segment.isFinishing || segment.isReset || followsLongAnswer)
-        endWork(flow);
-    if (segment.payloadBytes > 0 && !flow.isWorking && !segment.isFinishing)
-        startWork(segment.flow, flow, now);
-}
-
-void FlowForwarder::observeAnswer(
-    const core::FlowKey& key, Flow& flow, ForwardDecision& decision, core::TimePoint now)
-{
-    m_responses.noteProgress(flow.instance);
-    load(flow.instance).progressed();
-    if (!flow.isWorking)
-        return;
-    if (!flow.isAnswering)
-        decision.answerTime = now - flow.workStartedAt;
-    if (!flow.hasLongAnswer) {
-        endWork(flow);
-        return;
-    }
-    flow.workEndsAt = now + answerPause;
-    if (!flow.isAnswering)
-        m_workDeadlines.push({ flow.workEndsAt, key, flow.workNumber });
-    flow.isAnswering = true;
-}
-
-void FlowForwarder::observeSequence(
-    Flow& flow, const FlowSegment& segment, ForwardDecision& decision, core::TimePoint now)
-{
-    if (segment.payloadBytes == 0)
-        return;
-    const auto next = segment.sequence + segment.payloadBytes;
-    if (!flow.hasData || isAfter(next, flow.nextSequence)) {
-        decision.startsWork = !flow.hasData || !flow.isWorking || flow.isAnswering
-            || (segment.isAcknowledging && isAfter(segment.acknowledged, flow.acknowledged));
-        flow.hasData = true;
-        flow.nextSequence = next;
-        flow.newDataAt = now;
-        return;
-    }
-    // Packets that overtake each other arrive within a few milliseconds; callers repeat after a longer time.
-    if (now - flow.newDataAt < reorderingTime)
-        return;
-    decision.isRepeated = true;
-    m_responses.noteRepeated(flow.instance, now);
-}
-
-void FlowForwarder::startWork(const core::FlowKey& key, Flow& flow, core::TimePoint now)
-{
-    if (flow.isWorking)
-        return;
-    flow.isWorking = true;
-    flow.isAnswering = false;
-    flow.workStartedAt = now;
-    flow.workEndsAt = now + flow.expectedWork;
-    flow.workNumber = ++m_workCount;
-    load(flow.instance).workStarted(now);
-    m_workDeadlines.push({ flow.workEndsAt, key, flow.workNumber });
-}
-
-void FlowForwarder::endWork(Flow& flow)
-{
-    if (!flow.isWorking)
-        return;
-    flow.isWorking = false;
-    load(flow.instance).workEnded();
-}
-
-FlowForwarder::FlowMap::iterator FlowForwarder::remember(
-    const core::FlowKey& key, const InstanceRecord& record, const Route* route, core::TimePoint now)
-{
-    // The packets of a forgotten flow still carry its token.
-    if (m_flows.size() >= m_options.maxFlows && !m_flows.contains(key))
-        forget(m_flows.begin());
-    const auto [entry, isNew] = m_flows.try_emplace(key);
-    if (!isNew)
-        return entry;
-    auto& flow = entry->second;
-    flow.instance = record.report.id;
-    flow.token = record.token;
-    flow.openedAt = flow.lastSeenAt = now;
-    const bool hasObjective = route && route->latencyObjective > core::Duration::zero();
-    flow.expectedWork = hasObjective ? route->latencyObjective : defaultExpectedWork;
-    flow.hasLongAnswer = route && route->kind == RouteKind::Download;
-    load(flow.instance).flowOpened();
-    return entry;
-}
-
-void FlowForwarder::forget(FlowMap::iterator entry)
-{
-    endWork(entry->second);
-    load(entry->second.instance).flowClosed();
-    m_flows.erase(entry);
-}
-
 const core::ServiceName& FlowForwarder::drawService(const Route& route)
 {
     auto point = m_random.below(route.totalWeight());
@@ -360,7 +238,7 @@
             continue;
         if (m_directory.sharesToken(record))
             continue;
-        m_candidates.push_back({ &record, &load(id), report.zone == m_options.zone, isDoubtful(record, now) });
+        m_candidates.push_back({ &record, &m_flows.load(id), report.zone == m_options.zone, isDoubtful(record, now) });
     }
 }
 
@@ -373,45 +251,39 @@
 
 void FlowForwarder::tick(core::TimePoint now)
 {
-    endOverdueWork(now);
+    m_flows.endOverdueWork(now);
     if (now >= m_nextExpiry)
-        expireFlows(now);
+        expire(now);
 }
 
-void FlowForwarder::endOverdueWork(core::TimePoint now)
+void FlowForwarder::expire(core::TimePoint now)
 {
-    while (!m_workDeadlines.empty() && m_workDeadlines.top().at <= now) {
-        const auto deadline = m_workDeadlines.top();
-        m_workDeadlines.pop();
-        const auto found = m_flows.find(deadline.flow);
-        if (found == m_flows.end() || found->second.workNumber != deadline.workNumber || !found->second.isWorking)
-            continue;
-        if (found->second.workEndsAt <= now)
-            endWork(found->second);
-        else
-            m_workDeadlines.push({ found->second.workEndsAt, deadline.flow, deadline.workNumber });
-    }
+    m_nextExpiry = now + expiryInterval;
+    m_flows.expire(m_configuration ? m_configuration->idleTimeout : m_options.limits.maxFlowAge, now);
+    m_flows.dropLoads(m_directory);
+    std::erase_if(
+        m_unconfirmedOpens, [now](const auto& it) { return now - it.second.at > FlowTracker::unopenedFlowAge; });
 }
 
-void FlowForwarder::expireFlows(core::TimePoint now)
+std::vector<FlowSegment> FlowForwarder::takeLostFlows(core::TimePoint now)
 {
-    m_nextExpiry = now + expiryInterval;
-    const auto idleTimeout = m_configuration ? m_configuration->idleTimeout : m_options.maxFlowAge;
-    for (auto it = m_flows.begin(); it != m_flows.end();) {
-        const auto& flow = it->second;
-        const bool isOver = now - flow.lastSeenAt > (flow.isOpen ? idleTimeout : unopenedFlowAge)
-            || now - flow.openedAt > m_options.maxFlowAge;
-        const auto entry = it++;
-        if (isOver)
-            forget(entry);
+    const auto losses = m_directory.retirementCount() + m_responses.lossCount();
+    if (losses != m_seenLosses) {
+        m_seenLosses = losses;
+        m_nextLossSearch = now;
+        m_lossSearchEnd = now + lossSearchTime;
     }
-    std::erase_if(m_unconfirmedOpens, [now](const auto& it) { return now - it.second.at > unopenedFlowAge; });
-    std::erase_if(m_loads, [this](const auto& it) {
-        if (m_directory.find(it.first))
-            return false;
-        m_responses.forget(it.first);
-        return true;
-    });
+    if (now < m_nextLossSearch || now > m_lossSearchEnd)
+        return {};
+    m_nextLossSearch = now + lossSearchInterval;
+    return m_flows.takeIdle([&](const TrackedFlow& it) { return isLost(it, now); });
+}
+
+bool FlowForwarder::isLost(const TrackedFlow& flow, core::TimePoint now) const
+{
+    if (const auto* record = m_directory.findByToken(flow.token))
+        return record->report.state == InstanceState::Ready && m_responses.isUnresponsive(record->report.id);
+    return m_directory.isRetired(flow.token) && !m_directory.mayStillRun(flow.token, now);
 }
 
 } // namespace ibisgw::direct
--- a/src/ibisgw/direct/FlowForwarder.h
+++ b/src/ibisgw/direct/FlowForwarder.h
@@ -3,16 +3,16 @@
 #include "ibisgw/core/RandomSource.h"
 #include "ibisgw/direct/EgressPacer.h"
 #include "ibisgw/direct/FlowSegment.h"
+#include "ibisgw/direct/FlowTracker.h"
 #include "ibisgw/direct/InstanceSelector.h"
 #include "ibisgw/direct/ResponseMonitor.h"
 #include "ibisgw/direct/RouteConfiguration.h"
 
-#include <functional>
 #include <memory>
 #include <optional>
-#include <queue>
 #include <string_view>
 #include <unordered_map>
+#include <vector>
 
 namespace ibisgw::direct {
 
@@ -63,8 +63,7 @@
 
 struct ForwarderOptions {
     core::ZoneName zone;
-    core::Duration maxFlowAge { std::chrono::seconds(60) };
-    std::size_t maxFlows { 400'000 };
+    FlowTrackerLimits limits;
 };
 
 // Decides for each packet of a caller where it goes, when upstreams answer callers directly. An open flow is
@@ -80,57 +79,28 @@
     bool apply(std::shared_ptr<const RouteConfiguration>, core::TimePoint now);
     // Call ten times a second or more often.
     void tick(core::TimePoint now);
+    // Flows to reset because their upstream has ended or answers nothing, and whose callers wait for nothing. A caller
+    // that is told before its next request opens another flow for it; a request on a lost flow would be lost, too.
+    std::vector<FlowSegment> takeLostFlows(core::TimePoint now);
 
     ConfigurationVersion version() const { return m_configuration ? m_configuration->version : 0; }
     std::size_t openFlows() const { return m_flows.size(); }
-    const InstanceLoad* loadOf(upstream::InstanceId) const;
+    const InstanceLoad* loadOf(upstream::InstanceId id) const { return m_flows.loadOf(id); }
     std::uint64_t count(ForwardReason reason) const { return m_counts[static_cast<std::size_t>(reason)]; }
 
 private:
-    struct Flow {
-        upstream::InstanceId instance;
-        std::uint32_t token { 0 };
-        // A packet after the opening one was seen: the caller has an answer of the upstream.
-        bool isOpen { false };
-        // Opened by this balancer, so its first packet shows that the upstream answers.
-        bool placedHere { false };
-        bool isWorking { false };
-        std::uint32_t acknowledged { 0 };
-        // Sequence after the newest data of the caller; meaningful once there was data.
-        std::uint32_t nextSequence { 0 };
-        bool hasData { false };
-        core::TimePoint newDataAt;
-        core::TimePoint openedAt;
-        core::TimePoint lastSeenAt;
-        core::TimePoint workStartedAt;
-        // Work that is not seen to end counts until then.
-        core::TimePoint workEndsAt;
-        core::Duration expectedWork { 0 };
-        // The answer takes many packets: its first one does not end the work.
-        bool hasLongAnswer { false };
-        bool isAnswering { false };
-        std::uint64_t workNumber { 0 };
-    };
-    struct WorkDeadline {
-        core::TimePoint at;
-        core::FlowKey flow;
-        std::uint64_t workNumber { 0 };
-
-        bool operator>(const WorkDeadline& other) const { return at > other.at; }
-    };
     // The newest flow of a caller that has shown no sign of being open.
     struct UnconfirmedOpen {
         core::FlowKey flow;
         upstream::InstanceId instance;
         core::TimePoint at;
     };
-    using FlowMap = std::unordered_map<core::FlowKey, Flow>;
 
     ForwardDecision decide(const FlowSegment&, const Route*, core::TimePoint now);
     ForwardDecision open(const FlowSegment&, const Route&, core::TimePoint now);
     ForwardDecision continueFlow(const FlowSegment&, const Route*, core::TimePoint now);
     ForwardDecision forwardOpen(
-        FlowMap::iterator, const upstream::InstanceRecord&, const FlowSegment&, core::TimePoint now);
+        FlowTracker::Entry, const upstream::InstanceRecord&, const FlowSegment&, core::TimePoint now);
     ForwardDecision resolveToken(const FlowSegment&, const Route*, core::TimePoint now);
     std::optional<upstream::InstanceId> unconfirmedInstanceOf(const core::FlowKey&, core::TimePoint now) const;
     void confirm(const core::FlowKey&);
@@ -141,17 +111,8 @@
     bool isLost(const upstream::InstanceRecord&, const FlowSegment&) const;
     bool isDoubtful(const upstream::InstanceRecord&, core::TimePoint now) const;
 
-    FlowMap::iterator remember(
-        const core::FlowKey&, const upstream::InstanceRecord&, const Route*, core::TimePoint now);
-    void observe(Flow&, const FlowSegment&, ForwardDecision&, core::TimePoint now);
-    void observeSequence(Flow&, const FlowSegment&, ForwardDecision&, core::TimePoint now);
-    void observeAnswer(const core::FlowKey&, Flow&, ForwardDecision&, core::TimePoint now);
-    void startWork(const core::FlowKey&, Flow&, core::TimePoint now);
-    void endOverdueWork(core::TimePoint now);
-    void endWork(Flow&);
-    void forget(FlowMap::iterator);
-    void expireFlows(core::TimePoint now);
-    InstanceLoad& load(upstream::InstanceId id) { return m_loads[id]; }
+    void expire(core::TimePoint now);
+    bool isLost(const TrackedFlow&, core::TimePoint now) const;
 
     ForwarderOptions m_options;
     const upstream::InstanceDirectory& m_directory;
@@ -159,16 +120,16 @@
     core::RandomSource& m_random;
     std::shared_ptr<const RouteConfiguration> m_configuration;
     std::unordered_map<core::Endpoint, const Route*> m_routes;
-    FlowMap m_flows;
+    ResponseMonitor m_responses;
+    FlowTracker m_flows;
     // By the address of the caller.
     std::unordered_map<std::uint32_t, UnconfirmedOpen> m_unconfirmedOpens;
-    std::unordered_map<upstream::InstanceId, InstanceLoad> m_loads;
-    std::priority_queue<WorkDeadline, std::vector<WorkDeadline>, std::greater<>> m_workDeadlines;
-    ResponseMonitor m_responses;
     std::vector<Candidate> m_candidates;
-    std::uint64_t m_workCount { 0 };
-    core::TimePoint m_startedAt {};
     core::TimePoint m_nextExpiry {};
+    // Losses of upstreams that the flows were searched for, and when to search again.
+    std::uint64_t m_seenLosses { 0 };
+    core::TimePoint m_nextLossSearch {};
+    core::TimePoint m_lossSearchEnd {};
     std::uint64_t m_counts[forwardReasonCount] {};
 };
 
--- a/src/ibisgw/direct/ResponseMonitor.cpp
+++ b/src/ibisgw/direct/ResponseMonitor.cpp
@@ -52,7 +52,10 @@
     if (state.repeats == 0 && !state.isUnresponsive)
         return;
     ++state.failures;
-    state.isUnresponsive = state.isUnresponsive || state.failures >= failureLimit;
+    if (!state.isUnresponsive && state.failures >= failureLimit) {
+        state.isUnresponsive = true;
+        ++m_lossCount;
+    }
     state.nextProbe = state.isUnresponsive ? now + unresponsiveInterval : now;
 }
 
--- a/src/ibisgw/direct/ResponseMonitor.h
+++ b/src/ibisgw/direct/ResponseMonitor.h
@@ -32,6 +32,8 @@
     // Upstreams to probe now; each is expected to be reported with noteProbe().
     std::vector<upstream::InstanceId> takeProbes(core::TimePoint now);
     bool isUnresponsive(upstream::InstanceId) const;
+    // Grows each time an upstream becomes unresponsive.
+    std::uint64_t lossCount() const { return m_lossCount; }
 
 private:
     struct State {
@@ -44,6 +46,7 @@
     };
 
     std::unordered_map<upstream::InstanceId, State> m_states;
+    std::uint64_t m_lossCount { 0 };
 };
 
 } // namespace ibisgw::direct
--- a/src/ibisgw/runtime/DirectBalancer.cpp
+++ b/src/ibisgw/runtime/DirectBalancer.cpp
@@ -28,7 +28,7 @@
 {
     direct::ForwarderOptions options;
     options.zone = settings.zone;
-    options.maxFlowAge = settings.maxFlowAge;
+    options.limits.maxFlowAge = settings.maxFlowAge;
     return options;
 }
 
@@ -226,6 +226,7 @@
     m_subscriber.fetchConfiguration(m_forwarder.version(), now, *this);
     m_forwarder.tick(now);
     tickProbes(now);
+    resetLostFlows(now);
     m_journal.note(m_directory, m_events, now);
     m_decisions.flush(m_forwarder.version(), now);
     noteDependencies(now);
@@ -258,6 +259,18 @@
     }
 }
 
+void DirectBalancer::resetLostFlows(core::TimePoint now)
+{
+    const auto lost = m_forwarder.takeLostFlows(now);
+    for (const auto& it : lost) {
+        const auto n = m_packetFormat.writeReset(it, m_out);
+        transmit(it, {}, n, { it.flow.caller.address, m_packets.localEndpoint().port }, now);
+    }
+    m_lostFlows += lost.size();
+    if (!lost.empty())
+        m_events.record(Event::LostFlowsReset, now, [&] { return nlohmann::json { { "flows", lost.size() } }; });
+}
+
 void DirectBalancer::noteProbe(upstream::InstanceId id, direct::ProbeResult result)
 {
     const auto now = m_loop.now();
--- a/src/ibisgw/runtime/DirectBalancer.h
+++ b/src/ibisgw/runtime/DirectBalancer.h
@@ -58,6 +58,7 @@
     void tick();
     void noteProbe(upstream::InstanceId, direct::ProbeResult);
     void tickProbes(core::TimePoint now);
+    void resetLostFlows(core::TimePoint now);
     void noteDependencies(core::TimePoint now);
     bool isShutdownOver(core::TimePoint now) const;
 
@@ -98,6 +99,7 @@
     bool m_hadControllers { false };
     std::optional<core::TimePoint> m_shutdownAt;
     std::uint64_t m_malformedPackets { 0 };
+    std::uint64_t m_lostFlows { 0 };
 };
 
 } // namespace ibisgw::runtime
--- a/src/ibisgw/runtime/DirectBalancerMetrics.cpp
+++ b/src/ibisgw/runtime/DirectBalancerMetrics.cpp
@@ -13,6 +13,8 @@
     }
     m_metrics.counter("ibisgw_malformed_packets_total", "Datagrams that are no packet of a caller")
         = m_malformedPackets;
+    m_metrics.counter("ibisgw_lost_flows_reset_total", "Idle flows reset because their upstream has ended")
+        = m_lostFlows;
     m_metrics.counter(
         "ibisgw_early_packets_expired_total", "Packets held for an unknown upstream or configuration in vain")
         = m_pending.expiredCount();
--- a/src/ibisgw/runtime/Event.cpp
+++ b/src/ibisgw/runtime/Event.cpp
@@ -6,13 +6,14 @@
 
 namespace {
 
-constexpr std::size_t eventCount = 38;
+constexpr std::size_t eventCount = 39;
 
 constexpr core::NameTable<Event, eventCount> eventNames { {
     { Event::FlowPlaced, "flow_placed" },
     { Event::FlowPlacedAgain, "flow_placed_again" },
     { Event::FlowRefused, "flow_refused" },
     { Event::FlowReset, "flow_reset" },
+    { Event::LostFlowsReset, "lost_flows_reset" },
     { Event::TokenUnknown, "token_unknown" },
     { Event::RequestForwarded, "request_forwarded" },
     { Event::RequestsForwarded, "requests_forwarded" },
--- a/src/ibisgw/runtime/Event.h
+++ b/src/ibisgw/runtime/Event.h
@@ -15,6 +15,7 @@
     FlowPlacedAgain,
     FlowRefused,
     FlowReset,
+    LostFlowsReset,
     TokenUnknown,
     RequestForwarded,
     RequestsForwarded,
--- a/src/ibisgw/upstream/InstanceDirectory.cpp
+++ b/src/ibisgw/upstream/InstanceDirectory.cpp
@@ -93,8 +93,10 @@
     const auto entry = std::find_if(first, last, [&](const auto& it) { return it.second == record.report.id; });
     if (entry != last)
         m_tokens.erase(entry);
-    if (!m_tokens.contains(record.token))
-        m_retiredTokens[record.token] = { now, reason };
+    if (m_tokens.contains(record.token))
+        return;
+    m_retiredTokens[record.token] = { now, reason };
+    ++m_retirementCount;
 }
 
 void InstanceDirectory::markGone(InstanceRecord& record, EndReason reason, core::TimePoint now)
--- a/src/ibisgw/upstream/InstanceDirectory.h
+++ b/src/ibisgw/upstream/InstanceDirectory.h
@@ -59,6 +59,8 @@
     bool isRetired(std::uint32_t token) const { return m_retiredTokens.contains(token); }
     // Whether the incarnation of a retired token has said goodbye so recently that it may still end its flows.
     bool mayStillRun(std::uint32_t token, core::TimePoint now) const;
+    // Grows each time an incarnation ends.
+    std::uint64_t retirementCount() const { return m_retirementCount; }
     // Two upstreams with equal tokens get no new flows, so that no token is ambiguous.
     bool sharesToken(const InstanceRecord&) const;
 
@@ -103,6 +105,7 @@
     // Those that are gone included.
     std::unordered_multimap<core::Endpoint, InstanceId> m_addresses;
     std::unordered_map<std::uint32_t, RetiredToken> m_retiredTokens;
+    std::uint64_t m_retirementCount { 0 };
     ChangeIndex m_byChange;
     ChangeIndex m_byNews;
     // Sum of the digests of the records; a change takes the old one of its record away.
--- /dev/null
+++ b/tests/direct/Forwarding.h
@@ -0,0 +1,84 @@
+#pragma once
+
+#include "ibisgw/core/PcgRandomSource.h"
+#include "ibisgw/direct/FlowForwarder.h"
+#include "ibisgw/direct/LeastWorkSelector.h"
+
+#include <memory>
+
+namespace support {
+
+using namespace ibisgw;
+using namespace ibisgw::direct;
+using namespace ibisgw::upstream;
+using namespace std::chrono_literals;
+
+inline constexpr core::Endpoint bookingAddress { 0xc6120001, 8080 };
+inline constexpr core::Endpoint archiveAddress { 0xc6120002, 8443 };
+inline constexpr core::Endpoint patternAddress { 0xc6120003, 8443 };
+
+inline std::shared_ptr<RouteConfiguration> configurationOf(ConfigurationVersion version)
+{
+    auto configuration = std::make_shared<RouteConfiguration>();
+    configuration->version = version;
+    configuration->services = { "booking", "archive" };
+    configuration->routes.push_back(
+        { "r1", bookingAddress, RouteKind::NonIdempotent, 1, 1500ms, 150ms, { { "booking", 1 } } });
+    configuration->routes.push_back({ "r2", archiveAddress, RouteKind::Upload, 2, 5s, 500ms, { { "archive", 1 } } });
+    configuration->routes.push_back({ "r3", patternAddress, RouteKind::Download, 2, 8s, 500ms, { { "archive", 1 } } });
+    return configuration;
+}
+
+// A forwarder with its directory, in virtual time.
+struct Forwarding {
+    core::PcgRandomSource random { 5 };
+    InstanceDirectory directory;
+    LeastWorkSelector selector;
+    FlowForwarder forwarder { { "a" }, directory, selector, random };
+    core::TimePoint now { 100s };
+    std::uint16_t nextPort { 1000 };
+
+    Forwarding() { forwarder.apply(configurationOf(1), now); }
+
+    void add(std::uint64_t id, const char* service, const char* zone = "a", core::Duration cold = {})
+    {
+        InstanceReport report;
+        report.id = { id };
+        report.incarnation = 1000;
+        report.sequence = 1;
+        report.service = service;
+        report.zone = zone;
+        report.address = { 0x0a000000 + static_cast<std::uint32_t>(id), 8080 };
+        report.slots = 2;
+        report.coldRemaining = cold;
+        directory.apply(report, {}, now);
+    }
+    void leave(std::uint64_t id, InstanceState state)
+    {
+        auto report = directory.find({ id })->report;
+        report.sequence += 1;
+        report.state = state;
+        directory.apply(report, {}, now);
+    }
+    FlowSegment opening(core::Endpoint service = bookingAddress)
+    {
+        FlowSegment segment;
+        segment.flow = { { 0x64400001, nextPort++ }, service };
+        segment.isOpening = true;
+        return segment;
+    }
+    // The caller's packet after the upstream has answered.
+    static FlowSegment dataOf(const FlowSegment& opening, std::uint32_t token, std::uint32_t acknowledged = 500)
+    {
+        auto segment = opening;
+        segment.isOpening = false;
+        segment.isAcknowledging = true;
+        segment.acknowledged = acknowledged;
+        segment.token = token;
+        segment.payloadBytes = 100;
+        return segment;
+    }
+    ForwardDecision handle(const FlowSegment& segment) { return forwarder.handle(segment, now); }
+};
+
+} // namespace support
