Share the silence of an upstream, and free repeatable requests on lost flows

Cause: each balancer found out by itself that an upstream had fallen silent, with requests of its own callers, while reports are missing only after four seconds. A balancer now tells its controller, which marks the upstream as overdue; the others probe it and act on what they find. Requests that may be repeated are freed at once from lost flows, too. The word of a balancer is bounded (a third of a service, once in five seconds) and undone by the upstream's next report. Probes of an unresponsive upstream become rarer (1 to 8 s) and start again with its next report.

Ruled out: trusting the word without a probe; two probes at the same time (both are dropped by a listener that is full for a moment); probes 100 ms after a request without progress (short answers are not acknowledged, so every other request would cause one).

Tests: SilenceMarkerTests, LostFlowTests, ResponseMonitorTests.

--- a/src/ibisgw/adapters/SyncCodec.cpp
+++ b/src/ibisgw/adapters/SyncCodec.cpp
@@ -151,6 +151,12 @@
     json.push_back(detail::binaryJson(message.compressedText));
 }
 
+void write(const SilenceReport& message, Json& json)
+{
+    json.push_back(message.id.value);
+    json.push_back(message.incarnation);
+}
+
 void read(detail::JsonArrayReader& reader, Subscription& message)
 {
     message.subscriber = reader.number();
@@ -192,6 +198,12 @@
     message.compressedText = reader.bytes();
 }
 
+void read(detail::JsonArrayReader& reader, SilenceReport& message)
+{
+    message.id.value = reader.number();
+    message.incarnation = reader.number();
+}
+
 // Reads the alternative with the given number.
 template <std::size_t index = 0>
 void readMessage(detail::JsonArrayReader& reader, std::size_t type, SyncMessage& message)
--- a/src/ibisgw/direct/FlowForwarder.cpp
+++ b/src/ibisgw/direct/FlowForwarder.cpp
@@ -252,10 +252,25 @@
 void FlowForwarder::tick(core::TimePoint now)
 {
     m_flows.endOverdueWork(now);
+    followMarks(now);
     if (now >= m_nextExpiry)
         expire(now);
 }
 
+// A mark is the word of another daemon; each balancer finds out itself before it resets a flow.
+void FlowForwarder::followMarks(core::TimePoint now)
+{
+    const auto& changes = m_directory.byChange();
+    for (auto it = changes.upper_bound(m_seenChange); it != changes.end(); ++it) {
+        const auto& record = *m_directory.find(it->second);
+        if (record.isOverdue && record.report.state == InstanceState::Ready)
+            m_responses.noteSuspected(it->second, now);
+        else
+            m_responses.noteReporting(it->second, now);
+    }
+    m_seenChange = m_directory.newestRealChange();
+}
+
 void FlowForwarder::expire(core::TimePoint now)
 {
     m_nextExpiry = now + expiryInterval;
@@ -276,7 +291,7 @@
     if (now < m_nextLossSearch || now > m_lossSearchEnd)
         return {};
     m_nextLossSearch = now + lossSearchInterval;
-    return m_flows.takeIdle([&](const TrackedFlow& it) { return isLost(it, now); });
+    return m_flows.takeExpendable([&](const TrackedFlow& it) { return isLost(it, now); });
 }
 
 bool FlowForwarder::isLost(const TrackedFlow& flow, core::TimePoint now) const
--- a/src/ibisgw/direct/FlowForwarder.h
+++ b/src/ibisgw/direct/FlowForwarder.h
@@ -79,8 +79,9 @@
     bool apply(std::shared_ptr<const RouteConfiguration>, core::TimePoint now);
     // Call ten times a second or more often.
     void tick(core::TimePoint now);
-    // Flows to reset because their upstream has ended or answers nothing, and whose callers wait for nothing. A caller
-    // that is told before its next request opens another flow for it; a request on a lost flow would be lost, too.
+    // Flows to reset because their upstream has ended or answers nothing, and whose callers wait for nothing or for
+    // requests that may be repeated. A caller that is told before its next request opens another flow for it; a request
+    // on a lost flow would be lost, too.
     std::vector<FlowSegment> takeLostFlows(core::TimePoint now);
 
     ConfigurationVersion version() const { return m_configuration ? m_configuration->version : 0; }
@@ -111,6 +112,7 @@
     bool isLost(const upstream::InstanceRecord&, const FlowSegment&) const;
     bool isDoubtful(const upstream::InstanceRecord&, core::TimePoint now) const;
 
+    void followMarks(core::TimePoint now);
     void expire(core::TimePoint now);
     bool isLost(const TrackedFlow&, core::TimePoint now) const;
 
@@ -126,6 +128,7 @@
     std::unordered_map<std::uint32_t, UnconfirmedOpen> m_unconfirmedOpens;
     std::vector<Candidate> m_candidates;
     core::TimePoint m_nextExpiry {};
+    std::uint64_t m_seenChange { 0 };
     // Losses of upstreams that the flows were searched for, and when to search again.
     std::uint64_t m_seenLosses { 0 };
     core::TimePoint m_nextLossSearch {};
--- a/src/ibisgw/direct/FlowTracker.cpp
+++ b/src/ibisgw/direct/FlowTracker.cpp
@@ -49,6 +49,7 @@
     const bool hasObjective = route && route->latencyObjective > core::Duration::zero();
     flow.expectedWork = hasObjective ? route->latencyObjective : defaultExpectedWork;
     flow.hasLongAnswer = route && route->kind == RouteKind::Download;
+    flow.isIdempotent = route && isIdempotent(route->kind);
     load(flow.instance).flowOpened();
     return entry;
 }
@@ -169,13 +170,14 @@
     }
 }
 
-std::vector<FlowSegment> FlowTracker::takeIdle(const std::function<bool(const TrackedFlow&)>& condition)
+std::vector<FlowSegment> FlowTracker::takeExpendable(const std::function<bool(const TrackedFlow&)>& condition)
 {
     std::vector<FlowSegment> segments;
     for (auto it = m_flows.begin(); it != m_flows.end();) {
         const auto entry = it++;
         const auto& flow = entry->second;
-        if (!flow.isOpen || flow.isWorking || !condition(flow))
+        const bool isExpendable = flow.isOpen && (!flow.isWorking || flow.isIdempotent);
+        if (!isExpendable || !condition(flow))
             continue;
         auto& segment = segments.emplace_back();
         segment.flow = entry->first;
--- a/src/ibisgw/direct/FlowTracker.h
+++ b/src/ibisgw/direct/FlowTracker.h
@@ -34,6 +34,7 @@
     // Work that is not seen to end counts until then.
     core::TimePoint workEndsAt;
     core::Duration expectedWork { 0 };
+    bool isIdempotent { false };
     // The answer takes many packets: its first one does not end the work.
     bool hasLongAnswer { false };
     bool isAnswering { false };
@@ -78,9 +79,9 @@
     // Call ten times a second or more often.
     void endOverdueWork(core::TimePoint now);
     void expire(core::Duration idleTimeout, core::TimePoint now);
-    // Forgets open flows without a request in progress for which the condition holds, and returns for each what a reset
-    // of it needs.
-    std::vector<FlowSegment> takeIdle(const std::function<bool(const TrackedFlow&)>& condition);
+    // Forgets open flows for which the condition holds and that may be reset without harm: no request is in progress, or
+    // only one that may be repeated. Returns for each what a reset of it needs.
+    std::vector<FlowSegment> takeExpendable(const std::function<bool(const TrackedFlow&)>& condition);
 
     std::size_t size() const { return m_flows.size(); }
     InstanceLoad& load(upstream::InstanceId id) { return m_loads[id]; }
--- a/src/ibisgw/direct/ResponseMonitor.cpp
+++ b/src/ibisgw/direct/ResponseMonitor.cpp
@@ -1,5 +1,7 @@
 #include "ibisgw/direct/ResponseMonitor.h"
 
+#include <algorithm>
+
 namespace ibisgw::direct {
 
 namespace {
@@ -10,8 +12,10 @@
 // An upstream that answers probes while its callers repeat packets is asked again after this time.
 constexpr core::Duration answeredInterval = std::chrono::milliseconds(500);
 
-// An unresponsive upstream is probed this often until it answers or is gone.
-constexpr core::Duration unresponsiveInterval = std::chrono::seconds(1);
+// An unresponsive upstream is probed until it answers or is gone, less and less often: a large fleet would send more probes
+// to a dead VM than it gets bytes from a living one.
+constexpr core::Duration firstUnresponsiveInterval = std::chrono::seconds(1);
+constexpr core::Duration longestUnresponsiveInterval = std::chrono::seconds(8);
 
 // Without further repeats a suspicion is dropped.
 constexpr core::Duration suspicionTime = std::chrono::seconds(2);
@@ -25,6 +29,13 @@
     state.lastRepeatAt = now;
 }
 
+void ResponseMonitor::noteReporting(upstream::InstanceId id, core::TimePoint now)
+{
+    const auto found = m_states.find(id);
+    if (found != m_states.end() && found->second.isUnresponsive)
+        found->second.nextProbe = now;
+}
+
 void ResponseMonitor::noteProgress(upstream::InstanceId id)
 {
     const auto found = m_states.find(id);
@@ -45,6 +56,7 @@
     if (result == ProbeResult::Answered) {
         state.failures = state.repeats = 0;
         state.isUnresponsive = false;
+        state.probeInterval = {};
         state.nextProbe = now + answeredInterval;
         return;
     }
@@ -56,7 +68,12 @@
         state.isUnresponsive = true;
         ++m_lossCount;
     }
-    state.nextProbe = state.isUnresponsive ? now + unresponsiveInterval : now;
+    state.nextProbe = now;
+    if (!state.isUnresponsive)
+        return;
+    state.probeInterval
+        = std::clamp(2 * state.probeInterval, firstUnresponsiveInterval, longestUnresponsiveInterval);
+    state.nextProbe += state.probeInterval;
 }
 
 void ResponseMonitor::discardProbes()
--- a/src/ibisgw/direct/ResponseMonitor.h
+++ b/src/ibisgw/direct/ResponseMonitor.h
@@ -22,6 +22,10 @@
 public:
     // A caller repeated a packet that had been forwarded to the upstream.
     void noteRepeated(upstream::InstanceId, core::TimePoint now);
+    // Another daemon says that the upstream is silent: it is probed here, too.
+    void noteSuspected(upstream::InstanceId id, core::TimePoint now) { noteRepeated(id, now); }
+    // The upstream reports itself: if it is unresponsive here, it is probed without delay.
+    void noteReporting(upstream::InstanceId, core::TimePoint now);
     // A caller showed that the upstream has sent something new.
     void noteProgress(upstream::InstanceId);
     void noteProbe(upstream::InstanceId, ProbeResult, core::TimePoint now);
@@ -42,6 +46,8 @@
         bool isProbing { false };
         bool isUnresponsive { false };
         core::TimePoint nextProbe;
+        // Between probes of an unresponsive upstream.
+        core::Duration probeInterval { 0 };
         core::TimePoint lastRepeatAt;
     };
 
--- a/src/ibisgw/direct/RouteConfiguration.h
+++ b/src/ibisgw/direct/RouteConfiguration.h
@@ -21,6 +21,12 @@
     Download, // idempotent, with a large answer
 };
 
+// Whether a request may run more than once.
+constexpr bool isIdempotent(RouteKind kind)
+{
+    return kind == RouteKind::Idempotent || kind == RouteKind::Download;
+}
+
 // A service that takes a share of the new flows of a route.
 struct RouteTarget {
     core::ServiceName service;
--- a/src/ibisgw/runtime/DirectBalancer.cpp
+++ b/src/ibisgw/runtime/DirectBalancer.cpp
@@ -279,6 +279,8 @@
     responses.noteProbe(id, result, now);
     if (responses.isUnresponsive(id) == wasUnresponsive)
         return;
+    if (!wasUnresponsive)
+        reportSilence(id);
     m_events.record(wasUnresponsive ? Event::UpstreamResponsive : Event::UpstreamUnresponsive, now, [&] {
         const auto* record = m_directory.find(id);
         return nlohmann::json { { "upstream", textOf(id) }, { "probe", static_cast<int>(result) },
@@ -286,6 +288,14 @@
     });
 }
 
+// Other balancers would find out only with requests of their own callers.
+void DirectBalancer::reportSilence(upstream::InstanceId id)
+{
+    const auto* record = m_directory.find(id);
+    if (record && !record->isOverdue && m_subscriber.followed().isValid())
+        send(m_subscriber.followed(), sync::SilenceReport { id, record->report.incarnation });
+}
+
 void DirectBalancer::noteDependencies(core::TimePoint now)
 {
     const bool hasControllers = m_subscriber.reachableControllers(now) > 0;
--- a/src/ibisgw/runtime/DirectBalancer.h
+++ b/src/ibisgw/runtime/DirectBalancer.h
@@ -57,6 +57,7 @@
     void adopt(const sync::ConfigurationTransfer&, core::TimePoint now);
     void tick();
     void noteProbe(upstream::InstanceId, direct::ProbeResult);
+    void reportSilence(upstream::InstanceId);
     void tickProbes(core::TimePoint now);
     void resetLostFlows(core::TimePoint now);
     void noteDependencies(core::TimePoint now);
--- a/src/ibisgw/runtime/DirectController.cpp
+++ b/src/ibisgw/runtime/DirectController.cpp
@@ -431,6 +431,8 @@
         m_subscriber.handle(sender, *update, now, *this);
     else if (const auto* request = std::get_if<sync::ConfigurationRequest>(&*message))
         handle(sender, *request);
+    else if (const auto* report = std::get_if<sync::SilenceReport>(&*message))
+        handle(sender, *report, now);
 }
 
 void DirectController::handle(core::NodeId sender, const sync::Subscription& subscription, core::TimePoint now)
@@ -447,6 +449,17 @@
         send(sender, sync::ConfigurationTransfer { m_register.version(), m_register.text() });
 }
 
+void DirectController::handle(core::NodeId sender, const sync::SilenceReport& report, core::TimePoint now)
+{
+    const bool isMarked = m_silence.note(m_directory, report.id, report.incarnation, now);
+    m_events.record(Event::SilenceReported, now, [&] {
+        return nlohmann::json { { "upstream", textOf(report.id) }, { "balancer", sender.endpoint().toString() },
+            { "marked", isMarked } };
+    });
+    if (isMarked)
+        m_feed.publish(feedHead(), now, *this);
+}
+
 void DirectController::send(core::NodeId peer, const configuration::RaftMessage& message)
 {
     m_peers.send(peer, PeerChannel::Consensus, adapters::encodeRaftMessage(message));
--- a/src/ibisgw/runtime/DirectController.h
+++ b/src/ibisgw/runtime/DirectController.h
@@ -16,6 +16,7 @@
 #include "ibisgw/sync/DirectoryFeed.h"
 #include "ibisgw/sync/DirectorySubscriber.h"
 #include "ibisgw/upstream/OverdueMonitor.h"
+#include "ibisgw/upstream/SilenceMarker.h"
 
 #include <functional>
 #include <memory>
@@ -96,6 +97,7 @@
     void receive(core::NodeId sender, adapters::PeerChannel, std::string_view body);
     void handle(core::NodeId sender, const sync::Subscription&, core::TimePoint now);
     void handle(core::NodeId sender, const sync::ConfigurationRequest&);
+    void handle(core::NodeId sender, const sync::SilenceReport&, core::TimePoint now);
     void tick();
     void settle(core::TimePoint now);
     void noteAgreement(core::TimePoint now);
@@ -123,6 +125,7 @@
     sync::DepartureKeeper m_departures;
     sync::DirectorySubscriber m_subscriber;
     upstream::OverdueMonitor m_overdue;
+    upstream::SilenceMarker m_silence;
     std::vector<WaitingReport> m_waitingReports;
     std::vector<WaitingChange> m_waitingChanges;
     std::vector<WaitingRead> m_waitingReads;
--- a/src/ibisgw/runtime/Event.cpp
+++ b/src/ibisgw/runtime/Event.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-constexpr std::size_t eventCount = 39;
+constexpr std::size_t eventCount = 40;
 
 constexpr core::NameTable<Event, eventCount> eventNames { {
     { Event::FlowPlaced, "flow_placed" },
@@ -25,6 +25,7 @@
     { Event::UpstreamReporting, "upstream_reporting" },
     { Event::UpstreamUnresponsive, "upstream_unresponsive" },
     { Event::UpstreamResponsive, "upstream_responsive" },
+    { Event::SilenceReported, "silence_reported" },
     { Event::ReportRefused, "report_refused" },
     { Event::ReportUnconfirmed, "report_unconfirmed" },
     { Event::ConfigurationProposed, "configuration_proposed" },
--- a/src/ibisgw/runtime/Event.h
+++ b/src/ibisgw/runtime/Event.h
@@ -28,6 +28,7 @@
     UpstreamReporting,
     UpstreamUnresponsive,
     UpstreamResponsive,
+    SilenceReported,
     ReportRefused,
     ReportUnconfirmed,
     // Configurations.
--- a/src/ibisgw/sync/SyncMessage.h
+++ b/src/ibisgw/sync/SyncMessage.h
@@ -100,7 +100,16 @@
     bool operator==(const ConfigurationTransfer&) const = default;
 };
 
-using SyncMessage = std::variant<Subscription, DirectoryUpdate, ConfigurationRequest, ConfigurationTransfer>;
+// Tells a controller that an upstream answers neither the callers nor the probes of a balancer.
+struct SilenceReport {
+    upstream::InstanceId id;
+    core::Incarnation incarnation { 0 };
+
+    bool operator==(const SilenceReport&) const = default;
+};
+
+using SyncMessage
+    = std::variant<Subscription, DirectoryUpdate, ConfigurationRequest, ConfigurationTransfer, SilenceReport>;
 
 // Implemented by the daemon and by test fakes. A message may be lost.
 class SyncOutput {
--- /dev/null
+++ b/src/ibisgw/upstream/SilenceMarker.cpp
@@ -0,0 +1,42 @@
+#include "ibisgw/upstream/SilenceMarker.h"
+
+namespace ibisgw::upstream {
+
+namespace {
+
+constexpr core::Duration repeatInterval = std::chrono::seconds(5);
+
+// Of the upstreams of a service that have not left, this share may be marked; one always may.
+constexpr std::size_t shareDivisor = 3;
+
+} // namespace
+
+bool SilenceMarker::note(
+    InstanceDirectory& directory, InstanceId id, core::Incarnation incarnation, core::TimePoint now)
+{
+    const auto* record = directory.find(id);
+    if (!record || record->isOverdue || record->report.state != InstanceState::Ready
+        || record->report.incarnation != incarnation)
+        return false;
+    std::erase_if(m_markedAt, [now](const auto& it) { return now - it.second >= repeatInterval; });
+    if (m_markedAt.contains(id) || !isWithinShare(directory, record->report))
+        return false;
+    m_markedAt[id] = now;
+    directory.setOverdue(id, incarnation, record->report.sequence, true, now);
+    return true;
+}
+
+bool SilenceMarker::isWithinShare(const InstanceDirectory& directory, const InstanceReport& report)
+{
+    std::size_t ready = 0;
+    std::size_t overdue = 0;
+    for (const auto& [id, record] : directory.records()) {
+        if (record.report.service != report.service || record.report.state != InstanceState::Ready)
+            continue;
+        ++ready;
+        overdue += record.isOverdue ? 1 : 0;
+    }
+    return overdue == 0 || (overdue + 1) * shareDivisor <= ready;
+}
+
+} // namespace ibisgw::upstream
--- a/tests/direct/LostFlowTests.cpp
+++ b/tests/direct/LostFlowTests.cpp
@@ -2,6 +2,8 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
+
 using namespace support;
 
 namespace {
@@ -87,6 +89,33 @@
                 CHECK(it.takeLost(250ms) == 1);
             }
         }
+        SUBCASE("at once when a request in progress may be repeated")
+        {
+            auto configuration = configurationOf(2);
+            configuration->routes[0].kind = RouteKind::Idempotent;
+            it.forwarder.apply(configuration, it.now);
+            const auto request = it.opening();
+            const auto placed = it.handle(request);
+            it.handle(Forwarding::dataOf(request, placed.token));
+            it.opened = placed;
+            it.loseUpstream();
+            it.now -= 200ms;
+            const auto lost = it.forwarder.takeLostFlows(it.now);
+            CHECK(std::ranges::find(lost, request.flow, &FlowSegment::flow) != lost.end());
+        }
+        // Guards against balancers that find out one after the other, each with requests of its own callers.
+        SUBCASE("when another balancer has found out: the upstream is probed here without a lost request")
+        {
+            it.directory.setOverdue(it.opened.instance, 1000, 1, true, it.now);
+            it.forwarder.tick(it.now += 10ms);
+            auto& responses = it.forwarder.responses();
+            REQUIRE(responses.takeProbes(it.now).size() == 1);
+            CHECK(it.takeLost() == 0);
+            responses.noteProbe(it.opened.instance, ProbeResult::Refused, it.now);
+            REQUIRE(responses.takeProbes(it.now).size() == 1);
+            responses.noteProbe(it.opened.instance, ProbeResult::Refused, it.now);
+            CHECK(it.takeLost() == 1);
+        }
         SUBCASE("not because it drains or is overdue")
         {
             it.leave(it.opened.instance.value, InstanceState::Draining);
--- a/tests/direct/ResponseMonitorTests.cpp
+++ b/tests/direct/ResponseMonitorTests.cpp
@@ -39,6 +39,22 @@
                 monitor.noteProbe(id, ProbeResult::Answered, start + 1310ms);
                 CHECK_FALSE(monitor.isUnresponsive(id));
             }
+            SUBCASE("it is probed less and less often, but at once when it reports itself again")
+            {
+                auto now = start + 250ms;
+                std::size_t probes = 0;
+                for (int n = 0; n < 60; ++n) {
+                    now += 1s;
+                    for (const auto& it : monitor.takeProbes(now)) {
+                        monitor.noteProbe(it, ProbeResult::NoAnswer, now);
+                        ++probes;
+                    }
+                }
+                CHECK(probes >= 6);
+                CHECK(probes <= 12);
+                monitor.noteReporting(id, now += 100ms);
+                CHECK(monitor.takeProbes(now).size() == 1);
+            }
             SUBCASE("progress of any of its flows ends it")
             {
                 monitor.noteProgress(id);
--- a/tests/sync/DirectorySyncTests.cpp
+++ b/tests/sync/DirectorySyncTests.cpp
@@ -467,6 +467,7 @@
             DirectoryUpdate { 1, 2, 3, { { reportOf(1, 1), 5ms, true } }, { { { 2 }, 3, 4 } }, 9, { { 5 } }, 6, true,
                 { { { 7 }, 8, 9, 10ms, true } }, "zone", true },
             ConfigurationRequest { 4 },
+            SilenceReport { { 5 }, 6 },
             ConfigurationTransfer { 4, std::string("\x00\xff text", 7) },
         };
         for (const auto& it : messages) {
--- /dev/null
+++ b/tests/upstream/SilenceMarkerTests.cpp
@@ -0,0 +1,84 @@
+#include "ibisgw/upstream/SilenceMarker.h"
+
+#include <doctest/doctest.h>
+
+using namespace ibisgw;
+using namespace ibisgw::upstream;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr core::Incarnation incarnation = 1000;
+constexpr std::uint64_t serviceSize = 12;
+
+struct Service {
+    InstanceDirectory directory;
+    SilenceMarker marker;
+    core::TimePoint now { 100s };
+    std::uint64_t sequence { 1 };
+
+    Service()
+    {
+        for (std::uint64_t id = 1; id <= serviceSize; ++id) {
+            InstanceReport report;
+            report.id = { id };
+            report.incarnation = incarnation;
+            report.sequence = sequence;
+            report.service = "booking";
+            report.address = { 0x0a000000 + static_cast<std::uint32_t>(id), 8080 };
+            directory.apply(report, {}, now);
+        }
+    }
+    bool note(std::uint64_t id) { return marker.note(directory, { id }, incarnation, now); }
+    std::size_t markEach()
+    {
+        std::size_t marked = 0;
+        for (std::uint64_t id = 1; id <= serviceSize; ++id)
+            marked += note(id) ? 1 : 0;
+        return marked;
+    }
+};
+
+} // namespace
+
+TEST_SUITE("upstream")
+{
+    TEST_CASE("the word of a balancer that an upstream is silent")
+    {
+        Service it;
+
+        SUBCASE("marks it before its reports are missing")
+        {
+            CHECK(it.note(1));
+            CHECK(it.directory.find({ 1 })->isOverdue);
+        }
+        SUBCASE("is about one incarnation")
+        {
+            CHECK(!it.marker.note(it.directory, { 1 }, incarnation - 1, it.now));
+            CHECK(!it.marker.note(it.directory, { 99 }, incarnation, it.now));
+        }
+        SUBCASE("is undone by the upstream's next report, and not believed again at once")
+        {
+            REQUIRE(it.note(1));
+            it.directory.renew({ 1 }, incarnation, ++it.sequence, it.now += 1s);
+            CHECK(!it.directory.find({ 1 })->isOverdue);
+            CHECK(!it.note(1));
+            it.now += 5s;
+            CHECK(it.note(1));
+        }
+        // Guards against a balancer that is cut off from a zone and makes all others avoid its upstreams.
+        SUBCASE("never covers more than a third of a service")
+        {
+            CHECK(it.markEach() == serviceSize / 3);
+        }
+        SUBCASE("covers one upstream of a small service")
+        {
+            for (std::uint64_t id = 3; id <= serviceSize; ++id) {
+                auto farewell = it.directory.find({ id })->report;
+                farewell.state = InstanceState::Gone;
+                it.directory.apply(farewell, {}, it.now);
+            }
+            CHECK(it.markEach() == 1);
+        }
+    }
+}
