Finish the calls that were taken before a planned stop, and hear from the controllers after a pause

A controller ended 300 ms after it was asked to stop, while the answer to an order or a departure may take 850 ms, and connections that were complete but not yet taken were reset. It now takes those that wait, refuses later ones, and ends when all calls are answered or a second before it is killed. Both daemons use ShutdownTimer.

A balancer that had stood still for seconds went on with the packets in its socket before it heard what had changed. Opening packets now wait for 50 ms after a pause of more than a second, while the messages of the controllers are read.

Ruled out: dropping all packets that waited (those of open flows are safe: the token and the intended upstream guard them).

--- a/src/ibisgw/adapters/HttpServer.cpp
+++ b/src/ibisgw/adapters/HttpServer.cpp
@@ -91,6 +91,7 @@
 
     void startListening(int fd);
     void admit(h2o_socket_t*);
+    void closeListener();
     void answer(h2o_req_t&);
 
     static void onAccept(h2o_socket_t*, const char* error);
@@ -216,6 +217,13 @@
     } while (++n < maxAcceptsPerWakeup && state->connections.size() < state->limits.maxConnections);
 }
 
+void HttpServer::State::closeListener()
+{
+    if (listener)
+        h2o_socket_close(listener);
+    listener = nullptr;
+}
+
 void HttpServer::State::admit(h2o_socket_t* socket)
 {
     if (connections.size() >= limits.maxConnections) {
@@ -286,12 +294,21 @@
 
 HttpServer::~HttpServer()
 {
-    h2o_socket_close(m_state->listener);
+    m_state->closeListener();
     // h2o 2.2.5 cannot dispose of a context that has connections, and the process ends soon.
     if (!m_state->connections.empty())
         static_cast<void>(m_state.release());
 }
 
+void HttpServer::stopAccepting()
+{
+    if (!m_state->listener)
+        return;
+    while (auto* socket = h2o_evloop_socket_accept(m_state->listener))
+        m_state->admit(socket);
+    m_state->closeListener();
+}
+
 core::Endpoint HttpServer::localEndpoint() const
 {
     sockaddr_in address {};
--- a/src/ibisgw/adapters/HttpServer.h
+++ b/src/ibisgw/adapters/HttpServer.h
@@ -61,6 +61,9 @@
     HttpServer(const HttpServer&) = delete;
     HttpServer& operator=(const HttpServer&) = delete;
 
+    // Takes the connections that wait and refuses later ones; requests that were sent are still answered.
+    void stopAccepting();
+
     core::Endpoint localEndpoint() const;
     std::size_t openConnections() const;
 
--- a/src/ibisgw/runtime/DirectBalancer.cpp
+++ b/src/ibisgw/runtime/DirectBalancer.cpp
@@ -70,6 +70,7 @@
           m_metrics.latency("ibisgw_egress_wait_seconds", "Wait of packets that the link could not take at once"))
     , m_configurationDelay(m_metrics.latency(
           "ibisgw_configuration_delay_seconds", "From hearing of an accepted configuration to its coming into force"))
+    , m_shutdown({ withdrawalTime, quietTime, settings.gracePeriod - shutdownMargin })
 {
 }
 
@@ -84,14 +85,15 @@
 
 bool DirectBalancer::isReady() const
 {
-    return !m_shutdownAt && !m_isolation.isIsolated() && m_forwarder.version() > 0 && m_directory.hasReady()
+    return !m_shutdown.hasBegun() && !m_isolation.isIsolated() && m_forwarder.version() > 0 && m_directory.hasReady()
         && m_hasBeenFilled;
 }
 
 void DirectBalancer::beginShutdown()
 {
-    m_shutdownAt = m_loop.now();
-    m_events.record(Event::Stopping, *m_shutdownAt, [this] {
+    const auto now = m_loop.now();
+    m_shutdown.begin(now);
+    m_events.record(Event::Stopping, now, [this] {
         return nlohmann::json { { "open_flows", m_forwarder.openFlows() } };
     });
 }
@@ -107,7 +109,8 @@
 void DirectBalancer::receivePacket(std::span<const std::byte> packet)
 {
     const auto now = m_loop.now();
-    m_lastPacketAt = now;
+    m_shutdown.noteWork(now);
+    m_pause.noteTurn(now);
     handlePacket(packet, now, now);
 }
 
@@ -118,6 +121,8 @@
         ++m_malformedPackets;
         return;
     }
+    if (segment->isOpening && m_pause.isRefreshing(now) && m_pending.add(packet, arrivedAt, now))
+        return;
     const auto decision = m_forwarder.handle(*segment, now);
     if (mayBeKnownSoon(decision) && m_pending.add(packet, arrivedAt, now))
         return;
@@ -222,6 +227,7 @@
 void DirectBalancer::tick()
 {
     const auto now = m_loop.now();
+    m_pause.noteTurn(now);
     m_subscriber.tick(now, *this);
     m_subscriber.fetchConfiguration(m_forwarder.version(), now, *this);
     m_forwarder.tick(now);
@@ -230,14 +236,15 @@
     m_journal.note(m_directory, m_events, now);
     m_decisions.flush(m_forwarder.version(), now);
     noteDependencies(now);
-    if (m_pending.hasExpired(now))
+    if (m_pending.hasExpired(now) || (m_wasRefreshing && !m_pause.isRefreshing(now)))
         handlePending(now);
+    m_wasRefreshing = m_pause.isRefreshing(now);
     if (now >= m_nextExpiry) {
         m_nextExpiry = now + expiryInterval;
         m_directory.expire(now);
         adapters::flushLog();
     }
-    if (isShutdownOver(now))
+    if (m_shutdown.isOver(now))
         m_loop.stop();
 }
 
@@ -304,7 +311,7 @@
         m_wasReady = isReady();
         m_events.record(m_wasReady ? Event::Ready : Event::NotReady, now, [this] {
             return nlohmann::json { { "version", m_forwarder.version() }, { "upstreams", m_directory.records().size() },
-                { "stopping", m_shutdownAt.has_value() } };
+                { "stopping", m_shutdown.hasBegun() } };
         });
     }
     if (hasControllers != m_hadControllers) {
@@ -313,14 +320,4 @@
     }
 }
 
-bool DirectBalancer::isShutdownOver(core::TimePoint now) const
-{
-    if (!m_shutdownAt)
-        return false;
-    const auto elapsed = now - *m_shutdownAt;
-    if (elapsed > m_settings.gracePeriod - shutdownMargin)
-        return true;
-    return elapsed > withdrawalTime && now - m_lastPacketAt > quietTime;
-}
-
 } // namespace ibisgw::runtime
--- a/src/ibisgw/runtime/DirectBalancer.h
+++ b/src/ibisgw/runtime/DirectBalancer.h
@@ -15,7 +15,9 @@
 #include "ibisgw/runtime/EventLog.h"
 #include "ibisgw/runtime/IsolationMonitor.h"
 #include "ibisgw/runtime/PacketFormat.h"
+#include "ibisgw/runtime/PauseMonitor.h"
 #include "ibisgw/runtime/ProcessMonitor.h"
+#include "ibisgw/runtime/ShutdownTimer.h"
 #include "ibisgw/settings/DirectSettings.h"
 #include "ibisgw/sync/DirectorySubscriber.h"
 
@@ -61,7 +63,6 @@
     void tickProbes(core::TimePoint now);
     void resetLostFlows(core::TimePoint now);
     void noteDependencies(core::TimePoint now);
-    bool isShutdownOver(core::TimePoint now) const;
 
     settings::DirectSettings m_settings;
     adapters::EventLoop& m_loop;
@@ -91,14 +92,15 @@
     direct::ConfigurationVersion m_announcedVersion { 0 };
     core::TimePoint m_announcedAt {};
     core::TimePoint m_nextExpiry {};
-    core::TimePoint m_lastPacketAt {};
     core::Duration m_longestStall { 0 };
     // New flows would crowd the first upstreams that become known.
     bool m_hasBeenFilled { false };
     IsolationMonitor m_isolation;
+    PauseMonitor m_pause;
+    bool m_wasRefreshing { false };
     bool m_wasReady { false };
     bool m_hadControllers { false };
-    std::optional<core::TimePoint> m_shutdownAt;
+    ShutdownTimer m_shutdown;
     std::uint64_t m_malformedPackets { 0 };
     std::uint64_t m_lostFlows { 0 };
 };
--- a/src/ibisgw/runtime/DirectController.cpp
+++ b/src/ibisgw/runtime/DirectController.cpp
@@ -23,8 +23,11 @@
 // Upstreams and operators wait for a second before they ask another controller.
 constexpr core::Duration answerLimit = std::chrono::milliseconds(850);
 
-// Enough for the answers that are due when the process is asked to stop.
+// Others must take over what this controller did, and the last answers must leave the socket.
 constexpr core::Duration shutdownTime = std::chrono::milliseconds(300);
+constexpr core::Duration quietTime = std::chrono::milliseconds(100);
+// Kept free at the end of the grace period for the end of the process.
+constexpr core::Duration shutdownMargin = std::chrono::seconds(1);
 
 configuration::RaftOptions raftOptions(const settings::DirectSettings& settings, core::NodeId self)
 {
@@ -86,6 +89,7 @@
     , m_leaveTime(m_metrics.latency(
           "ibisgw_leave_confirmation_seconds", "From the report of an upstream that leaves to its acknowledgement"))
     , m_syncTime(m_metrics.latency("ibisgw_disk_sync_seconds", "Time of a sync of the log"))
+    , m_shutdown({ shutdownTime, quietTime, settings.gracePeriod - shutdownMargin })
 {
     m_store->onSynced([this](core::Duration it) { m_syncTime.record(it); });
 }
@@ -126,7 +130,9 @@
         saveInstances();
         adapters::flushLog();
     }
-    if (m_shutdownAt && now - *m_shutdownAt > shutdownTime)
+    if (m_openCalls && m_openCalls() > 0)
+        m_shutdown.noteWork(now);
+    if (m_shutdown.isOver(now))
         m_loop.stop();
 }
 
@@ -210,10 +216,12 @@
         [&] { noteStoreFailure("the upstreams could not be saved"); });
 }
 
-void DirectController::beginShutdown()
+void DirectController::beginShutdown(std::function<std::size_t()> openCalls)
 {
-    m_shutdownAt = m_loop.now();
-    m_events.record(Event::Stopping, *m_shutdownAt);
+    const auto now = m_loop.now();
+    m_openCalls = std::move(openCalls);
+    m_shutdown.begin(now);
+    m_events.record(Event::Stopping, now, [this] { return nlohmann::json { { "open_calls", m_openCalls() } }; });
 }
 
 void DirectController::reload(const settings::DirectSettings& settings)
--- a/src/ibisgw/runtime/DirectController.h
+++ b/src/ibisgw/runtime/DirectController.h
@@ -12,6 +12,7 @@
 #include "ibisgw/runtime/DirectoryJournal.h"
 #include "ibisgw/runtime/EventLog.h"
 #include "ibisgw/runtime/ProcessMonitor.h"
+#include "ibisgw/runtime/ShutdownTimer.h"
 #include "ibisgw/settings/DirectSettings.h"
 #include "ibisgw/sync/DirectoryFeed.h"
 #include "ibisgw/sync/DirectorySubscriber.h"
@@ -60,7 +61,8 @@
     // Input that was refused before it got here.
     void noteRefusedReport(const std::string& instance);
     void noteInvalidConfiguration(const core::Problem&);
-    void beginShutdown();
+    // Ends the loop once the calls that were made are answered; the function tells how many are open.
+    void beginShutdown(std::function<std::size_t()> openCalls);
     void reload(const settings::DirectSettings&);
     // The incarnation that is known for an upstream; 0 when there is none.
     core::Incarnation incarnationOf(upstream::InstanceId) const;
@@ -144,7 +146,8 @@
     std::uint64_t m_notedMembership { 0 };
     configuration::RaftRole m_notedRole { configuration::RaftRole::CheckingDisk };
     direct::ConfigurationVersion m_notedVersion { 0 };
-    std::optional<core::TimePoint> m_shutdownAt;
+    ShutdownTimer m_shutdown;
+    std::function<std::size_t()> m_openCalls;
 };
 
 } // namespace ibisgw::runtime
