Send a joining follower the reports of upstreams that have been overdue

While it fills in parts that says nothing: the upstream was left out of the first part, because its mark is newer, and in the later one it came as a mark alone. Controllers had the same hole with renewals before. A mark or renewal alone is now sent only to a follower that has acknowledged a complete update since the report.

Ruled out: a lost datagram (five copies over three seconds got the same answer); a balancer that had not filled (it was ready).

--- a/src/ibisgw/sync/DirectoryFeed.cpp
+++ b/src/ibisgw/sync/DirectoryFeed.cpp
@@ -1,6 +1,7 @@
 #include "ibisgw/sync/DirectoryFeed.h"
 
 #include <algorithm>
+#include <tuple>
 
 namespace ibisgw::sync {
 
@@ -41,15 +42,29 @@
     subscriber.heardAt = now;
     subscriber.heard = subscription.heard;
     if (subscription.feed == m_feed)
-        subscriber.acknowledged = std::max(subscriber.acknowledged, subscription.acknowledged);
+        noteAcknowledged(subscriber, subscription.acknowledged);
     if (subscription.digest != 0 && subscription.digest == m_directory.digest())
-        subscriber.acknowledged = m_directory.newestChange();
+        subscriber.acknowledged = subscriber.holdsAllTo = m_directory.newestChange();
     auto update = subscription.mode == FollowMode::Heads ? makeHead(subscriber.acknowledged, head)
                                                          : makeUpdate(subscriber.acknowledged, subscriber, head, now);
     update.from = subscription.feed == m_feed ? subscription.acknowledged : 0;
+    noteSent(subscriber, update);
+    output.send(from, std::move(update));
+}
+
+void DirectoryFeed::noteAcknowledged(Subscriber& subscriber, std::uint64_t change)
+{
+    subscriber.acknowledged = std::max(subscriber.acknowledged, change);
+    if (subscriber.completeTo > 0 && subscriber.acknowledged >= subscriber.completeTo)
+        subscriber.holdsAllTo = std::max(subscriber.holdsAllTo, subscriber.completeTo);
+}
+
+void DirectoryFeed::noteSent(Subscriber& subscriber, const DirectoryUpdate& update)
+{
     subscriber.sent = update.to;
     subscriber.isBehind = update.hasMore;
-    output.send(from, std::move(update));
+    if (!update.hasMore)
+        subscriber.completeTo = update.to;
 }
 
 void DirectoryFeed::publish(const FeedHead& head, core::TimePoint now, SyncOutput& output)
@@ -86,16 +101,16 @@
     publishedVersion = head.version;
     std::erase_if(m_subscribers, [now](const auto& it) { return now - it.second.heardAt > subscriberTimeout; });
     // Balancers that hold the same changes get the same update, and so do controllers that hear the same others.
-    std::map<std::pair<std::uint64_t, std::vector<core::NodeId>>, DirectoryUpdate> updates;
+    using Key = std::tuple<std::uint64_t, std::uint64_t, std::vector<core::NodeId>>;
+    std::map<Key, DirectoryUpdate> updates;
     for (auto& [node, subscriber] : m_subscribers) {
         // One that is behind asks for the rest itself, at its own pace.
         if (subscriber.isController != toControllers || subscriber.isBehind || subscriber.mode == FollowMode::Heads)
             continue;
-        const auto [entry, isNew] = updates.try_emplace({ subscriber.sent, subscriber.heard });
+        const auto [entry, isNew] = updates.try_emplace({ subscriber.sent, subscriber.holdsAllTo, subscriber.heard });
         if (isNew)
             entry->second = makeUpdate(subscriber.sent, subscriber, head, now);
-        subscriber.sent = entry->second.to;
-        subscriber.isBehind = entry->second.hasMore;
+        noteSent(subscriber, entry->second);
         output.send(node, entry->second);
     }
 }
@@ -131,9 +146,10 @@
 {
     const auto& report = record.report;
     const auto age = now - record.renewedAt;
-    if (record.lastReportChange > from)
+    const auto known = std::min(from, subscriber.holdsAllTo);
+    if (record.lastReportChange > known)
         update.items.push_back({ report, age, record.isOverdue });
-    else if (record.lastChange > from)
+    else if (record.lastChange > known)
         update.marks.push_back({ report.id, report.incarnation, report.sequence, age, record.isOverdue });
     else if (std::ranges::find(subscriber.heard, record.source) == subscriber.heard.end())
         update.renewals.push_back({ report.id, report.incarnation, report.sequence });
--- a/src/ibisgw/sync/DirectoryFeed.h
+++ b/src/ibisgw/sync/DirectoryFeed.h
@@ -47,6 +47,11 @@
         std::uint64_t acknowledged { 0 };
         // Up to here changes were sent. A subscription starts again from what it acknowledges.
         std::uint64_t sent { 0 };
+        // The last change of the newest update that held all that there was, and of the newest such one that is
+        // acknowledged. Reports that are not newer than the latter are known to the subscriber; before, a report may have
+        // been left out of all parts because its mark was newer.
+        std::uint64_t completeTo { 0 };
+        std::uint64_t holdsAllTo { 0 };
         // The last update did not hold all changes.
         bool isBehind { false };
         // Controllers that it hears itself.
@@ -54,6 +59,8 @@
         core::TimePoint heardAt;
     };
     void announce(const FeedHead&, core::TimePoint now, SyncOutput&);
+    static void noteAcknowledged(Subscriber&, std::uint64_t change);
+    static void noteSent(Subscriber&, const DirectoryUpdate&);
     DirectoryUpdate makeHead(std::uint64_t acknowledged, const FeedHead&) const;
     // What a subscriber is to learn after the change `from`.
     DirectoryUpdate makeUpdate(std::uint64_t from, const Subscriber&, const FeedHead&, core::TimePoint now) const;
--- a/tests/sync/DirectorySyncTests.cpp
+++ b/tests/sync/DirectorySyncTests.cpp
@@ -271,6 +271,39 @@
         }
     }
 
+    // Guards against a balancer that joins and never learns of upstreams that were overdue once: it was told of the mark
+    // instead of the report, and dropped the packets of their flows (inc-2986, request c1d73c034b5fab83).
+    TEST_CASE("a follower that joins late learns of upstreams that have been overdue")
+    {
+        for (const bool isController : { false, true }) {
+            CAPTURE(isController);
+            constexpr std::uint64_t upstreams = 250;
+            Pair it(isController);
+            for (std::uint64_t id = 1; id <= upstreams; ++id)
+                it.source.apply(reportOf(id, 1), {}, it.now);
+            it.source.setOverdue({ 7 }, 1000, 1, true, it.now);
+            it.source.setOverdue({ 8 }, 1000, 1, true, it.now);
+            it.source.renew({ 8 }, 1000, 2, it.now);
+            it.subscribe();
+            CHECK(it.copy.records().size() == upstreams);
+            REQUIRE(it.copy.find({ 7 }) != nullptr);
+            CHECK(it.copy.find({ 7 })->isOverdue);
+            CHECK(it.copy.digest() == it.source.digest());
+
+            // Later it gets the mark alone.
+            it.subscribe();
+            it.toFollower.messages.clear();
+            it.source.setOverdue({ 9 }, 1000, 1, true, it.now);
+            it.feed.publish(it.head, it.now += 100ms, it.toFollower);
+            REQUIRE(it.toFollower.messages.size() == 1);
+            const auto& update = std::get<DirectoryUpdate>(it.toFollower.messages.front().second);
+            CHECK(update.items.empty());
+            CHECK(update.marks.size() == 1);
+            it.deliver();
+            CHECK(it.copy.digest() == it.source.digest());
+        }
+    }
+
     // Guards against a controller that encodes the same upstreams for each balancer of a fleet that has restarted.
     TEST_CASE("parts of a directory are encoded once for all followers that ask at about the same time")
     {
