--- a/src/ibisgw/adapters/InstanceFile.cpp
+++ b/src/ibisgw/adapters/InstanceFile.cpp
@@ -19,7 +19,7 @@
 {
     std::ifstream in(folder + "/" + fileName, std::ios::binary);
     const std::string bytes { std::istreambuf_iterator<char>(in), {} };
-    const SavedDirectory unreadable { {}, {}, in.is_open() };
+    SavedDirectory unreadable { {}, {}, in.is_open() };
     detail::LogRecordReader reader(bytes);
     detail::LogRecord record;
     if (reader.next(record) != detail::RecordStatus::Valid || record.type != detail::RecordType::Snapshot)
--- a/src/ibisgw/direct/FlowForwarder.cpp
+++ b/src/ibisgw/direct/FlowForwarder.cpp
@@ -24,8 +24,8 @@
 
 constexpr core::Duration expiryInterval = std::chrono::milliseconds(500);
 
-// After a loss the flows are searched at once and again until requests that were in progress and the time that an upstream
-// has after its farewell are over.
+// After a loss the flows are searched at once and again until requests that were in progress and the time that an
+// upstream has after its farewell are over.
 constexpr core::Duration lossSearchInterval = std::chrono::milliseconds(250);
 constexpr core::Duration lossSearchTime = std::chrono::milliseconds(1000);
 
--- a/src/ibisgw/direct/FlowTracker.h
+++ b/src/ibisgw/direct/FlowTracker.h
@@ -79,8 +79,8 @@
     // Call ten times a second or more often.
     void endOverdueWork(core::TimePoint now);
     void expire(core::Duration idleTimeout, core::TimePoint now);
-    // Forgets open flows for which the condition holds and that may be reset without harm: no request is in progress, or
-    // only one that may be repeated. Returns for each what a reset of it needs.
+    // Forgets open flows for which the condition holds and that may be reset without harm: no request is in progress,
+    // or only one that may be repeated. Returns for each what a reset of it needs.
     std::vector<FlowSegment> takeExpendable(const std::function<bool(const TrackedFlow&)>& condition);
 
     std::size_t size() const { return m_flows.size(); }
--- a/src/ibisgw/direct/ResponseMonitor.cpp
+++ b/src/ibisgw/direct/ResponseMonitor.cpp
@@ -12,8 +12,8 @@
 // An upstream that answers probes while its callers repeat packets is asked again after this time.
 constexpr core::Duration answeredInterval = std::chrono::milliseconds(500);
 
-// An unresponsive upstream is probed until it answers or is gone, less and less often: a large fleet would send more probes
-// to a dead VM than it gets bytes from a living one.
+// An unresponsive upstream is probed until it answers or is gone, less and less often: a large fleet would send more
+// probes to a dead VM than it gets bytes from a living one.
 constexpr core::Duration firstUnresponsiveInterval = std::chrono::seconds(1);
 constexpr core::Duration longestUnresponsiveInterval = std::chrono::seconds(8);
 
@@ -71,8 +71,7 @@
     state.nextProbe = now;
     if (!state.isUnresponsive)
         return;
-    state.probeInterval
-        = std::clamp(2 * state.probeInterval, firstUnresponsiveInterval, longestUnresponsiveInterval);
+    state.probeInterval = std::clamp(2 * state.probeInterval, firstUnresponsiveInterval, longestUnresponsiveInterval);
     state.nextProbe += state.probeInterval;
 }
 
--- a/src/ibisgw/runtime/PauseMonitor.h
+++ b/src/ibisgw/runtime/PauseMonitor.h
@@ -4,9 +4,9 @@
 
 namespace ibisgw::runtime {
 
-// Answers a process that stood still for seconds and goes on with packets that waited in its sockets: upstreams may have
-// left meanwhile, and it would place flows on what it knew before. After a pause it waits until the controllers have told
-// what has changed.
+// Answers a process that stood still for seconds and goes on with packets that waited in its sockets: upstreams may
+// have left meanwhile, and it would place flows on what it knew before. After a pause it waits until the controllers
+// have told what has changed.
 class PauseMonitor {
 public:
     // The directory may be this old at any time.
--- a/src/ibisgw/sync/DirectoryFeed.h
+++ b/src/ibisgw/sync/DirectoryFeed.h
@@ -48,8 +48,8 @@
         // Up to here changes were sent. A subscription starts again from what it acknowledges.
         std::uint64_t sent { 0 };
         // The last change of the newest update that held all that there was, and of the newest such one that is
-        // acknowledged. Reports that are not newer than the latter are known to the subscriber; before, a report may have
-        // been left out of all parts because its mark was newer.
+        // acknowledged. Reports that are not newer than the latter are known to the subscriber; before, a report may
+        // have been left out of all parts because its mark was newer.
         std::uint64_t completeTo { 0 };
         std::uint64_t holdsAllTo { 0 };
         // The last update did not hold all changes.
@@ -64,8 +64,8 @@
     DirectoryUpdate makeHead(std::uint64_t acknowledged, const FeedHead&) const;
     // What a subscriber is to learn after the change `from`.
     DirectoryUpdate makeUpdate(std::uint64_t from, const Subscriber&, const FeedHead&, core::TimePoint now) const;
-    void addNews(
-        DirectoryUpdate&, const upstream::InstanceRecord&, std::uint64_t from, const Subscriber&, core::TimePoint) const;
+    void addNews(DirectoryUpdate&, const upstream::InstanceRecord&, std::uint64_t from, const Subscriber&,
+        core::TimePoint) const;
     void publishTo(bool toControllers, const FeedHead&, core::TimePoint now, SyncOutput&);
     void publishHead(const FeedHead&, SyncOutput&);
 
--- a/src/ibisgw/sync/DirectorySubscriber.cpp
+++ b/src/ibisgw/sync/DirectorySubscriber.cpp
@@ -15,7 +15,8 @@
 // Balancers ask controllers that they do not follow for their heads this often; shorter than the contact limit.
 constexpr core::Duration headInterval = std::chrono::milliseconds(1500);
 
-// A controller that leaves a subscription unanswered for this long is not followed; one that is lost is repeated before.
+// A controller that leaves a subscription unanswered for this long is not followed; one that is lost is repeated
+// before.
 constexpr core::Duration followLimit = std::chrono::milliseconds(600);
 
 // A controller that has been ahead of the followed one for this long knows something that did not get there.
@@ -141,8 +142,7 @@
     const auto digest = needsDigest ? m_directory.digest() : 0;
     const auto heard = m_options.isController ? heardControllers(now, relayLimit) : std::vector<core::NodeId> {};
     output.send(node,
-        Subscription {
-            m_options.process, m_options.isController, feed.feed, feed.acknowledged, digest, heard, mode });
+        Subscription { m_options.process, m_options.isController, feed.feed, feed.acknowledged, digest, heard, mode });
 }
 
 void DirectorySubscriber::handle(
@@ -213,8 +213,8 @@
         return true;
     for (const auto& it : update.items) {
         const auto* known = m_directory.find(it.report.id);
-        const bool isKnown = known && known->report.incarnation == it.report.incarnation
-            && known->report.state == it.report.state;
+        const bool isKnown
+            = known && known->report.incarnation == it.report.incarnation && known->report.state == it.report.state;
         if (isLeaving(it) && !isKnown)
             m_departures->add(it.report);
     }
--- a/src/ibisgw/upstream/SilenceMarker.h
+++ b/src/ibisgw/upstream/SilenceMarker.h
@@ -6,10 +6,10 @@
 
 namespace ibisgw::upstream {
 
-// Decides what a controller makes of a balancer's word that an upstream answers neither callers nor probes. The upstream
-// is marked as overdue before its reports are missing, so every balancer probes it. A false word does little: a mark
-// only lets new flows prefer others, ends with the upstream's next report, and never covers more than a part of a
-// service, so that a balancer that is cut off cannot empty one.
+// Decides what a controller makes of a balancer's word that an upstream answers neither callers nor probes. The
+// upstream is marked as overdue before its reports are missing, so every balancer probes it. A false word does little:
+// a mark only lets new flows prefer others, ends with the upstream's next report, and never covers more than a part of
+// a service, so that a balancer that is cut off cannot empty one.
 class SilenceMarker {
 public:
     // Whether the upstream was marked.
--- a/tests/direct/LostFlowTests.cpp
+++ b/tests/direct/LostFlowTests.cpp
@@ -45,8 +45,9 @@
 
 TEST_SUITE("direct")
 {
-    // Guards against requests that are lost for good: a caller with an open flow to an upstream that has ended sends its next
-    // request on it, and one that is not idempotent must not be repeated (61 failed so on trouble-1 of gnsm-gate).
+    // Guards against requests that are lost for good: a caller with an open flow to an upstream that has ended sends
+    // its next request on it, and one that is not idempotent must not be repeated (61 failed so on trouble-1 of
+    // gnsm-gate).
     TEST_CASE("callers of idle flows are told that their upstream is lost before they send a request")
     {
         IdleFlow it;
--- a/tests/runtime/PauseMonitorTests.cpp
+++ b/tests/runtime/PauseMonitorTests.cpp
@@ -8,7 +8,8 @@
 
 TEST_SUITE("runtime")
 {
-    // Guards against a balancer that was paused for seconds and places the packets that waited on upstreams that have left.
+    // Guards against a balancer that was paused for seconds and places the packets that waited on upstreams that have
+    // left.
     TEST_CASE("a process that stood still hears from the controllers before it decides")
     {
         core::TimePoint now { 100s };
--- a/tests/runtime/ShutdownTimerTests.cpp
+++ b/tests/runtime/ShutdownTimerTests.cpp
@@ -8,8 +8,8 @@
 
 TEST_SUITE("runtime")
 {
-    // Guards against a planned stop that cuts off calls that were just taken: a controller ended 300 ms after the signal,
-    // while an answer that waits for the other controllers may take 850 ms.
+    // Guards against a planned stop that cuts off calls that were just taken: a controller ended 300 ms after the
+    // signal, while an answer that waits for the other controllers may take 850 ms.
     TEST_CASE("a process that was asked to stop finishes its work")
     {
         constexpr core::TimePoint start { 100s };
--- a/tests/support/ControlFleet.cpp
+++ b/tests/support/ControlFleet.cpp
@@ -256,7 +256,7 @@
     });
 }
 
-void ControlFleet::receiveReport(std::size_t upstream, std::size_t n, upstream::InstanceReport report)
+void ControlFleet::receiveReport(std::size_t upstream, std::size_t n, const upstream::InstanceReport& report)
 {
     auto& controller = *m_controllers[n];
     const auto outcome = controller.directory.apply(report, {}, now());
@@ -343,9 +343,8 @@
 std::size_t ControlFleet::filledBalancers() const
 {
     return static_cast<std::size_t>(std::ranges::count_if(m_balancers, [this](const auto& balancer) {
-        return std::ranges::all_of(m_upstreams, [&balancer](const auto& it) {
-            return it->isSilent || balancer->directory.find(it->report.id);
-        });
+        return std::ranges::all_of(m_upstreams,
+            [&balancer](const auto& it) { return it->isSilent || balancer->directory.find(it->report.id); });
     }));
 }
 
@@ -363,14 +362,16 @@
 
 ControlFleet::Traffic ControlFleet::busiestToBalancers() const
 {
-    return (*std::ranges::max_element(m_controllers, {}, [](const auto& it) { return it->toBalancers.bytes; }))
-        ->toBalancers;
+    return (*std::ranges::max_element(m_controllers, {}, [](const auto& it) {
+        return it->toBalancers.bytes;
+    }))->toBalancers;
 }
 
 ControlFleet::Traffic ControlFleet::busiestToControllers() const
 {
-    return (*std::ranges::max_element(m_controllers, {}, [](const auto& it) { return it->toControllers.bytes; }))
-        ->toControllers;
+    return (*std::ranges::max_element(m_controllers, {}, [](const auto& it) {
+        return it->toControllers.bytes;
+    }))->toControllers;
 }
 
 ControlFleet::Traffic ControlFleet::busiestBalancer() const
--- a/tests/support/ControlFleet.h
+++ b/tests/support/ControlFleet.h
@@ -81,7 +81,7 @@
     void startBalancer(std::size_t);
     void scheduleReport(std::size_t upstream, ibisgw::core::Duration);
     void report(std::size_t upstream, std::size_t controller);
-    void receiveReport(std::size_t upstream, std::size_t controller, ibisgw::upstream::InstanceReport);
+    void receiveReport(std::size_t upstream, std::size_t controller, const ibisgw::upstream::InstanceReport&);
     void tickController(std::size_t);
     void handleAt(std::size_t controller, ibisgw::core::Duration cost, MessageQueue::Action);
     void deliver(ibisgw::core::NodeId from, ibisgw::core::NodeId to, std::string bytes);
--- a/tests/sync/DirectorySyncTests.cpp
+++ b/tests/sync/DirectorySyncTests.cpp
@@ -271,8 +271,8 @@
         }
     }
 
-    // Guards against a balancer that joins and never learns of upstreams that were overdue once: it was told of the mark
-    // instead of the report, and dropped the packets of their flows (inc-2986, request c1d73c034b5fab83).
+    // Guards against a balancer that joins and never learns of upstreams that were overdue once: it was told of the
+    // mark instead of the report, and dropped the packets of their flows (inc-2986, request c1d73c034b5fab83).
     TEST_CASE("a follower that joins late learns of upstreams that have been overdue")
     {
         for (const bool isController : { false, true }) {
--- a/tests/upstream/OverdueMonitorTests.cpp
+++ b/tests/upstream/OverdueMonitorTests.cpp
@@ -47,7 +47,8 @@
 
 TEST_SUITE("upstream")
 {
-    // Guards against a machine that was only slow to report, or whose reports waited at a slow controller, being given up.
+    // Guards against a machine that was only slow to report, or whose reports waited at a slow controller, being given
+    // up.
     TEST_CASE("an upstream counts as overdue when its reports are missing, not when the controller is late")
     {
         Watched it;
