Acknowledge updates without departures while a disk is full

Cause (found in the read-through): a controller whose disk refused one departure acknowledged no update at all, also those without departures, so the others sent it the same changes with each subscription. Only an update whose departures are not kept stays unacknowledged now. handle() of the subscriber is split into the head, the merge and the question for more.

Test: "and updates without departures meanwhile"; before, change 3 was not acknowledged.

--- a/src/ibisgw/sync/DirectorySubscriber.cpp
+++ b/src/ibisgw/sync/DirectorySubscriber.cpp
@@ -152,17 +152,7 @@
     if (!m_feeds.contains(from))
         addController(from);
     auto& feed = m_feeds[from];
-    feed.heardAt = now;
-    feed.unansweredSince.reset();
-    feed.version = update.version;
-    feed.zone = update.zone;
-    feed.isCurrent = update.isCurrent;
-    if (update.feed != feed.feed) {
-        // Another process: everything is new. An update that builds on an earlier one cannot be used.
-        feed.feed = update.feed;
-        feed.acknowledged = 0;
-        feed.isComplete = false;
-    }
+    noteHead(feed, update, now);
     adoptControllers(update);
     if (update.from > feed.acknowledged)
         return;
@@ -174,23 +164,39 @@
     const bool isNew = update.to > feed.acknowledged;
     feed.acknowledged = std::max(feed.acknowledged, update.to);
     feed.isComplete = !update.hasMore;
-    if (feed.isComplete)
-        feed.aheadSince.reset();
-    else
-        feed.aheadSince = feed.aheadSince.value_or(now);
+    feed.aheadSince = update.hasMore ? std::optional(feed.aheadSince.value_or(now)) : std::nullopt;
     if (!m_followed.isValid())
         chooseFollowed(now);
-    if (modeOf(from, feed, now) == FollowMode::Heads)
-        return;
-    if (feed.nextSubscription == now) {
+    if (needsSubscription(from, feed, update, isNew, now))
         subscribe(from, feed, now, output);
+}
+
+void DirectorySubscriber::noteHead(Feed& feed, const DirectoryUpdate& update, core::TimePoint now)
+{
+    feed.heardAt = now;
+    feed.unansweredSince.reset();
+    feed.version = update.version;
+    feed.zone = update.zone;
+    feed.isCurrent = update.isCurrent;
+    if (update.feed == feed.feed)
         return;
-    }
+    // Another process: everything is new. An update that builds on an earlier one cannot be used.
+    feed.feed = update.feed;
+    feed.acknowledged = 0;
+    feed.isComplete = false;
+}
+
+// Whether the controller must hear of the update, or be asked for more, before the next regular subscription.
+bool DirectorySubscriber::needsSubscription(
+    core::NodeId from, const Feed& feed, const DirectoryUpdate& update, bool isNew, core::TimePoint now)
+{
+    if (modeOf(from, feed, now) == FollowMode::Heads)
+        return false;
+    const bool isNewlyFollowed = feed.nextSubscription == now;
     // Other controllers wait for the acknowledgement before they answer an upstream that leaves.
     const bool isAwaited = m_options.isController && isNew && std::ranges::any_of(update.items, isLeaving);
     const bool isNextPart = m_options.isController ? update.hasMore : fillsFrom(from, update.hasMore, now);
-    if (isAwaited || isNextPart)
-        subscribe(from, feed, now, output);
+    return isNewlyFollowed || isAwaited || isNextPart;
 }
 
 // One controller fills the directory of a balancer; the others then have little to add, which the digest tells.
@@ -218,7 +224,8 @@
         if (isLeaving(it) && !isKnown)
             m_departures->add(it.report);
     }
-    return m_departures->flush(now);
+    m_departures->flush(now);
+    return std::ranges::all_of(update.items, [this](const auto& it) { return m_departures->isKept(it.report.id); });
 }
 
 void DirectorySubscriber::merge(core::NodeId from, const DirectoryUpdate& update, core::TimePoint now)
--- a/src/ibisgw/sync/DirectorySubscriber.h
+++ b/src/ibisgw/sync/DirectorySubscriber.h
@@ -73,6 +73,8 @@
     FollowMode modeOf(core::NodeId, const Feed&, core::TimePoint now) const;
     void chooseFollowed(core::TimePoint now);
     bool answers(const Feed&, core::TimePoint now) const;
+    static void noteHead(Feed&, const DirectoryUpdate&, core::TimePoint now);
+    bool needsSubscription(core::NodeId, const Feed&, const DirectoryUpdate&, bool isNew, core::TimePoint now);
     bool fillsFrom(core::NodeId, bool hasMore, core::TimePoint now);
     void resumeFilling(core::TimePoint now);
     bool keepDepartures(const DirectoryUpdate&, core::TimePoint now);
--- a/tests/sync/DepartureKeeperTests.cpp
+++ b/tests/sync/DepartureKeeperTests.cpp
@@ -116,6 +116,16 @@
             CHECK(output.subscription.acknowledged == 3);
             CHECK(disk.reports.size() == 1);
         }
+        // Guards against a controller with a full disk that falls behind in everything.
+        SUBCASE("and updates without departures meanwhile")
+        {
+            disk.isFull = true;
+            keeper.add(reportOf(9, InstanceState::Draining));
+            update.items.erase(update.items.begin());
+            subscriber.handle(other, update, now, output);
+            subscriber.tick(now += 1s, output);
+            CHECK(output.subscription.acknowledged == 3);
+        }
         SUBCASE("once: what is known is not written again")
         {
             subscriber.handle(other, update, now, output);
