--- a/review/standins/flows.py
+++ b/review/standins/flows.py
@@ -234,7 +234,8 @@
         self.echo = 0
         self.next = None  # next byte expected of the host
         self.changed = asyncio.Event()
-        self.answered = False
+        self.answered = self.is_taken = False
+        self.end_of_data = None
         self.reset = None  # the accepted reset
 
     def send(self, flags, data=b"", ack=None):
@@ -249,6 +250,7 @@
                 self.reset = packet
         else:
             self.echo = packet.echo
+            self.is_taken = self.is_taken or packet.ack == self.end_of_data
             if packet.flags & SYN and self.next is None:
                 self.next = (packet.seq + 1) & 0xFFFFFFFF
                 self.seq = (self.seq + 1) & 0xFFFFFFFF
@@ -278,8 +280,16 @@
 
     async def request(self, attempt):
         data = f"GET / HTTP/1.1\r\nHost: x\r\nAttempt-Id: {attempt}\r\n\r\n".encode()
-        self.answered = False
-        done = await self.until(lambda: self.answered, (0.2, 0.4, 0.8), lambda _: self.send(ACK, data))
+        self.answered = self.is_taken = False
+        before = self.seq
+
+        def transmit(_):
+            # Data that the host has acknowledged is not sent again.
+            if not self.is_taken:
+                self.send(ACK, data)
+
+        self.end_of_data = (before + len(data)) & 0xFFFFFFFF
+        done = await self.until(lambda: self.answered, (0.2, 0.4, 0.8), transmit)
         if done:
             self.seq = (self.seq + len(data)) & 0xFFFFFFFF
         return done
--- a/review/standins/system.py
+++ b/review/standins/system.py
@@ -32,10 +32,10 @@
 
 
 class Record:
-    """Writes record.txt: what was sent, answered and run, with seconds since the start."""
+    """Writes the record: what was sent, answered and run, with seconds since the start."""
 
-    def __init__(self, folder):
-        self.file = open(pathlib.Path(folder) / "record.txt", "w")
+    def __init__(self, file):
+        self.file = open(file, "w")
         self.start = time.monotonic()
 
     def __call__(self, text):
@@ -145,12 +145,11 @@
 class System:
     """Controllers and balancers of a small deployment: three zones, one controller in each."""
 
-    def __init__(self, folder):
-        self.record = Record(folder)
+    def __init__(self, record_file):
+        self.record = Record(record_file)
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="ibisgw-review-"))
-        self.net = f"127.{100 + os.getpid() // 250 % 100}.{os.getpid() % 250}"
-        # The second and third byte come from the process id, so that parallel runs do not meet.
-        self.net = self.net.rsplit(".", 1)[0]
+        # From the process id, so that runs at the same time do not meet.
+        self.net = f"127.{50 + os.getpid() % 200}"
         self.ports = dict(zip(("control", "ready", "packets", "peer", "host"), self.free_ports(5)))
         self.machines = []
         program = ROOT / ROLES["controller"]["run"].split()[0]
@@ -232,17 +231,17 @@
     return json.dumps({
         "version": version, "routes": routes,
         "services": [{"name": it, "health_check_path": "/health", "max_connections": 2000, "protocol": "h1",
-                      "tls": False} for it in services],
+                      "tls": False} for it in dict.fromkeys(services)],
         "limits": {"max_header_bytes": 16384, "max_body_bytes": 262144, "header_timeout_ms": 3000,
                    "idle_timeout_ms": 15000},
     }, ensure_ascii=False).encode()
 
 
-def run_case(folder, case):
+def run_case(folder, case, record_file="record.txt"):
     """Runs case(system), which returns True if the rule held. Exits with 0, 1 (broken) or 2 (could not run)."""
     system = None
     try:
-        system = System(folder)
+        system = System(folder / record_file)
         held = case(system)
         system.record("RULE HELD" if held else "RULE BROKEN")
         status = 0 if held else 1
