--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,4 +1,4 @@
-"""An invalid configuration that was cut short inside a character: do the controllers answer it with a 4xx and live on?"""
+"""An invalid configuration, cut short inside a character: do the controllers refuse it with a 4xx and live on?"""
 
 import pathlib
 import sys
--- a/review/standins/foreign.py
+++ b/review/standins/foreign.py
@@ -19,7 +19,8 @@
     balancers = [system.add("balancer", n, f"zone-{n}") for n in (1, 2)]
     for it in balancers:
         it.start(controllers, bootstrap=True)
-    if system.replace_configuration(configuration(7, services=("huvo11a", "huvo11a")), controllers, 8, "version 7") != 200:
+    first = configuration(7, services=("huvo11a", "huvo11a"))
+    if system.replace_configuration(first, controllers, 8, "version 7") != 200:
         raise CannotRun("the first configuration was not acknowledged")
     hosts = [Host(system, controllers, "huvo11a", f"zone-{1 + n % 3}", n + 1) for n in range(4)]
     for it in hosts:
