--- a/review/standins/system.py
+++ b/review/standins/system.py
@@ -14,6 +14,7 @@
 import tempfile
 import time
 import tomllib
+import traceback
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 CATCH_UP_S = 4  # bounds of a small deployment, as on the pages
@@ -142,6 +143,16 @@
     return response.status, text
 
 
+def is_free(address, port):
+    with socket.socket() as tcp, socket.socket(type=socket.SOCK_DGRAM) as udp:
+        try:
+            tcp.bind((address, port))
+            udp.bind((address, port))
+        except OSError:
+            return False
+    return True
+
+
 class System:
     """Controllers and balancers of a small deployment: three zones, one controller in each."""
 
@@ -157,15 +168,11 @@
             raise CannotRun(f"{program.relative_to(ROOT)} is missing; run the build of the deploy file")
 
     def free_ports(self, count):
+        """Ports that are free for TCP and UDP on addresses of this run."""
         ports = []
         for port in range(21000 + os.getpid() % 97 * 40, 60000):
-            with socket.socket() as tcp, socket.socket(type=socket.SOCK_DGRAM) as udp:
-                try:
-                    tcp.bind(("0.0.0.0", port))
-                    udp.bind(("0.0.0.0", port))
-                except OSError:
-                    continue
-            ports.append(port)
+            if all(is_free(f"{self.net}.{group}.1", port) for group in (1, 2, 3, 4)):
+                ports.append(port)
             if len(ports) == count:
                 return ports
         raise CannotRun("no free ports")
@@ -237,19 +244,24 @@
     }, ensure_ascii=False).encode()
 
 
+def end_on_signal(number, _):
+    raise CannotRun(f"ended by signal {number}")
+
+
 def run_case(folder, case, record_file="record.txt"):
     """Runs case(system), which returns True if the rule held. Exits with 0, 1 (broken) or 2 (could not run)."""
+    signal.signal(signal.SIGTERM, end_on_signal)
     system = None
+    status = 2
     try:
         system = System(folder / record_file)
         held = case(system)
         system.record("RULE HELD" if held else "RULE BROKEN")
         status = 0 if held else 1
     except CannotRun as problem:
-        print(problem, file=sys.stderr)
-        if system:
-            system.record(f"COULD NOT RUN: {problem}")
-        status = 2
+        print(f"could not run: {problem}", file=sys.stderr)
+    except Exception:  # a fault of the script says nothing about the rule
+        traceback.print_exc()
     finally:
         if system:
             system.close()
