--- a/review/1/planned.sh
+++ b/review/1/planned.sh
@@ -1,3 +1,3 @@
 #!/bin/sh
 # A variant of run.sh, with planned work only; same exit codes.
-exec python3 "$(dirname "$0")/planned.py"
+exec python3 -B "$(dirname "$0")/planned.py"
