--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,50 +1,69 @@
-"""Planned replacement of a controller, then the loss of one disk: can the accepted configuration still be read?"""
+"""An invalid configuration that is cut short within a character ends every controller that reads it."""
 
+import json
 import pathlib
 import sys
+import threading
 import time
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1] / "standins"))
-from system import CATCH_UP_S, CONNECTIVITY_WINDOW_S, RECOVERY_S, CannotRun, configuration, is_troubled, run_case
-
-
-def case(system):
-    record = system.record
-    controllers = system.start_controllers()
-    if system.replace_configuration(configuration(7), controllers, 8, "version 7") != 200:
-        raise CannotRun("the first configuration was not acknowledged")
-
-    # Planned work: a new, empty controller at a new address is added; the old one is stopped after the new one has had
-    # more than catch_up_s, so it does not count as lost any more.
-    leader = system.find_leader(controllers)
-    successor = system.add("controller", 4, leader.zone)
-    successor.start(controllers, bootstrap=False)
-    record(f"{successor.name} started with an empty disk, to take the place of {leader.name}")
-    time.sleep(CATCH_UP_S + 2)
-    record(f"SIGTERM to {leader.name}, which is removed for good")
-    leader.stop()
-    record(f"{leader.name} has ended")
-    members = [it for it in controllers if it is not leader] + [successor]
-    if system.replace_configuration(configuration(8), members, 5, "version 8") != 200:
-        raise CannotRun("version 8 was not acknowledged")
-
-    # The disruption: the machine that has just acknowledged loses power and its disk, and is back a second later.
-    victim = system.find_leader(members)
-    if is_troubled():
-        record(f"{victim.name} loses power and its disk")
-        victim.kill()
-        victim.lose_disk()
-        time.sleep(1)
-        victim.start([it for it in members], bootstrap=False)
-        record(f"{victim.name} is back at its address with an empty disk")
-
-    # All machines but the removed one run undisturbed from here on.
-    time.sleep(RECOVERY_S + CATCH_UP_S)
-    version = system.read_configuration(members, 5 * CONNECTIVITY_WINDOW_S)
-    record(f"read back after recovery: version {version or 'none'}")
-    status = system.replace_configuration(configuration(9), members, 5, "version 9")
-    record(f"version 9 is {'acknowledged' if status == 200 else 'not acknowledged'}")
-    return version == 8
-
-
-run_case(pathlib.Path(__file__).parent, case)
+
+from deployment import configuration, route
+from harness import require, run_case
+
+RESTART_DELAY_S = 0.5
+RESEND_S = 20.0
+# The rule: three ends in the day on half of the core.
+MAX_ENDS = 2
+
+
+class Platform:
+    """Restarts controllers that have ended by themselves, and counts their ends."""
+
+    def __init__(self, deployment):
+        self.deployment = deployment
+        self.ends = {it.name: 0 for it in deployment.controllers}
+        self.is_running = True
+        self.thread = threading.Thread(target=self.watch, daemon=True)
+        self.thread.start()
+
+    def watch(self):
+        while self.is_running:
+            for it in self.deployment.controllers:
+                if not it.is_running():
+                    self.ends[it.name] += 1
+                    self.deployment.record(f"{it.name} has ended by itself with status {it.process.returncode}")
+                    time.sleep(RESTART_DELAY_S)
+                    it.start()
+            time.sleep(0.02)
+
+    def stop(self):
+        self.is_running = False
+        self.thread.join()
+
+
+def play(deployment, has_trouble):
+    routes = [route("bestellung-bern", "198.18.0.1", 8080, "atelier"),
+              route("bestellung-zürich", "198.18.0.2", 8080, "atelier")]
+    deployment.start()
+    require(deployment.replace_configuration(configuration(7, routes, ["atelier"])), "version 7 is not acknowledged")
+    time.sleep(1.0)
+    platform = Platform(deployment)
+    body = json.dumps(configuration(9, routes, ["atelier"]), ensure_ascii=False).encode()
+    if has_trouble:
+        body = body[:body.index("ü".encode()) + 1]
+    deployment.record(f"operator: version 9, {len(body)} bytes, which end with {body[-12:]}")
+    status, text, _ = deployment.send_order("POST", "/Config.Replace", body, RESEND_S)
+    deployment.record(f"operator: last answer {status} {text[:80]}")
+    time.sleep(2.0)
+    platform.stop()
+    deployment.record(f"ends of controllers by themselves: {platform.ends}")
+    often = [name for name, count in platform.ends.items() if count > MAX_ENDS]
+    if 2 * len(often) >= len(deployment.controllers):
+        return [f"Fault: {', '.join(often)} ended by themselves three times or more ({platform.ends}); the invalid "
+                f"configuration has no 4xx after {RESEND_S:.0f} s"]
+    require(status == (400 if has_trouble else 200), f"unexpected answer {status}")
+    return []
+
+
+run_case(pathlib.Path(__file__).parent, play, controllers=3, balancers=3)
--- a/review/build.sh
+++ b/review/build.sh
@@ -1,3 +1,7 @@
-#!/bin/sh
-# The stand-ins are Python programs that need the standard library only; this checks that they can be read.
-cd "$(dirname "$0")" && exec python3 -c 'import sys; [compile(open(f).read(), f, "exec") for f in sys.argv[1:]]' standins/*.py [0-9]/*.py
+#!/usr/bin/env bash
+# The stand-ins are Python programs and need no build; this checks that each of them and each case can be compiled.
+set -euo pipefail
+cd "$(dirname "$0")"
+python3 -B -c 'import ast, pathlib, sys
+for it in sys.argv[1:]:
+    ast.parse(pathlib.Path(it).read_text(), it)' standins/*.py [1-5]/*.py
--- a/review/part-one/standins/harness.py
+++ b/review/standins/harness.py
@@ -25,14 +25,14 @@
     raise CannotRun(f"ended by {signal.Signals(number).name}")
 
 
-def run_case(folder, play, **machines):
+def run_case(folder, play, record="record.txt", **machines):
     """Calls play(deployment, has_trouble), which returns the reasons why the rule counts as broken."""
     signal.signal(signal.SIGTERM, stop_run)
     signal.signal(signal.SIGINT, stop_run)
     signal.signal(signal.SIGALRM, stop_run)
     signal.alarm(MAX_SECONDS)
     has_trouble = os.environ.get("TROUBLE", "1") != "0"
-    deployment = Deployment(pathlib.Path(folder) / "record.txt", **machines)
+    deployment = Deployment(pathlib.Path(folder) / record, **machines)
     status = NOT_RUN
     try:
         deployment.record(f"TROUBLE={int(has_trouble)}")
