Review: case 1, end with status 2 whenever it can't run

Cause: a failure before the case started ended with status 1, and a stand-in could start a process after the end. Change: the harness catches both; hosts ignore delayed work after their end.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -24,6 +24,7 @@
         self.deployment = deployment
         self.ends = {it.name: 0 for it in deployment.controllers}
         self.is_running = True
+        deployment.parts.append(self)
         self.thread = threading.Thread(target=self.watch, daemon=True)
         self.thread.start()
 
--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -136,7 +136,7 @@
             Machine(self, roles["balancer"], f"frontend-{n + 1}", ZONES[n % 3], it)
             for n, it in enumerate(self.balancer_addresses)]
         self.machines = self.controllers + self.balancers  # also those that are taken out of the lists later
-        self.parts = []  # hosts and clients, which are stopped with the deployment
+        self.parts = []  # other stand-ins, which are stopped with the deployment
 
     def now(self):
         return time.monotonic() - self.started_at
@@ -187,7 +187,7 @@
         while True:
             machine = self.controllers[n % len(self.controllers)]
             status, text, address = self.call(machine.address, method, path, body)
-            answering = next(it for it in self.controllers if it.address == address)
+            answering = next(it for it in self.machines if it.address == address)
             self.record(f"operator: {method} {path} to {machine.name}: {status or 'no answer'}"
                         + (f" from {answering.name}" if status else ""))
             if 200 <= status < 300 or status in (400, 409, 412, 413, 422) or self.now() > end:
--- a/review/standins/flows.py
+++ b/review/standins/flows.py
@@ -64,7 +64,9 @@
         self.flows = {}
         self.accept_delay_s = 0.0  # time until a SYN is answered
         self.lock = threading.RLock()
+        self.resets_unknown_flows = True
         self.opened = []  # (time, client, target) of each flow that a client opened here
+        self.packets = []  # (time, client, target) of each packet that is no opening one
         self.opening_packets = []  # (time, client, target)
         self.executed = []
         self.last_beat = 0
@@ -156,11 +158,14 @@
             else:
                 self.accept_flow(packet)
             return
+        self.packets.append((self.deployment.now(), packet.src, packet.dst))
         with self.lock:
             self.handle_flow(packet)
 
     def accept_flow(self, packet):
         with self.lock:
+            if not self.is_alive:
+                return
             key = (packet.src, packet.dst)
             if key not in self.flows:
                 self.flows[key] = {"seq": random.getrandbits(32), "next": packet.seq + 1, "is_open": False}
@@ -174,7 +179,7 @@
         # A flow whose client has acknowledged another host's SYN+ACK is not held here.
         is_of_other_host = flow and not flow["is_open"] and packet.ack != (flow["seq"] + 1) & 0xFFFFFFFF
         if flow is None or is_of_other_host:
-            if not packet.flags & RST:
+            if self.resets_unknown_flows and not packet.flags & RST:
                 self.deployment.record(f"host {self.id} resets {packet.src}, whose flow it does not hold")
                 self.send(Packet(RST, packet.dst, packet.src, packet.ack, 0, packet.echo))
             return
@@ -243,7 +248,11 @@
             self.deployment.record(f"in rotation: {' '.join(after)}")
 
     def select(self, flow):
-        return self.in_rotation[zlib.crc32(repr((flow.source, flow.target)).encode()) % len(self.in_rotation)]
+        return self.select_from(self.in_rotation, flow.source, flow.target)
+
+    @staticmethod
+    def select_from(balancers, source, target):
+        return balancers[zlib.crc32(repr((source, target)).encode()) % len(balancers)]
 
 
 class Client:
@@ -312,11 +321,13 @@
                 flow.changed.wait(rest)
         return condition()
 
-    def open(self, route, target):
+    def open(self, route, target, port=None):
         """Opens a flow with up to three copies of the opening packet. Returns the flow; next is None if it failed."""
         with self.lock:
-            self.next_port += 1
-            flow = ClientFlow(self, self.next_port, target)
+            if port is None:
+                self.next_port += 1
+                port = self.next_port
+            flow = ClientFlow(self, port, target)
             self.flows[(flow.source, flow.target)] = flow
         for copy, seconds in enumerate((0.2, 0.4, 0.8)):
             self.send(flow, route, SYN, copy=copy)
@@ -344,10 +355,10 @@
             self.send(flow, route, ACK)
         return is_answered
 
-    def single_request(self, route, target, name):
+    def single_request(self, route, target, name, seconds=1.5, port=None):
         """Opens a flow, sends one request and closes the flow. Returns "answered", "reset" or "no answer"."""
-        flow = self.open(route, target)
-        is_answered = flow.next is not None and self.request(flow, route, name)
+        flow = self.open(route, target, port)
+        is_answered = flow.next is not None and self.request(flow, route, name, seconds)
         if flow.next is not None and flow.reset_at is None:
             self.send(flow, route, FIN | ACK)
         result = "answered" if is_answered else "reset" if flow.reset_at is not None else "no answer"
--- a/review/standins/harness.py
+++ b/review/standins/harness.py
@@ -32,7 +32,11 @@
     signal.signal(signal.SIGALRM, stop_run)
     signal.alarm(MAX_SECONDS)
     has_trouble = os.environ.get("TROUBLE", "1") != "0"
-    deployment = Deployment(pathlib.Path(folder) / record, **machines)
+    try:
+        deployment = Deployment(pathlib.Path(folder) / record, **machines)
+    except Exception:
+        traceback.print_exc()
+        sys.exit(NOT_RUN)
     status = NOT_RUN
     try:
         deployment.record(f"TROUBLE={int(has_trouble)}")
