Review: case 1, only loopback addresses

Cause: the addresses of the routes, which are only text in packets, were not loopback addresses. Change: addresses in 127.198.18.0/24.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -44,8 +44,8 @@
 
 
 def play(deployment, has_trouble):
-    routes = [route("bestellung-bern", "198.18.0.1", 8080, "atelier"),
-              route("bestellung-zürich", "198.18.0.2", 8080, "atelier")]
+    routes = [route("bestellung-bern", "127.198.18.1", 8080, "atelier"),
+              route("bestellung-zürich", "127.198.18.2", 8080, "atelier")]
     deployment.start()
     require(deployment.replace_configuration(configuration(7, routes, ["atelier"])), "version 7 is not acknowledged")
     time.sleep(1.0)
