Review: case 2, only loopback addresses

Cause: the addresses of the routes, which are only text in packets, were not loopback addresses. Change: addresses in 127.198.18.0/24.

--- a/review/2/case.py
+++ b/review/2/case.py
@@ -18,7 +18,7 @@
 
 
 def version(number):
-    return configuration(number, [route("kept", "198.18.0.1", 8080, "slotdesk")], ["slotdesk"])
+    return configuration(number, [route("kept", "127.198.18.1", 8080, "slotdesk")], ["slotdesk"])
 
 
 def read_back(deployment, acknowledged):
