Review: case 3, only loopback addresses

Cause: the addresses of the routes, which are only text in packets, were not loopback addresses. Change: addresses in 127.198.18.0/24.

--- a/review/3/case.py
+++ b/review/3/case.py
@@ -10,7 +10,7 @@
 from flows import Client, Host
 from harness import require, run_case
 
-KEPT, DROPPED, ADDED = ("198.18.0.1", 8080), ("198.18.0.2", 8080), ("198.18.0.3", 8080)
+KEPT, DROPPED, ADDED = ("127.198.18.1", 8080), ("127.198.18.2", 8080), ("127.198.18.3", 8080)
 TOUCH_S = BOUNDS["connectivity_window_ms"] / 1000
 APPLY_S = BOUNDS["config_apply_ms"] / 1000
 DARK_S = 5.5
