Fix a configuration that is not UTF-8 ending each controller that reads it

Seen by callers: the operator sent a configuration cut inside a two-byte character (or with a name in Latin-1).

Change: core::formatJson() replaces such bytes and never throws. HttpServer answers 500 and logs request_failed when a handler throws, as h2o is C code and one request must not end the process.

--- a/src/ibisgw/adapters/HttpServer.cpp
+++ b/src/ibisgw/adapters/HttpServer.cpp
@@ -1,6 +1,7 @@
 #include "ibisgw/adapters/HttpServer.h"
 
 #include "ibisgw/adapters/EventLoop.h"
+#include "ibisgw/adapters/Log.h"
 
 #include <cerrno>
 #include <csignal>
@@ -93,6 +94,7 @@
     void admit(h2o_socket_t*);
     void closeListener();
     void answer(h2o_req_t&);
+    void callHandler(HttpRequest, const std::shared_ptr<PendingAnswer>&);
 
     static void onAccept(h2o_socket_t*, const char* error);
     static int onRequest(h2o_handler_t*, h2o_req_t*);
@@ -279,7 +281,22 @@
     request.authorization = headerOf(req, H2O_TOKEN_AUTHORIZATION);
     request.contentType = headerOf(req, H2O_TOKEN_CONTENT_TYPE);
     request.body = toString(req.entity);
-    handler(std::move(request), [pending](const HttpResponse& response) { pending->send(response); });
+    callHandler(std::move(request), pending);
+}
+
+// Stops exceptions of the handler: h2o is C code, and one request must not end the process.
+void HttpServer::State::callHandler(HttpRequest request, const std::shared_ptr<PendingAnswer>& pending)
+{
+    const auto path = request.path;
+    try {
+        handler(std::move(request), [pending](const HttpResponse& response) { pending->send(response); });
+    } catch (const std::exception& exception) {
+        log(LogLevel::Error, "request_failed", { { "path", path }, { "reason", exception.what() } });
+        pending->send({ 500, "application/json",
+            R"({"error":"unavailable","message":"the request failed within the daemon; its log has the reason",)"
+            R"("problems":[]})",
+            {} });
+    }
 }
 
 core::Result<std::unique_ptr<HttpServer>> HttpServer::listen(
--- a/src/ibisgw/adapters/HttpServer.h
+++ b/src/ibisgw/adapters/HttpServer.h
@@ -54,7 +54,7 @@
 class HttpServer {
 public:
     // Sends the answer. May be called at most once, before the handler returns or later. Answers to clients
-    // that have disconnected are dropped.
+    // that have disconnected are dropped. A handler that throws before it has answered is answered with status 500.
     using Responder = std::function<void(HttpResponse)>;
     using Handler = std::function<void(HttpRequest, Responder)>;
 
--- a/src/ibisgw/adapters/Log.cpp
+++ b/src/ibisgw/adapters/Log.cpp
@@ -2,6 +2,7 @@
 
 #include "ibisgw/adapters/BoundedWriter.h"
 #include "ibisgw/adapters/WallClock.h"
+#include "ibisgw/core/JsonText.h"
 #include "ibisgw/core/NameTable.h"
 
 #include <boost/log/attributes/value_extraction.hpp>
@@ -95,7 +96,7 @@
     fields["level"] = levelNames.nameOf(level);
     fields["process"] = processName();
     fields["message"] = message;
-    BOOST_LOG(logger()) << fields.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+    BOOST_LOG(logger()) << core::formatJson(fields);
 }
 
 } // namespace ibisgw::adapters
--- a/src/ibisgw/adapters/TraceWriter.cpp
+++ b/src/ibisgw/adapters/TraceWriter.cpp
@@ -2,6 +2,7 @@
 
 #include "ibisgw/adapters/TraceIds.h"
 #include "ibisgw/adapters/detail/SpanJson.h"
+#include "ibisgw/core/JsonText.h"
 
 #include <nlohmann/json.hpp>
 
@@ -33,7 +34,7 @@
 
 void TraceWriter::write(const Span& span)
 {
-    const auto line = detail::toJson(span).dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) + "\n";
+    const auto line = core::formatJson(detail::toJson(span)) + "\n";
     if (line.size() > m_remainingBytes) {
         ++m_droppedSpans;
         return;
--- a/src/ibisgw/adapters/detail/ApiJson.cpp
+++ b/src/ibisgw/adapters/detail/ApiJson.cpp
@@ -1,5 +1,7 @@
 #include "ibisgw/adapters/detail/ApiJson.h"
 
+#include "ibisgw/core/JsonText.h"
+
 namespace ibisgw::adapters::detail {
 
 namespace {
@@ -72,8 +74,7 @@
 {
     HttpResponse response;
     response.status = status;
-    // Names received from other daemons may contain invalid UTF-8, for which dump() would otherwise throw.
-    response.body = json.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+    response.body = core::formatJson(json);
     return response;
 }
 
--- a/src/ibisgw/core/JsonText.cpp
+++ b/src/ibisgw/core/JsonText.cpp
@@ -53,4 +53,9 @@
     }
 }
 
+std::string formatJson(const nlohmann::json& json, int indent)
+{
+    return json.dump(indent, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
 } // namespace ibisgw::core
--- a/src/ibisgw/core/JsonText.h
+++ b/src/ibisgw/core/JsonText.h
@@ -5,6 +5,7 @@
 #include <nlohmann/json_fwd.hpp>
 
 #include <optional>
+#include <string>
 #include <string_view>
 #include <vector>
 
@@ -18,4 +19,9 @@
 // silently.
 std::optional<nlohmann::json> parseJson(std::string_view text, std::vector<Problem>& problems);
 
+// Serializes a JSON value, on one line or with an indentation of `indent` spaces. Never throws: bytes of texts that are
+// not UTF-8 are replaced by U+FFFD, whereas nlohmann::json::dump() would throw. Must be used for each value that may
+// hold text from outside.
+std::string formatJson(const nlohmann::json&, int indent = -1);
+
 } // namespace ibisgw::core
--- a/src/ibisgw_cli/ApiClient.cpp
+++ b/src/ibisgw_cli/ApiClient.cpp
@@ -1,5 +1,7 @@
 #include "ibisgw_cli/ApiClient.h"
 
+#include "ibisgw/core/JsonText.h"
+
 #include <curl/curl.h>
 
 #include <memory>
@@ -51,7 +53,7 @@
 
 ApiReply ApiClient::post(const std::string& path, const nlohmann::json& body) const
 {
-    const auto text = body.dump();
+    const auto text = ibisgw::core::formatJson(body);
     return perform(path, &text);
 }
 
--- a/src/ibisgw_cli/ExplainCommand.cpp
+++ b/src/ibisgw_cli/ExplainCommand.cpp
@@ -1,5 +1,6 @@
 #include "ibisgw_cli/ExplainCommand.h"
 
+#include "ibisgw/core/JsonText.h"
 #include "ibisgw_cli/Invocation.h"
 #include "ibisgw_cli/ReadFile.h"
 
@@ -176,7 +177,7 @@
     for (const auto* it : { "time", "steady", "process", "message", "level" })
         rest.erase(it);
     out << std::to_string(line.time) << "  " << line.process << "  " << textField(line.fields, "message") << "  "
-        << rest.dump() << "\n";
+        << ibisgw::core::formatJson(rest) << "\n";
 }
 
 } // namespace
--- a/src/ibisgw_cli/Invocation.cpp
+++ b/src/ibisgw_cli/Invocation.cpp
@@ -1,6 +1,7 @@
 #include "ibisgw_cli/Invocation.h"
 
 #include "ibisgw/adapters/InputFile.h"
+#include "ibisgw/core/JsonText.h"
 
 #include <ostream>
 
@@ -72,7 +73,7 @@
 
 void Invocation::printJson(const nlohmann::json& json) const
 {
-    out << json.dump(2, ' ', false, nlohmann::json::error_handler_t::replace) << "\n";
+    out << ibisgw::core::formatJson(json, 2) << "\n";
 }
 
 } // namespace ibisgw_cli
--- a/src/ibisgw_cli/Output.cpp
+++ b/src/ibisgw_cli/Output.cpp
@@ -1,5 +1,7 @@
 #include "ibisgw_cli/Output.h"
 
+#include "ibisgw/core/JsonText.h"
+
 #include <algorithm>
 #include <iomanip>
 #include <ostream>
@@ -12,8 +14,7 @@
 // control the operator's terminal.
 std::string cellText(const nlohmann::json& value)
 {
-    auto text = value.is_string() ? value.get<std::string>()
-                                  : value.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+    auto text = value.is_string() ? value.get<std::string>() : ibisgw::core::formatJson(value);
     std::ranges::replace_if(
         text, [](unsigned char c) { return c < 0x20 || c == 0x7f; }, '?');
     return text;
@@ -44,7 +45,7 @@
 void printError(std::ostream& out, OutputFormat format, const nlohmann::json& error)
 {
     if (format == OutputFormat::Json) {
-        out << error.dump(2, ' ', false, nlohmann::json::error_handler_t::replace) << "\n";
+        out << ibisgw::core::formatJson(error, 2) << "\n";
         return;
     }
     out << cellText(error.value("message", nlohmann::json("failed"))) << "\n";
--- a/tests/adapters/HttpServerTests.cpp
+++ b/tests/adapters/HttpServerTests.cpp
@@ -6,6 +6,7 @@
 #include <h2o.h>
 
 #include <memory>
+#include <stdexcept>
 #include <vector>
 
 using namespace ibisgw;
@@ -60,4 +61,21 @@
             CHECK(server->openConnections() == connectionCount);
         }
     }
+
+    // Guards against a process that ends because the handler of one request throws.
+    TEST_CASE("a request whose handler throws is answered with status 500, and the next one is served")
+    {
+        EventLoop loop;
+        const auto server
+            = HttpServer::listen(loop, { 0x7f000001, 0 }, {}, [](const HttpRequest& request, auto respond) {
+                  if (request.path == "/throws")
+                      throw std::runtime_error("no reason \xc3");
+                  respond({ 200, "text/plain", "done", {} });
+              }).value();
+
+        const auto failed = support::request(loop, server->localEndpoint(), "GET", "/throws");
+        CHECK(failed.status == 500);
+        CHECK(failed.json()["error"] == "unavailable");
+        CHECK(support::request(loop, server->localEndpoint(), "GET", "/").body == "done");
+    }
 }
