Fix a replaced controller that still counts as a voter after its planned stop

Seen by callers: a successor joined three controllers, 4.5 s later the old one got SIGTERM, a change was acknowledged, and 1 s later its controller lost its disk. From then on each read and each change got 503, for good.

Cause: a controller that ended as planned did not leave the group. It stayed a voter until it had been silent for 3 s under one leader; a disk lost in that time left two of four voters, and no membership can be changed without a majority.

Evidence: members_changed shows four voters until the end; both controllers that kept their disks held the change, so it was not lost.

Change: on SIGTERM a controller asks the leader to remove it, and ends once that is committed. The leader removes it if 2f + 1 voters remain, lets a learner in contact take its place first, and removes itself the same way (Ongaro, 4.2.2). With no voter to spare it stays a member, as for a restart, and its place goes to the next learner at once. The wait ends after 3 s.

Why this works: a voter that is out of the membership is not needed for a majority, and each change of the membership is of one voter and committed before the next.

A controller that is killed, not stopped, still counts until it has been silent for 3 s.

--- a/src/ibisgw/adapters/RaftCodec.cpp
+++ b/src/ibisgw/adapters/RaftCodec.cpp
@@ -71,6 +71,13 @@
     json.push_back(std::move(members));
 }
 
+void write(const LeaveRequest&, Json&) { }
+
+void write(const LeaveReply& body, Json& json)
+{
+    json.push_back(static_cast<unsigned>(body.outcome));
+}
+
 void read(detail::JsonArrayReader& reader, VoteRequest& body)
 {
     body.preVote = reader.boolean();
@@ -139,6 +146,13 @@
     }
 }
 
+void read(detail::JsonArrayReader&, LeaveRequest&) { }
+
+void read(detail::JsonArrayReader& reader, LeaveReply& body)
+{
+    body.outcome = static_cast<LeaveOutcome>(reader.number(static_cast<unsigned>(LeaveOutcome::Retained)));
+}
+
 // Reads the body as the alternative of the variant with index `type`; fails when there is no such alternative.
 template <std::size_t index = 0> void readBody(detail::JsonArrayReader& reader, std::size_t type, Body& body)
 {
--- a/src/ibisgw/configuration/ConfigurationRegister.h
+++ b/src/ibisgw/configuration/ConfigurationRegister.h
@@ -38,6 +38,10 @@
     std::optional<ReadTicket> beginRead(core::TimePoint now, RaftOutput&);
     ReadState readState(const ReadTicket& ticket) const { return m_raft.readState(ticket); }
 
+    // Planned stop; see RaftNode::beginLeave().
+    void beginLeave(core::TimePoint now) { m_raft.beginLeave(now); }
+    bool isLeaveComplete() const { return m_raft.isLeaveComplete(); }
+
     // Newest committed configuration that this controller has applied; other controllers may have a newer one.
     std::uint64_t version() const { return m_state.version(); }
     const std::string& text() const { return m_state.text(); }
--- a/src/ibisgw/configuration/RaftMembership.cpp
+++ b/src/ibisgw/configuration/RaftMembership.cpp
@@ -18,6 +18,9 @@
     const bool mayBeExcluded = !self || self->disk != m_disk || (!self->voter && isWithoutLeader) || mayHaveBeenRemoved;
     if (now < m_nextDiskCheck || (m_isDiskConfirmed && m_log.membership().group != 0 && !mayBeExcluded))
         return;
+    // The leader would admit a controller again that it has removed at its own request.
+    if (m_isLeaving)
+        return;
     m_nextDiskCheck = now + m_options.diskCheckInterval;
     for (const auto& it : diskCheckPeers())
         enqueue(it, DiskCheckRequest { m_startNonce, m_log.lastIndex() });
@@ -181,8 +184,19 @@
 
 bool RaftNode::isSilent(core::NodeId node, core::TimePoint now) const
 {
+    if (node == m_options.self)
+        return m_isLeaving;
     const auto progress = m_progress.find(node);
-    return progress != m_progress.end() && now - progress->second.lastContact >= m_options.removalTimeout;
+    if (progress == m_progress.end())
+        return false;
+    return progress->second.isStopping || now - progress->second.lastContact >= m_options.removalTimeout;
+}
+
+bool RaftNode::isLearnerInContact(const Member& member, core::TimePoint now) const
+{
+    const auto progress = m_progress.find(member.node);
+    return !member.voter && progress != m_progress.end() && !progress->second.isStopping
+        && now - progress->second.lastContact <= m_options.electionTimeout;
 }
 
 // Makes one learner a voter once its durable log holds every committed entry (dissertation, 4.2.1).
@@ -193,9 +207,7 @@
         return;
     for (const auto& it : m_log.membership().members) {
         const auto progress = m_progress.find(it.node);
-        if (it.voter || progress == m_progress.end() || progress->second.matchIndex < m_commitIndex)
-            continue;
-        if (now - progress->second.lastContact > m_options.electionTimeout)
+        if (!isLearnerInContact(it, now) || progress->second.matchIndex < m_commitIndex)
             continue;
         auto membership = m_log.membership();
         auto voter = it;
@@ -208,19 +220,15 @@
 
 // With an open membership no operator reports that a controller has failed permanently, so the leader removes members
 // that are silent for the removal timeout. A controller that was only partitioned rejoins as a learner with its next
-// DiskCheckRequest. At least 2f + 1 voters remain, where f is the number of tolerated disk losses.
+// DiskCheckRequest.
 void RaftNode::removeSilentMembers(core::TimePoint now)
 {
     if (m_options.membershipMode != MembershipMode::Open || !canChangeMembership())
         return;
-    const std::size_t minVoters = 2 * m_options.toleratedDiskLosses + 1;
-    const auto voters = m_log.membership().voterCount();
     for (const auto& it : m_log.membership().members) {
-        if (!isSilent(it.node, now) || (it.voter && voters <= minVoters))
+        if (!isSilent(it.node, now) || (it.voter && !hasVoterToSpare()))
             continue;
-        auto membership = m_log.membership();
-        membership.remove(it.node);
-        changeMembership(std::move(membership), now);
+        removeFromMembership(it.node, now);
         return;
     }
 }
@@ -236,9 +244,7 @@
             core::ErrorKind::InvalidInput, "the leader cannot remove itself; stop it and retry on the next leader");
     if (!m_log.membership().find(node))
         return core::fail(core::ErrorKind::NotFound, "controller " + node.endpoint().toString() + " is not a member");
-    auto membership = m_log.membership();
-    membership.remove(node);
-    changeMembership(std::move(membership), now);
+    removeFromMembership(node, now);
     syncAndSend(output);
     return {};
 }
@@ -251,6 +257,19 @@
         && m_log.membershipIndex() <= m_commitIndex;
 }
 
+// At least 2f + 1 voters must remain, where f is the number of tolerated disk losses.
+bool RaftNode::hasVoterToSpare() const
+{
+    return m_log.membership().voterCount() > 2 * m_options.toleratedDiskLosses + 1;
+}
+
+void RaftNode::removeFromMembership(core::NodeId node, core::TimePoint now)
+{
+    auto membership = m_log.membership();
+    membership.remove(node);
+    changeMembership(std::move(membership), now);
+}
+
 void RaftNode::changeMembership(Membership membership, core::TimePoint now)
 {
     if (!appendToLog({ LogEntry { m_vote.term, EntryKind::Membership, {}, std::move(membership) } }))
--- a/src/ibisgw/configuration/RaftMessage.h
+++ b/src/ibisgw/configuration/RaftMessage.h
@@ -81,6 +81,22 @@
     bool operator==(const DiskCheckReply&) const = default;
 };
 
+// Sent to the leader, and repeated, by a controller that is about to stop for good or for a restart.
+struct LeaveRequest {
+    bool operator==(const LeaveRequest&) const = default;
+};
+
+enum class LeaveOutcome : std::uint8_t {
+    Removed, // the sender of the request is no member any more
+    Retained, // the sender remains a member, because too few others would remain
+};
+
+struct LeaveReply {
+    LeaveOutcome outcome { LeaveOutcome::Removed };
+
+    bool operator==(const LeaveReply&) const = default;
+};
+
 // Message between two controllers. Its fields describe the sender.
 struct RaftMessage {
     Term term { 0 };
@@ -88,7 +104,8 @@
     std::uint64_t group { 0 };
     DiskIdentity disk { 0 };
     std::uint64_t generation { 0 };
-    std::variant<VoteRequest, VoteReply, AppendRequest, AppendReply, SnapshotRequest, DiskCheckRequest, DiskCheckReply>
+    std::variant<VoteRequest, VoteReply, AppendRequest, AppendReply, SnapshotRequest, DiskCheckRequest, DiskCheckReply,
+        LeaveRequest, LeaveReply>
         body;
 
     bool operator==(const RaftMessage&) const = default;
--- a/src/ibisgw/configuration/RaftNode.cpp
+++ b/src/ibisgw/configuration/RaftNode.cpp
@@ -64,6 +64,7 @@
         return;
     sendDiskChecks(now);
     concludeDiskCheck(now);
+    sendLeaveRequest(now);
     // Without recent contact the leader may have failed, so it is no longer reported to operators as the leader.
     if (m_role != RaftRole::Leader && now - m_lastLeaderContact > 2 * m_options.electionTimeout)
         m_leader = {};
@@ -72,10 +73,11 @@
         if (m_role == RaftRole::Leader) {
             promoteLearners(now);
             removeSilentMembers(now);
+            leaveAsLeader(now);
             if (now >= m_nextHeartbeat)
                 broadcastEntries(now, true);
         }
-    } else if (m_role != RaftRole::CheckingDisk && isSelfVoter() && now >= m_electionDeadline) {
+    } else if (m_role != RaftRole::CheckingDisk && isSelfVoter() && !m_isLeaving && now >= m_electionDeadline) {
         startElection(true, now);
     }
     saveCommitIfDue(now);
--- a/src/ibisgw/configuration/RaftNode.h
+++ b/src/ibisgw/configuration/RaftNode.h
@@ -55,6 +55,12 @@
     // with Unavailable when this controller is not the leader or cannot change the membership now.
     core::Result<void> removeMember(core::NodeId, core::TimePoint now, RaftOutput&);
 
+    // Begins a planned stop: the leader is asked to remove this controller, if enough others remain. Otherwise it would
+    // remain a voter for the removal timeout, and the loss of another disk in that time could leave no majority.
+    void beginLeave(core::TimePoint now);
+    // True once this controller is no member any more, or must remain one, so that the process may end.
+    bool isLeaveComplete() const;
+
     RaftRole role() const { return m_role; }
     Term term() const { return m_vote.term; }
     core::NodeId leader() const { return m_leader; }
@@ -80,6 +86,8 @@
         std::uint64_t generation { 0 };
         core::TimePoint lastContact;
         core::TimePoint snapshotSentAt;
+        // The member has announced that its process stops.
+        bool isStopping { false };
     };
     // Latest state of a peer's disk that this process has observed in messages.
     struct PeerRecord {
@@ -148,9 +156,13 @@
     void recordStart(const Member&, core::TimePoint now);
     void promoteLearners(core::TimePoint now);
     std::size_t votersInContact(core::TimePoint now) const;
-    // On the leader: true if a member has had no contact for the removal timeout and may have failed permanently.
+    // On the leader: true if a member has announced its stop, or has had no contact for the removal timeout and may
+    // have failed permanently.
     bool isSilent(core::NodeId, core::TimePoint now) const;
+    bool isLearnerInContact(const Member&, core::TimePoint now) const;
     void removeSilentMembers(core::TimePoint now);
+    bool hasVoterToSpare() const;
+    void removeFromMembership(core::NodeId, core::TimePoint now);
     std::set<core::NodeId> diskCheckPeers() const;
     bool canBootstrapGroup() const;
     bool canChangeMembership() const;
@@ -159,6 +171,13 @@
     void handle(core::NodeId from, const RaftMessage&, const DiskCheckRequest&, core::TimePoint now);
     void handle(core::NodeId from, const RaftMessage&, const DiskCheckReply&, core::TimePoint now);
 
+    // RaftLeave.cpp
+    void sendLeaveRequest(core::TimePoint now);
+    void leaveAsLeader(core::TimePoint now);
+    bool mustRetain(core::TimePoint now) const;
+    void handle(core::NodeId from, const RaftMessage&, const LeaveRequest&, core::TimePoint now);
+    void handle(core::NodeId from, const RaftMessage&, const LeaveReply&, core::TimePoint now);
+
     RaftOptions m_options;
     LogStore& m_store;
     StateMachine& m_stateMachine;
@@ -201,6 +220,10 @@
     bool m_isDiskConfirmed { false };
     core::TimePoint m_startedAt;
     core::TimePoint m_nextDiskCheck;
+
+    bool m_isLeaving { false };
+    std::optional<LeaveOutcome> m_leaveOutcome;
+    core::TimePoint m_nextLeaveRequest;
 };
 
 template <typename Write> bool RaftNode::tryWrite(Write write)
--- a/src/ibisgw/runtime/DirectController.cpp
+++ b/src/ibisgw/runtime/DirectController.cpp
@@ -33,6 +33,8 @@
 
 // Minimum time between the termination signal and exit: the other controllers take over, and the last answers are sent.
 constexpr core::Duration minShutdownTime = std::chrono::milliseconds(300);
+// Maximum wait for the removal from the group; longer than the election of a leader.
+constexpr core::Duration leaveTimeout = std::chrono::seconds(3);
 constexpr core::Duration quietPeriod = std::chrono::milliseconds(100);
 // Reserved at the end of the grace period for process exit, before the platform kills the process.
 constexpr core::Duration shutdownMargin = std::chrono::seconds(1);
@@ -139,7 +141,8 @@
         saveInstances();
         adapters::flushLog();
     }
-    if (m_openCalls && m_openCalls() > 0)
+    const bool isLeaving = now < m_leaveDeadline && !m_register.isLeaveComplete();
+    if (isLeaving || (m_openCalls && m_openCalls() > 0))
         m_shutdownTimer.recordWork(now);
     if (m_shutdownTimer.isOver(now))
         m_loop.stop();
@@ -230,6 +233,8 @@
     const auto now = m_loop.now();
     m_openCalls = std::move(openCalls);
     m_shutdownTimer.begin(now);
+    m_register.beginLeave(now);
+    m_leaveDeadline = now + leaveTimeout;
     m_events.record(Event::Stopping, now, [this] { return nlohmann::json { { "open_calls", m_openCalls() } }; });
 }
 
--- a/src/ibisgw/runtime/DirectController.h
+++ b/src/ibisgw/runtime/DirectController.h
@@ -148,6 +148,7 @@
     configuration::RaftRole m_loggedRole { configuration::RaftRole::CheckingDisk };
     direct::ConfigurationVersion m_loggedVersion { 0 };
     ShutdownTimer m_shutdownTimer;
+    core::TimePoint m_leaveDeadline {};
     std::function<std::size_t()> m_openCalls;
 };
 
--- a/tests/adapters/RaftCodecTests.cpp
+++ b/tests/adapters/RaftCodecTests.cpp
@@ -25,6 +25,8 @@
     add(SnapshotRequest { { 9, 4, membership, "state" } });
     add(DiskCheckRequest { 77, 9 });
     add(DiskCheckReply { 11, 77, true, true, 3, 2, { { 5 }, { 6 } } });
+    add(LeaveRequest {});
+    add(LeaveReply { LeaveOutcome::Retained });
     return messages;
 }
 
--- a/tests/configuration/OpenMembershipTests.cpp
+++ b/tests/configuration/OpenMembershipTests.cpp
@@ -15,6 +15,8 @@
 // Time in which a group elects a leader, removes silent voters and promotes their replacements; longer than an election
 // and the removal timeout.
 constexpr core::Duration repairDuration = 8s;
+// Time after which a new controller counts as one that holds all changes.
+constexpr core::Duration catchUpDuration = 4500ms;
 
 std::vector<core::NodeId> votersOf(const RegisterGroup& group)
 {
@@ -232,6 +234,87 @@
         CHECK(group.read() >= 5);
     }
 
+    // Guards against a controller that has stopped for good, counts as a voter for some seconds more, and leaves no
+    // majority when a disk is lost in that time: no change was accepted and no read was answered any more.
+    TEST_CASE("a controller that stops as planned after its successor has joined does not count any more")
+    {
+        for (const std::size_t tolerated : { 1, 2, 3 }) {
+            CAPTURE(tolerated);
+            const auto controllers = 2 * tolerated + 1;
+            RegisterGroup group(controllers, tolerated, 6);
+            group.runFor(4s);
+            REQUIRE(group.replace(1));
+            std::vector<core::NodeId> removed;
+
+            SUBCASE("a follower")
+            {
+                group.add();
+                group.runFor(catchUpDuration);
+                const auto nodes = group.running();
+                removed.push_back(nodes[0] == group.leader() ? nodes[1] : nodes[0]);
+                group.stopAsPlanned(removed.front());
+            }
+            SUBCASE("the leader")
+            {
+                group.add();
+                group.runFor(catchUpDuration);
+                removed.push_back(group.leader());
+                group.stopAsPlanned(removed.front());
+            }
+            SUBCASE("all of them, one soon after the other")
+            {
+                removed = group.running();
+                for (std::size_t n = 0; n < controllers; ++n)
+                    group.add();
+                group.runFor(catchUpDuration);
+                for (const auto& it : removed) {
+                    group.stopAsPlanned(it);
+                    group.runFor(500ms);
+                }
+            }
+            REQUIRE(group.replace(2));
+            // The disks of the leader and of further controllers, up to the tolerance.
+            std::vector<core::NodeId> lost { group.leader() };
+            for (const auto& it : group.running()) {
+                if (lost.size() < tolerated && it != lost.front())
+                    lost.push_back(it);
+            }
+            for (const auto& it : lost) {
+                group.stop(it);
+                group.wipe(it);
+                group.start(it);
+            }
+            CHECK(group.read() == 2);
+            CHECK(group.replace(3));
+            group.runFor(repairDuration);
+            const auto voters = votersOf(group);
+            CHECK(voters.size() == controllers);
+            for (const auto& it : removed)
+                CHECK(std::ranges::find(voters, it) == voters.end());
+        }
+    }
+
+    // Guards against a planned stop that takes a voter from a group that has none to spare, or that keeps it out after
+    // its start.
+    TEST_CASE("controllers that are stopped as planned and started again in turn remain members")
+    {
+        for (const std::size_t controllers : { 3, 4, 6 }) {
+            CAPTURE(controllers);
+            RegisterGroup group(controllers, (controllers - 1) / 2, 7);
+            group.runFor(4s);
+            std::uint64_t version = 0;
+            for (const auto& it : group.running()) {
+                group.stopAsPlanned(it);
+                group.runFor(500ms);
+                CHECK(group.replace(++version));
+                group.start(it);
+                group.runFor(catchUpDuration);
+                CHECK(votersOf(group).size() == controllers);
+            }
+            CHECK(group.read() == version);
+        }
+    }
+
     // Guards against lost accepted changes, stale reads and groups that never recover, in orders of faults that the
     // other tests do not cover.
     TEST_CASE("random faults within the tolerance lose no accepted change")
--- a/tests/support/RegisterGroup.cpp
+++ b/tests/support/RegisterGroup.cpp
@@ -12,6 +12,7 @@
 namespace {
 
 constexpr core::Duration tickInterval = 20ms;
+constexpr core::Duration leaveLimit = 3s;
 // Number of controllers that the settings of each controller list as seeds.
 constexpr std::size_t seedCount = 3;
 
@@ -93,6 +94,16 @@
     member.store->crash(true);
 }
 
+void RegisterGroup::stopAsPlanned(core::NodeId node)
+{
+    auto& instance = *m_members.at(node).instance;
+    instance.beginLeave(m_queue.now());
+    const auto end = m_queue.now() + leaveLimit;
+    while (m_queue.now() < end && !instance.isLeaveComplete())
+        runFor(tickInterval);
+    stop(node);
+}
+
 void RegisterGroup::wipe(core::NodeId node)
 {
     m_members.at(node).store->wipe();
--- a/tests/support/RegisterGroup.h
+++ b/tests/support/RegisterGroup.h
@@ -27,6 +27,8 @@
     core::NodeId add();
     // Ends the process; writes that were not synced are lost.
     void stop(core::NodeId);
+    // Ends the process as a termination signal does: it leaves the group first, if it can within a limit.
+    void stopAsPlanned(core::NodeId);
     // Starts a stopped controller on the present content of its disk.
     void start(core::NodeId);
     // Empties the disk; the controller must be stopped.
