Fix a starting balancer that applies an outdated configuration beside reachable controllers

Seen by callers: one of three controllers missed a change that dropped a route; it came back while another had lost its disk and the third was dark, and a balancer started.

Cause: a controller without a leader offers what it has saved, so that a fleet recovers fast, and a balancer takes the newest version on offer. It could not know whether a newer one had been accepted.

Evidence: no controller had a leader then and reads of the operator got 503, so the agreement knew its doubt; the update to the balancer said nothing of it.

Change: an update says whether its controller is a voter with a confirmed disk, and the highest version in its log. An isolated balancer serves by what it holds.

Why this works: an accepted version is in the logs of a majority of the voters, and two majorities have a voter in common, so one of those asked would know of a newer version.

--- a/src/ibisgw/adapters/SyncCodec.cpp
+++ b/src/ibisgw/adapters/SyncCodec.cpp
@@ -139,6 +139,11 @@
     json.push_back(std::move(marks));
     json.push_back(message.zone);
     json.push_back(message.isCurrent);
+    // Daemons without these two fields reject longer updates, so they are written only if they say something.
+    if (message.loggedVersion != message.version || !message.isVoter) {
+        json.push_back(message.loggedVersion);
+        json.push_back(message.isVoter);
+    }
 }
 
 void write(const ConfigurationRequest& message, Json& json)
@@ -186,6 +191,11 @@
         message.marks.push_back(readMark(it, reader));
     message.zone = reader.text();
     message.isCurrent = reader.boolean();
+    message.loggedVersion = message.version;
+    if (reader.finished())
+        return;
+    message.loggedVersion = reader.number();
+    message.isVoter = reader.boolean();
 }
 
 void read(detail::JsonArrayReader& reader, ConfigurationRequest& message)
--- a/src/ibisgw/adapters/SyncEncoder.h
+++ b/src/ibisgw/adapters/SyncEncoder.h
@@ -33,6 +33,8 @@
         std::uint64_t membershipIndex { 0 };
         bool hasMore { false };
         bool isCurrent { false };
+        std::uint64_t loggedVersion { 0 };
+        bool isVoter { true };
 
         auto operator<=>(const CacheKey&) const = default;
     };
--- a/src/ibisgw/configuration/ConfigurationRegister.cpp
+++ b/src/ibisgw/configuration/ConfigurationRegister.cpp
@@ -1,5 +1,7 @@
 #include "ibisgw/configuration/ConfigurationRegister.h"
 
+#include <algorithm>
+
 namespace ibisgw::configuration {
 
 namespace {
@@ -82,6 +84,17 @@
     return m_raft.role() == RaftRole::Leader && m_raft.term() == m_pendingTerm && m_pendingVersions.contains(version);
 }
 
+std::uint64_t ConfigurationRegister::loggedVersion() const
+{
+    auto version = m_state.version();
+    const auto& log = m_raft.log();
+    for (auto index = m_raft.appliedIndex() + 1; index <= log.lastIndex(); ++index) {
+        if (log.at(index).kind == EntryKind::Command)
+            version = std::max(version, RegisterState::versionOf(log.at(index).command));
+    }
+    return version;
+}
+
 std::optional<ReadTicket> ConfigurationRegister::beginRead(core::TimePoint now, RaftOutput& output)
 {
     return m_raft.beginRead(now, output);
--- a/src/ibisgw/configuration/ConfigurationRegister.h
+++ b/src/ibisgw/configuration/ConfigurationRegister.h
@@ -45,6 +45,8 @@
     // Newest committed configuration that this controller has applied; other controllers may have a newer one.
     std::uint64_t version() const { return m_state.version(); }
     const std::string& text() const { return m_state.text(); }
+    // Highest version in the log of this controller, accepted or not.
+    std::uint64_t loggedVersion() const;
 
     const RaftNode& raft() const { return m_raft; }
     const Membership& membership() const { return m_raft.log().membership(); }
--- a/src/ibisgw/configuration/RaftNode.h
+++ b/src/ibisgw/configuration/RaftNode.h
@@ -70,6 +70,8 @@
     const RaftLog& log() const { return m_log; }
     // Why this controller accepts no commands; empty when it accepts them or another controller may.
     const std::string& problem() const { return m_problem; }
+    // True on a voter whose disk is confirmed: its log holds every entry that it has acknowledged.
+    bool isConfirmedVoter() const { return m_role != RaftRole::Halted && m_isDiskConfirmed && isSelfVoter(); }
     // True on a leader that accepts commands.
     bool isAccepting() const;
 
--- a/src/ibisgw/configuration/RegisterState.cpp
+++ b/src/ibisgw/configuration/RegisterState.cpp
@@ -32,6 +32,11 @@
     return encodeState(version, text);
 }
 
+std::uint64_t RegisterState::versionOf(const std::string& command)
+{
+    return readVersion(command).value_or(0);
+}
+
 void RegisterState::apply(const std::string& command)
 {
     const auto version = readVersion(command);
--- a/src/ibisgw/configuration/RegisterState.h
+++ b/src/ibisgw/configuration/RegisterState.h
@@ -13,6 +13,9 @@
     // Command for the log.
     static std::string encode(std::uint64_t version, const std::string& text);
 
+    // Version in such a command; 0 if the command is malformed.
+    static std::uint64_t versionOf(const std::string& command);
+
     void apply(const std::string& command) override;
     std::string takeSnapshot() const override;
     core::Result<void> restore(const std::string& state) override;
--- a/src/ibisgw/direct/FlowForwarder.cpp
+++ b/src/ibisgw/direct/FlowForwarder.cpp
@@ -14,6 +14,7 @@
     { ForwardReason::PlacedAgain, "placed_again" },
     { ForwardReason::OpenFlow, "open_flow" },
     { ForwardReason::NoConfiguration, "no_configuration" },
+    { ForwardReason::ConfigurationUnconfirmed, "configuration_unconfirmed" },
     { ForwardReason::NoRoute, "no_route" },
     { ForwardReason::NoUpstream, "no_upstream" },
     { ForwardReason::UnknownToken, "unknown_token" },
@@ -88,6 +89,8 @@
         return continueFlow(segment, route, now);
     if (!m_configuration)
         return { ForwardAction::Drop, ForwardReason::NoConfiguration };
+    if (!m_isPlacing)
+        return { ForwardAction::Reset, ForwardReason::ConfigurationUnconfirmed };
     if (!route)
         return { ForwardAction::Reset, ForwardReason::NoRoute };
     return open(segment, *route, now);
--- a/src/ibisgw/direct/FlowForwarder.h
+++ b/src/ibisgw/direct/FlowForwarder.h
@@ -27,6 +27,7 @@
     PlacedAgain, // the upstream selected first didn't respond to the opening packet
     OpenFlow,
     NoConfiguration,
+    ConfigurationUnconfirmed, // the configuration may be outdated
     NoRoute,
     NoUpstream,
     UnknownToken,
@@ -34,7 +35,7 @@
     UpstreamUnresponsive,
     LateCopy, // retransmitted opening packet of a flow that is open already
 };
-constexpr std::size_t forwardReasonCount = 10;
+constexpr std::size_t forwardReasonCount = 11;
 
 std::string_view nameOf(ForwardReason);
 
@@ -81,6 +82,8 @@
     ResponseMonitor& responses() { return m_responses; }
     // Returns false and ignores the configuration if its version isn't higher than the one in force.
     bool apply(std::shared_ptr<const RouteConfiguration>, core::TimePoint now);
+    // Whether new flows are placed. Without that their opening packets are reset, and open flows go on.
+    void setPlacing(bool isPlacing) { m_isPlacing = isPlacing; }
     // Call at least ten times a second.
     void tick(core::TimePoint now);
     // Removes and returns the flows to reset because their upstream has ended or is unresponsive, provided that no
@@ -111,6 +114,7 @@
     ForwarderOptions m_options;
     const upstream::InstanceDirectory& m_directory;
     std::shared_ptr<const RouteConfiguration> m_configuration;
+    bool m_isPlacing { true };
     std::unordered_map<core::Endpoint, const Route*> m_routes;
     ResponseMonitor m_responses;
     FlowTracker m_flows;
--- a/src/ibisgw/runtime/DirectBalancer.cpp
+++ b/src/ibisgw/runtime/DirectBalancer.cpp
@@ -86,7 +86,7 @@
 bool DirectBalancer::isReady() const
 {
     return !m_shutdownTimer.hasBegun() && !m_isolationMonitor.isIsolated() && m_forwarder.version() > 0
-        && m_directory.hasReadyInstance() && m_hasReceivedDirectory;
+        && m_configurationMonitor.mayPlaceFlows() && m_directory.hasReadyInstance() && m_hasReceivedDirectory;
 }
 
 void DirectBalancer::beginShutdown()
@@ -309,11 +309,14 @@
 {
     const bool hasReachableController = m_subscriber.reachableControllers(now) > 0;
     m_isolationMonitor.update(hasReachableController, now);
+    m_configurationMonitor.update(m_subscriber.checkConfiguration(m_forwarder.version(), now), now);
+    m_forwarder.setPlacing(m_configurationMonitor.mayPlaceFlows());
     if (isReady() != m_wasReady) {
         m_wasReady = isReady();
         m_events.record(m_wasReady ? Event::Ready : Event::NotReady, now, [this] {
             return nlohmann::json { { "version", m_forwarder.version() }, { "upstreams", m_directory.records().size() },
-                { "stopping", m_shutdownTimer.hasBegun() } };
+                { "stopping", m_shutdownTimer.hasBegun() },
+                { "unconfirmed", !m_configurationMonitor.mayPlaceFlows() } };
         });
     }
     if (hasReachableController != m_hadReachableController) {
--- a/src/ibisgw/runtime/DirectBalancer.h
+++ b/src/ibisgw/runtime/DirectBalancer.h
@@ -9,6 +9,7 @@
 #include "ibisgw/direct/LeastWorkSelector.h"
 #include "ibisgw/direct/PendingPackets.h"
 #include "ibisgw/runtime/ConfigurationFormat.h"
+#include "ibisgw/runtime/ConfigurationMonitor.h"
 #include "ibisgw/runtime/ConnectProber.h"
 #include "ibisgw/runtime/DecisionLogger.h"
 #include "ibisgw/runtime/DirectoryChangeLogger.h"
@@ -35,8 +36,8 @@
         const PacketFormat&, const ConfigurationFormat&, std::uint64_t seed);
 
     void start();
-    // Whether the platform may send new flows here: the process is not shutting down, a configuration is in force, and
-    // the upstream directory is complete and kept current by a controller.
+    // Whether the platform may send new flows here: the process is not shutting down, a configuration is in force and
+    // not known to be possibly outdated, and the upstream directory is complete and kept current by a controller.
     bool isReady() const;
     // Reports this balancer as not ready, continues to forward packets, and stops the event loop before the grace
     // period ends.
@@ -100,6 +101,7 @@
     // upstreams received.
     bool m_hasReceivedDirectory { false };
     IsolationMonitor m_isolationMonitor;
+    ConfigurationMonitor m_configurationMonitor;
     PauseMonitor m_pauseMonitor;
     bool m_wasRefreshing { false };
     bool m_wasReady { false };
--- a/src/ibisgw/runtime/DirectController.cpp
+++ b/src/ibisgw/runtime/DirectController.cpp
@@ -327,7 +327,8 @@
     const bool isAlone = nodes.size() <= 1;
     const bool isCurrent = isAlone
         || (m_subscriber.hasCompleteDirectory() && canReachMajority(m_loop.now()) && !m_departures.isFailing());
-    return { m_register.version(), nodes, m_register.raft().log().membershipIndex(), m_settings.zone, isCurrent };
+    return { m_register.version(), nodes, m_register.raft().log().membershipIndex(), m_settings.zone, isCurrent,
+        m_register.loggedVersion(), m_register.raft().isConfirmedVoter() };
 }
 
 void DirectController::replaceConfiguration(
--- a/src/ibisgw/sync/DirectoryFeed.cpp
+++ b/src/ibisgw/sync/DirectoryFeed.cpp
@@ -81,11 +81,14 @@
     publishTo(false, status, now, output);
 }
 
-// Pushes a new configuration version, and a change of isCurrent, also to the balancers that follow another controller.
+// Pushes a new configuration version, and a change of isCurrent or isVoter, also to the balancers that follow another
+// controller.
 void DirectoryFeed::publishStatus(const FeedStatus& status, SyncOutput& output)
 {
-    const bool isChanged = status.version != m_publishedVersion[0] || status.isCurrent != m_publishedIsCurrent;
+    const bool isChanged = status.version != m_publishedVersion[0] || status.isCurrent != m_publishedIsCurrent
+        || status.isVoter != m_publishedIsVoter;
     m_publishedIsCurrent = status.isCurrent;
+    m_publishedIsVoter = status.isVoter;
     if (!isChanged)
         return;
     for (const auto& [node, subscriber] : m_subscribers) {
@@ -125,7 +128,8 @@
 DirectoryUpdate DirectoryFeed::makeStatusUpdate(std::uint64_t acknowledged, const FeedStatus& status) const
 {
     return { m_feed, acknowledged, acknowledged, {}, {}, status.version, status.controllers, status.membershipIndex,
-        acknowledged < m_directory.newestChange(), {}, status.zone, status.isCurrent };
+        acknowledged < m_directory.newestChange(), {}, status.zone, status.isCurrent, status.loggedVersion,
+        status.isVoter };
 }
 
 DirectoryUpdate DirectoryFeed::makeUpdate(
--- a/src/ibisgw/sync/DirectoryFeed.h
+++ b/src/ibisgw/sync/DirectoryFeed.h
@@ -18,6 +18,9 @@
     core::ZoneName zone;
     // The controller receives updates from a majority of the group and holds all changes of those members.
     bool isCurrent { false };
+    // See DirectoryUpdate.
+    direct::ConfigurationVersion loggedVersion { 0 };
+    bool isVoter { true };
 };
 
 // Sends the upstream directory of one controller to its subscribers: the balancers that follow the controller, and the
@@ -89,6 +92,7 @@
     std::uint64_t m_publishedChange[2] {};
     direct::ConfigurationVersion m_publishedVersion[2] {};
     bool m_publishedIsCurrent { false };
+    bool m_publishedIsVoter { false };
     core::TimePoint m_nextBalancerUpdate {};
     // Balancers of setFormerBalancers() that have not subscribed yet, and the time until which they receive
     // announcements.
--- a/src/ibisgw/sync/DirectorySubscriber.cpp
+++ b/src/ibisgw/sync/DirectorySubscriber.cpp
@@ -195,8 +195,10 @@
     feed.lastUpdateAt = now;
     feed.unansweredSince.reset();
     feed.version = update.version;
+    feed.loggedVersion = update.loggedVersion;
     feed.zone = update.zone;
     feed.isCurrent = update.isCurrent;
+    feed.isVoter = update.isVoter;
     feed.hasUpstreams = update.to > 0 || update.hasMore;
     if (update.feed == feed.feedId)
         return;
@@ -316,11 +318,35 @@
     output.send(m_lastRequested, ConfigurationRequest { held });
 }
 
+ConfigurationCheck DirectorySubscriber::checkConfiguration(direct::ConfigurationVersion held, core::TimePoint now) const
+{
+    const auto& members = m_members.empty() ? m_options.seeds : m_members;
+    std::size_t inContact = 0;
+    std::size_t confirming = 0;
+    for (const auto& it : members) {
+        const auto found = m_feeds.find(it);
+        if (found == m_feeds.end() || !isInContact(found->second, now, contactLimit))
+            continue;
+        ++inContact;
+        if (found->second.isVoter && found->second.loggedVersion <= held)
+            ++confirming;
+    }
+    const auto majority = members.size() / 2 + 1;
+    if (inContact < majority)
+        return ConfigurationCheck::Isolated;
+    return confirming < majority ? ConfigurationCheck::Unconfirmed : ConfigurationCheck::Confirmed;
+}
+
+bool DirectorySubscriber::isInContact(const Feed& feed, core::TimePoint now, core::Duration limit)
+{
+    return feed.lastUpdateAt && now - *feed.lastUpdateAt <= limit;
+}
+
 std::vector<core::NodeId> DirectorySubscriber::controllersInContact(core::TimePoint now, core::Duration limit) const
 {
     std::vector<core::NodeId> nodes;
     for (const auto& [node, feed] : m_feeds) {
-        if (feed.lastUpdateAt && now - *feed.lastUpdateAt <= limit)
+        if (isInContact(feed, now, limit))
             nodes.push_back(node);
     }
     return nodes;
--- a/src/ibisgw/sync/DirectorySubscriber.h
+++ b/src/ibisgw/sync/DirectorySubscriber.h
@@ -26,6 +26,13 @@
     core::ZoneName zone;
 };
 
+// Whether a configuration is known to be the newest accepted one.
+enum class ConfigurationCheck : std::uint8_t {
+    Isolated, // fewer than a majority of the controllers are in contact, so that nothing can be known
+    Unconfirmed, // a majority is in contact, and a newer version may have been accepted
+    Confirmed, // a majority of the controllers are voters that have logged no newer version
+};
+
 // Keeps a copy of the upstream directory up to date by subscriptions to the feeds of controllers. A controller
 // subscribes to the changes of all other controllers, so that it holds every change that one of them has acknowledged.
 // A balancer subscribes to the changes of one controller that is in contact with a majority of the group and so holds
@@ -44,6 +51,8 @@
     // Requests the newest configuration if a controller has reported one above the version held here. Requests go to
     // one controller at a time; the next controller is tried when no transfer arrives.
     void fetchConfiguration(direct::ConfigurationVersion held, core::TimePoint now, SyncOutput&);
+    // Each accepted version is in the logs of a majority of the voters, and any two majorities have a voter in common.
+    ConfigurationCheck checkConfiguration(direct::ConfigurationVersion held, core::TimePoint now) const;
     // Sends the subscriptions that are due.
     void tick(core::TimePoint now, SyncOutput&);
     // Makes all subscriptions due, because updates may have been missed.
@@ -72,8 +81,10 @@
         bool isComplete { false };
         // Status of the controller, from its last update.
         direct::ConfigurationVersion version { 0 };
+        direct::ConfigurationVersion loggedVersion { 0 };
         core::ZoneName zone;
         bool isCurrent { false };
+        bool isVoter { false };
         // The controller has learned of upstreams; one that has just started with an empty disk has not.
         bool hasUpstreams { false };
         // Time of the last update; empty before the first one.
@@ -96,6 +107,7 @@
     void resumeFilling(core::TimePoint now);
     bool keepDepartures(const DirectoryUpdate&, core::TimePoint now);
     void merge(core::NodeId from, const DirectoryUpdate&, core::TimePoint now);
+    static bool isInContact(const Feed&, core::TimePoint now, core::Duration limit);
     std::vector<core::NodeId> controllersInContact(core::TimePoint now, core::Duration limit) const;
     void adoptControllers(const DirectoryUpdate&);
     void dropUnknownFeeds();
--- a/src/ibisgw/sync/SyncMessage.h
+++ b/src/ibisgw/sync/SyncMessage.h
@@ -89,6 +89,10 @@
     core::ZoneName zone;
     // The controller receives updates from a majority of the group and holds all changes of those members.
     bool isCurrent { false };
+    // Highest configuration version in the controller's log, accepted or not.
+    direct::ConfigurationVersion loggedVersion { 0 };
+    // The controller is a voter of the group, and its log holds every entry that it has acknowledged.
+    bool isVoter { true };
 
     bool operator==(const DirectoryUpdate&) const = default;
 };
--- a/tests/direct/FlowForwarderTests.cpp
+++ b/tests/direct/FlowForwarderTests.cpp
@@ -58,6 +58,23 @@
 
     // Guards against a list of candidates that is older than the directory: a flow would go to an upstream that has
     // left or that has come back with another service.
+    // Guards against open flows that are lost, and callers that wait in vain, while a balancer must not use its
+    // configuration for new flows.
+    TEST_CASE("a balancer that may not place flows resets opening packets and continues open flows")
+    {
+        ForwarderFixture it;
+        it.add(1, "booking");
+        const auto opening = it.opening();
+        const auto token = it.handle(opening).token;
+        it.forwarder.setPlacing(false);
+        const auto refused = it.handle(it.opening());
+        CHECK(refused.action == ForwardAction::Reset);
+        CHECK(refused.reason == ForwardReason::ConfigurationUnconfirmed);
+        CHECK(it.handle(ForwarderFixture::dataOf(opening, token)).action == ForwardAction::Forward);
+        it.forwarder.setPlacing(true);
+        CHECK(it.handle(it.opening()).action == ForwardAction::Forward);
+    }
+
     TEST_CASE("each placement knows the newest state of the upstreams")
     {
         ForwarderFixture it;
--- a/tests/support/RegisterGroup.cpp
+++ b/tests/support/RegisterGroup.cpp
@@ -35,9 +35,11 @@
     core::NodeId from;
 };
 
-RegisterGroup::RegisterGroup(std::size_t controllers, std::size_t toleratedDiskLosses, std::uint64_t seed)
+RegisterGroup::RegisterGroup(
+    std::size_t controllers, std::size_t toleratedDiskLosses, std::uint64_t seed, core::Duration commitSaveInterval)
     : m_toleratedDiskLosses(toleratedDiskLosses)
     , m_seed(seed)
+    , m_commitSaveInterval(commitSaveInterval)
     , m_random(seed)
     , m_queue({}, m_random)
 {
@@ -81,6 +83,7 @@
     options.electionTimeout = 500ms;
     options.diskCheckWait = 300ms;
     options.diskCheckInterval = 100ms;
+    options.commitSaveInterval = m_commitSaveInterval;
     auto& member = m_members.at(node);
     member.instance = std::make_unique<ConfigurationRegister>(options, *member.store, *member.random);
     if (!member.instance->start(m_queue.now()))
--- a/tests/support/RegisterGroup.h
+++ b/tests/support/RegisterGroup.h
@@ -20,7 +20,8 @@
 class RegisterGroup {
 public:
     // Starts the given number of controllers, which form a new group. The first three are the seeds.
-    RegisterGroup(std::size_t controllers, std::size_t toleratedDiskLosses, std::uint64_t seed);
+    RegisterGroup(std::size_t controllers, std::size_t toleratedDiskLosses, std::uint64_t seed,
+        core::Duration commitSaveInterval = {});
 
     // Starts a controller with a new address and an empty disk, which joins the existing group. From now on the first
     // three running controllers are the seeds.
@@ -49,6 +50,12 @@
 
     // A controller that is leader and is not isolated; an invalid identifier if there is none.
     core::NodeId leader() const;
+    // Null while the controller is stopped.
+    const configuration::ConfigurationRegister* find(core::NodeId node) const
+    {
+        return m_members.at(node).instance.get();
+    }
+    core::TimePoint now() const { return m_queue.now(); }
     std::vector<core::NodeId> running() const;
     const configuration::Membership& membership() const { return m_members.at(leader()).instance->membership(); }
 
@@ -69,6 +76,7 @@
 
     std::size_t m_toleratedDiskLosses;
     std::uint64_t m_seed;
+    core::Duration m_commitSaveInterval;
     std::vector<core::NodeId> m_seeds;
     std::map<core::NodeId, Member> m_members;
     std::set<core::NodeId> m_isolated;
--- a/tests/sync/DirectorySyncTests.cpp
+++ b/tests/sync/DirectorySyncTests.cpp
@@ -68,6 +68,13 @@
     }
 };
 
+DirectoryUpdate statusOf(direct::ConfigurationVersion version, direct::ConfigurationVersion logged, bool isVoter)
+{
+    DirectoryUpdate update { .feed = 77, .version = version, .loggedVersion = logged, .isVoter = isVoter };
+    update.zone = "a";
+    return update;
+}
+
 } // namespace
 
 TEST_SUITE("sync")
@@ -456,6 +463,44 @@
             CHECK(requestCounts[it] >= fleetSize / 6);
     }
 
+    // Guards against a configuration that counts as the newest one because controllers without a say confirm it.
+    TEST_CASE("a configuration is confirmed by a majority of the controllers")
+    {
+        const std::vector<core::NodeId> controllers { { 10 }, { 11 }, { 12 } };
+        core::TimePoint now { 100s };
+        InstanceDirectory copy;
+        RecordingOutput outbox;
+        DirectorySubscriber subscriber({ balancerNode, 5, false, controllers }, copy);
+        const auto receive
+            = [&](core::NodeId from, const DirectoryUpdate& update) { subscriber.handle(from, update, now, outbox); };
+        CHECK(subscriber.checkConfiguration(9, now) == ConfigurationCheck::Isolated);
+        receive(controllers[0], statusOf(9, 9, true));
+        CHECK(subscriber.checkConfiguration(9, now) == ConfigurationCheck::Isolated);
+
+        SUBCASE("that have logged no newer version")
+        {
+            receive(controllers[1], statusOf(8, 9, true));
+            CHECK(subscriber.checkConfiguration(9, now) == ConfigurationCheck::Confirmed);
+            CHECK(subscriber.checkConfiguration(9, now + contactLimit + 1ms) == ConfigurationCheck::Isolated);
+        }
+        SUBCASE("not by one that has logged a newer version")
+        {
+            receive(controllers[1], statusOf(9, 12, true));
+            CHECK(subscriber.checkConfiguration(9, now) == ConfigurationCheck::Unconfirmed);
+            CHECK(subscriber.checkConfiguration(12, now) == ConfigurationCheck::Confirmed);
+        }
+        SUBCASE("not by one that has lost its disk")
+        {
+            receive(controllers[1], statusOf(0, 0, false));
+            CHECK(subscriber.checkConfiguration(9, now) == ConfigurationCheck::Unconfirmed);
+        }
+        SUBCASE("not by one that is no member")
+        {
+            receive({ 13 }, statusOf(9, 9, true));
+            CHECK(subscriber.checkConfiguration(9, now) == ConfigurationCheck::Isolated);
+        }
+    }
+
     TEST_CASE("a change counts as confirmed only after the other controller has acknowledged it")
     {
         FeedAndSubscriber it(true);
@@ -541,6 +586,9 @@
             Subscription { 1, true, 2, 3, 4, { { 5 } }, FollowMode::StatusOnly },
             DirectoryUpdate { 1, 2, 3, { { support::makeReport(1, 1), 5ms, true } }, { { { 2 }, 3, 4 } }, 9, { { 5 } },
                 6, true, { { { 7 }, 8, 9, 10ms, true } }, "zone", true },
+            statusOf(9, 9, true),
+            statusOf(9, 12, true),
+            statusOf(9, 9, false),
             ConfigurationRequest { 4 },
             UnresponsiveReport { { 5 }, 6 },
             ConfigurationTransfer { 4, std::string("\x00\xff text", 7) },
