Fix heartbeats with long texts that keep the directory from balancers

Reported by another operator: one odd entry among those of the hosts, and the machines that read the list ended or stopped following it. Nesting, numbers and ports out of range are refused here with 400, and the new test of the control API keeps that.

Cause: a text of any length was accepted, and an update to followers was limited by the number of upstreams, not by bytes. An update above 2 MiB is discarded, and a follower that lacks that part of the directory asks for it in vain.

Evidence: the balancer that had the directory before went on; the two subscribed daemons learned all later upstreams.

--- a/src/ibisgw/core/ObjectReader.cpp
+++ b/src/ibisgw/core/ObjectReader.cpp
@@ -9,7 +9,6 @@
 namespace {
 
 constexpr std::size_t maxNameBytes = 64;
-constexpr std::size_t maxTextBytes = 4096;
 
 constexpr const char* nameProblem = "must be a name of 1 to 64 letters, digits, '-', '_' or '.'";
 constexpr const char* endpointProblem = "must be an IPv4 address with port, such as \"10.1.0.4:443\"";
--- a/src/ibisgw/core/ObjectReader.h
+++ b/src/ibisgw/core/ObjectReader.h
@@ -18,6 +18,9 @@
 
 namespace ibisgw::core {
 
+// Longest text that daemons accept, such as the name of a service.
+constexpr std::size_t maxTextBytes = 4096;
+
 // Whether a missing member is reported as a problem.
 enum class Presence {
     Required,
--- a/src/ibisgw/sync/DirectoryFeed.cpp
+++ b/src/ibisgw/sync/DirectoryFeed.cpp
@@ -22,9 +22,15 @@
 // These limits keep an update within a few datagrams: the loss of one datagram loses the whole update, and a large
 // fleet has thousands of upstreams.
 constexpr std::size_t maxItems = 100;
+constexpr std::size_t maxItemTextBytes = 8192;
 constexpr std::size_t maxRenewals = 300;
 constexpr std::size_t maxMarks = 300;
 
+std::size_t textBytes(const upstream::InstanceReport& report)
+{
+    return report.service.size() + report.zone.size();
+}
+
 } // namespace
 
 DirectoryFeed::DirectoryFeed(std::uint64_t feed, const upstream::InstanceDirectory& directory)
@@ -138,16 +144,20 @@
     auto update = makeStatusUpdate(from, status);
     update.to = m_directory.newestUpdate();
     update.hasMore = false;
+    std::size_t itemTextBytes = 0;
     const auto& index = subscriber.isController ? m_directory.byUpdate() : m_directory.byChange();
     for (auto it = index.upper_bound(from); it != index.end(); ++it) {
         const bool isFull = update.items.size() >= maxItems || update.marks.size() >= maxMarks
-            || update.renewals.size() >= maxRenewals;
+            || update.renewals.size() >= maxRenewals || itemTextBytes >= maxItemTextBytes;
         if (isFull) {
             update.to = std::prev(it)->first;
             update.hasMore = true;
             break;
         }
+        const auto itemCount = update.items.size();
         addRecord(update, *m_directory.find(it->second), from, subscriber, now);
+        if (update.items.size() > itemCount)
+            itemTextBytes += textBytes(update.items.back().report);
     }
     return update;
 }
--- a/tests/platform/ControlServerTests.cpp
+++ b/tests/platform/ControlServerTests.cpp
@@ -8,6 +8,8 @@
 #include <doctest/doctest.h>
 #include <nlohmann/json.hpp>
 
+#include <map>
+
 using namespace ibisgw;
 
 namespace {
@@ -83,4 +85,57 @@
         }
         CHECK(it.post("/Config.Replace", "{").status == 400);
     }
+
+    // Guards against controllers that end, and followers that lose track, by one odd entry among the heartbeats.
+    TEST_CASE("an odd heartbeat of another writer is refused and leaves the other hosts alone")
+    {
+        Controller it;
+        const std::string path = "/Instances.Heartbeat/i-7f3a91c2";
+        const auto heartbeat = [](const std::string& member, const std::string& value) {
+            std::map<std::string, std::string> members { { "service", R"("slotdesk")" },
+                { "address", R"("10.128.0.9:8080")" }, { "zone", R"("a")" }, { "version", R"("v1")" },
+                { "max_concurrency", "2" }, { "state", R"("ready")" }, { "cold_remaining_ms", "0" },
+                { "sequence", "4" }, { "born", "1779980662000" } };
+            members[member] = value;
+            std::string text;
+            for (const auto& [name, content] : members)
+                text += (text.empty() ? "{\"" : ",\"") + name + "\":" + content;
+            return text + "}";
+        };
+        const auto nested = [](std::size_t depth) { return std::string(depth, '[') + std::string(depth, ']'); };
+        const auto longText = '"' + std::string(100'000, 'a') + '"';
+        REQUIRE(it.post(path, heartbeat("sequence", "3")).status == 200);
+
+        SUBCASE("very deeply nested")
+        {
+            CHECK(it.post(path, nested(200'000)).status == 400);
+            CHECK(it.post(path, std::string(200'000, '[')).status == 400);
+            CHECK(it.post(path, heartbeat("labels", nested(100))).status == 400);
+            CHECK(it.post(path, heartbeat("zone", nested(100))).status == 400);
+        }
+        SUBCASE("with a number too large")
+        {
+            for (const auto* member : { "sequence", "max_concurrency", "cold_remaining_ms", "born" }) {
+                CAPTURE(member);
+                for (const auto* value : { "1e400", "-1e400", "1e300", "123456789012345678901234567890", "-1" }) {
+                    CAPTURE(value);
+                    CHECK(it.post(path, heartbeat(member, value)).status == 400);
+                }
+            }
+            CHECK(it.post(path, heartbeat("max_concurrency", "65536")).status == 400);
+        }
+        SUBCASE("with a port out of range")
+        {
+            for (const auto* port : { "65536", "99999999999999999999", "-1", "0", "", "8080x" }) {
+                CAPTURE(port);
+                CHECK(it.post(path, heartbeat("address", R"("10.128.0.9:)" + std::string(port) + '"')).status == 400);
+            }
+        }
+        SUBCASE("with a text that no daemon could send on in time")
+        {
+            CHECK(it.post(path, heartbeat("service", longText)).status == 400);
+            CHECK(it.post(path, heartbeat("zone", longText)).status == 400);
+        }
+        CHECK(it.post(path, heartbeat("sequence", "4")).status == 200);
+    }
 }
--- a/tests/sync/DirectorySyncTests.cpp
+++ b/tests/sync/DirectorySyncTests.cpp
@@ -1,5 +1,6 @@
 #include "ibisgw/adapters/SyncCodec.h"
 #include "ibisgw/adapters/SyncEncoder.h"
+#include "ibisgw/core/ObjectReader.h"
 #include "ibisgw/sync/DirectoryFeed.h"
 #include "ibisgw/sync/DirectorySubscriber.h"
 #include "support/InstanceReports.h"
@@ -276,6 +277,31 @@
         }
     }
 
+    // Guards against a directory that no balancer can receive any more, because a few upstreams have reported long
+    // texts.
+    TEST_CASE("a directory with long texts is sent in parts of a few datagrams")
+    {
+        constexpr std::uint64_t upstreams = 40;
+        constexpr std::size_t maxUpdateBytes = 20'000;
+        FeedAndSubscriber it;
+        it.subscribe();
+        for (std::uint64_t id = 1; id <= upstreams; ++id) {
+            auto report = support::makeReport(id, 1);
+            report.zone = std::string(core::maxTextBytes, 'z');
+            it.source.apply(report, {}, it.now);
+        }
+        it.now += 1s;
+        it.subscriber.tick(it.now, it.toController);
+        it.feed.handle(balancerNode, std::get<Subscription>(it.toController.messages.front().second), it.status, it.now,
+            it.toFollower);
+        const auto& update = it.toFollower.messages.front().second;
+        CHECK_FALSE(std::get<DirectoryUpdate>(update).items.empty());
+        CHECK(adapters::encodeSyncMessage(update).size() < maxUpdateBytes);
+        it.deliver();
+        CHECK(it.copy.records().size() == upstreams);
+        CHECK(it.subscriber.hasCompleteDirectory());
+    }
+
     // Guards against a new balancer that never receives the reports of upstreams that were overdue before: it received
     // the mark instead of the report, and dropped the packets of their flows (inc-2986, request c1d73c034b5fab83).
     TEST_CASE("a subscriber that joins late receives the reports of upstreams that have been overdue")
