Fix confirmed departures written behind the rest of an interrupted write

Seen by callers: a departure that was confirmed could be lost with the next power failure, and flows were placed on the upstream that had left.

Cause: a full disk, or a power failure, leaves part of a record at the end of the file of departures. It was removed only right after the failed write, and only if that truncation succeeded. Later departures were written behind it, where load() stops.

Evidence: the new section of the test loads 2 of 3 departures before the change.

Change: whenever the file is opened, and it is opened again after each failure, it is cut to its readable records first; no record is written before that has succeeded.

Result: all three are loaded.

--- a/src/ibisgw/adapters/DepartureLog.cpp
+++ b/src/ibisgw/adapters/DepartureLog.cpp
@@ -31,21 +31,27 @@
 }
 
 std::vector<upstream::InstanceReport> DepartureLog::load() const
+{
+    return read().reports;
+}
+
+DepartureLog::Contents DepartureLog::read() const
 {
     std::ifstream in(m_file, std::ios::binary);
     const std::string bytes { std::istreambuf_iterator<char>(in), {} };
     detail::LogRecordReader reader(bytes);
     detail::LogRecord record;
-    std::vector<upstream::InstanceReport> reports;
+    Contents contents;
     while (reader.next(record) == detail::RecordStatus::Valid) {
         const auto message = decodeSyncMessage(record.payload);
         const auto* update = message ? std::get_if<sync::DirectoryUpdate>(&*message) : nullptr;
         if (record.type != detail::RecordType::Departures || !update)
             break;
         for (const auto& it : update->items)
-            reports.push_back(it.report);
+            contents.reports.push_back(it.report);
+        contents.bytes = reader.position();
     }
-    return reports;
+    return contents;
 }
 
 core::Result<void> DepartureLog::append(std::span<const upstream::InstanceReport> reports)
@@ -85,15 +91,23 @@
     m_descriptor = ::open(m_file.c_str(), flags, detail::privateFileMode);
     if (m_descriptor < 0)
         return detail::ioFailure(m_file, "open", errno);
-    // The directory entry of a new file must be durable, too.
-    if (auto synced = detail::syncFolder(m_folder); !synced) {
+    if (auto prepared = prepareFile(); !prepared) {
         ::close(m_descriptor);
         m_descriptor = -1;
-        return synced.error();
+        return prepared.error();
     }
     return {};
 }
 
+core::Result<void> DepartureLog::prepareFile()
+{
+    // Removes the rest of an interrupted write, because load() would not read any record after it.
+    if (::ftruncate(m_descriptor, static_cast<off_t>(read().bytes)) != 0)
+        return detail::ioFailure(m_file, "truncation", errno);
+    // The directory entry of a new file must be durable, too.
+    return detail::syncFolder(m_folder);
+}
+
 // Closes the file, because its state is unknown after a failed sync or truncation; the next operation reopens it.
 core::Result<void> DepartureLog::closeAfterFailure(const std::string& operation)
 {
--- a/src/ibisgw/adapters/DepartureLog.h
+++ b/src/ibisgw/adapters/DepartureLog.h
@@ -28,7 +28,15 @@
     core::Result<void> clear();
 
 private:
+    // The readable records of the file, and the bytes that they take.
+    struct Contents {
+        std::vector<upstream::InstanceReport> reports;
+        std::size_t bytes { 0 };
+    };
+
+    Contents read() const;
     core::Result<void> open();
+    core::Result<void> prepareFile();
     core::Result<void> closeAfterFailure(const std::string& operation);
 
     std::string m_folder;
--- a/tests/adapters/DepartureLogTests.cpp
+++ b/tests/adapters/DepartureLogTests.cpp
@@ -49,6 +49,17 @@
             std::filesystem::resize_file(file, std::filesystem::file_size(file) - 3);
             CHECK(DepartureLog(folder.path()).load().size() == 2);
         }
+        // Guards against departures that were confirmed and are lost with the next power failure, because they stand
+        // behind the rest of a write that a full disk or an earlier power failure has interrupted.
+        SUBCASE("departures after an interrupted write are kept")
+        {
+            std::filesystem::resize_file(file, std::filesystem::file_size(file) - 3);
+            const upstream::InstanceReport third[] { leaving(4, upstream::InstanceState::Gone) };
+            REQUIRE(DepartureLog(folder.path()).append(third));
+            const auto loaded = DepartureLog(folder.path()).load();
+            REQUIRE(loaded.size() == 3);
+            CHECK(loaded[2].id.value == 4);
+        }
         SUBCASE("clear removes them, and later departures are kept")
         {
             REQUIRE(log.clear());
--- a/tests/configuration/OpenMembershipTests.cpp
+++ b/tests/configuration/OpenMembershipTests.cpp
@@ -315,6 +315,39 @@
         }
     }
 
+    // Guards against a group that refuses or leaves unanswered all changes after the disks of its controllers were full
+    // in turn, never two at once.
+    TEST_CASE("a group accepts changes after the disks of all its controllers were full, one after the other")
+    {
+        constexpr std::uint64_t seeds = 20;
+        for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+            CAPTURE(seed);
+            core::PcgRandomSource random(seed);
+            const auto controllers = 3 + random.below(5);
+            RegisterGroup group(controllers, (controllers - 1) / 2, 100 * seed, 100ms);
+            group.runFor(4s);
+            std::uint64_t version = 0;
+            std::uint64_t accepted = 0;
+            for (int turn = 0; turn < 2; ++turn) {
+                for (const auto& it : group.running()) {
+                    group.setDiskFull(it, true);
+                    const auto end = group.now() + 500ms + random.below(4000) * 1ms;
+                    while (group.now() < end) {
+                        if (group.replace(++version, 300ms))
+                            accepted = version;
+                    }
+                    group.setDiskFull(it, false);
+                }
+            }
+            group.runFor(1500ms);
+            CHECK(group.read() >= accepted);
+            CHECK(group.replace(++version));
+            CHECK(accepted > 0);
+            group.runFor(repairDuration);
+            CHECK(votersOf(group).size() == controllers);
+        }
+    }
+
     // Guards against lost accepted changes, stale reads and groups that never recover, in orders of faults that the
     // other tests do not cover.
     TEST_CASE("random faults within the tolerance lose no accepted change")
--- a/tests/support/MemoryLogStore.cpp
+++ b/tests/support/MemoryLogStore.cpp
@@ -54,7 +54,7 @@
 
 core::Result<void> MemoryLogStore::sync()
 {
-    if (m_failed || m_failsNextSync) {
+    if (m_failed || m_failsNextSync || m_isFull) {
         m_failed = true;
         return core::fail(core::ErrorKind::IoFailed, "sync failed");
     }
@@ -65,6 +65,8 @@
 
 core::Result<StoredState> MemoryLogStore::load()
 {
+    if (m_isFull)
+        return core::fail(core::ErrorKind::ResourceExhausted, "the disk is full");
     m_failed = false;
     m_unsynced.clear();
     if (m_durable.disk == 0)
--- a/tests/support/MemoryLogStore.h
+++ b/tests/support/MemoryLogStore.h
@@ -27,6 +27,8 @@
     void crash(bool losesUnsynced);
     // Makes the next sync fail. With `keepsWrites` its writes have reached the disk nevertheless.
     void failNextSync(bool keepsWrites);
+    // A full disk refuses every write, also those with which a start begins.
+    void setFull(bool isFull) { m_isFull = isFull; }
     // Empties the disk, as if it had been replaced.
     void wipe();
     // Copy of the synced state, to be restored later as an outdated disk, as from a backup.
@@ -48,6 +50,7 @@
     bool m_failed { false };
     bool m_failsNextSync { false };
     bool m_keepsFailedWrites { false };
+    bool m_isFull { false };
     std::size_t m_syncCount { 0 };
 };
 
--- a/tests/support/RegisterGroup.h
+++ b/tests/support/RegisterGroup.h
@@ -34,6 +34,8 @@
     void start(core::NodeId);
     // Empties the disk; the controller must be stopped.
     void wipe(core::NodeId);
+    // While the disk is full, it refuses every write.
+    void setDiskFull(core::NodeId node, bool isFull) { m_members.at(node).store->setFull(isFull); }
     // Drops all messages to and from the controller until reconnect().
     void isolate(core::NodeId node) { m_isolated.insert(node); }
     void reconnect(core::NodeId node) { m_isolated.erase(node); }
