Fix a directory of upstreams that is not saved again after a failed write

Seen by callers: an upstream that joined while the disk of a controller was full was missing from that controller's file until the next change of any upstream. A start from that file lacked it until its next heartbeat, and packets of its flows were held or dropped.

Cause: saveInstances() noted the change as saved before it wrote the file, so a failed write was not repeated.

Evidence: with the temporary file blocked for 1.5 s, the new test finds no upstream in the file 1.5 s after it is free again.

Change: a change counts as saved once the file is.

--- a/src/ibisgw/runtime/DirectController.cpp
+++ b/src/ibisgw/runtime/DirectController.cpp
@@ -213,14 +213,15 @@
         balancers = m_savedBalancers;
     if (m_directory.newestChange() == m_savedChange && balancers == m_savedBalancers)
         return;
-    m_savedChange = m_directory.newestChange();
-    m_savedBalancers = balancers;
-    adapters::SavedUpstreamDirectory saved { {}, std::move(balancers) };
+    const auto change = m_directory.newestChange();
+    adapters::SavedUpstreamDirectory saved { {}, balancers };
     for (const auto& [id, record] : m_directory.records())
         saved.instances.push_back({ record.report, {}, record.isOverdue });
     boost::leaf::try_handle_all(
         [&]() -> core::Result<void> {
             BOOST_LEAF_CHECK(adapters::saveUpstreamDirectory(m_settings.dataFolder, std::move(saved)));
+            m_savedChange = change;
+            m_savedBalancers = std::move(balancers);
             m_departures.noteDirectorySaved();
             return m_departureLog.clear();
         },
--- a/tests/platform/ControlServerTests.cpp
+++ b/tests/platform/ControlServerTests.cpp
@@ -2,12 +2,14 @@
 #include "platform/ControlServer.h"
 
 #include "adapters/HttpProbe.h"
+#include "ibisgw/adapters/UpstreamDirectoryFile.h"
 #include "ibisgw/runtime/DirectController.h"
 #include "support/TemporaryFolder.h"
 
 #include <doctest/doctest.h>
 #include <nlohmann/json.hpp>
 
+#include <filesystem>
 #include <map>
 
 using namespace ibisgw;
@@ -35,6 +37,12 @@
         server = platform::ControlServer::start(loop, { loopback, 0 }, *controller, format).value();
     }
 
+    void runFor(std::chrono::milliseconds duration)
+    {
+        const auto end = loop.now() + duration;
+        support::runUntil(loop, [&] { return loop.now() >= end; });
+    }
+
     support::HttpAnswer post(const std::string& path, const std::string& body)
     {
         return support::request(loop, server->localEndpoint(), "POST", path, body);
@@ -138,4 +146,24 @@
         }
         CHECK(it.post(path, heartbeat("sequence", "4")).status == 200);
     }
+
+    // Guards against a controller that starts without an upstream that it has known for long, because the disk was full
+    // when that upstream joined.
+    TEST_CASE("upstreams that could not be saved are saved once the disk accepts writes again")
+    {
+        constexpr std::chrono::milliseconds savePeriod { 1500 };
+        Controller it;
+        const auto blocked = it.folder.path() + "/instances.tmp";
+        std::filesystem::create_directory(blocked);
+        REQUIRE(it.post("/Instances.Heartbeat/i-7f3a91c2",
+                      R"({"service":"slotdesk","address":"10.128.0.9:8080","zone":"a","version":"v1",)"
+                      R"("max_concurrency":2,"state":"ready","cold_remaining_ms":0,"sequence":4})")
+                    .status
+            == 200);
+        it.runFor(savePeriod);
+        CHECK(adapters::loadUpstreamDirectory(it.folder.path()).instances.empty());
+        std::filesystem::remove(blocked);
+        it.runFor(savePeriod);
+        CHECK(adapters::loadUpstreamDirectory(it.folder.path()).instances.size() == 1);
+    }
 }
