Fix the placement of flows by freed records of upstreams

Seen by callers: nothing in the plain build; with AddressSanitizer a balancer ended 122.5 s after the crash of a host (review).

Cause: FlowPlacer keeps pointers to records until the directory's change number grows, but the record of a host that has been overdue for two minutes is removed without a change.

Evidence: the new test drops the only upstream after 121 s; the flow was still placed on it, by the freed record.

Change: the directory counts removals, and the placer indexes the records again when the count differs.

Result: the test passes.

--- a/src/ibisgw/direct/FlowPlacer.cpp
+++ b/src/ibisgw/direct/FlowPlacer.cpp
@@ -51,12 +51,12 @@
     return route.targets.back().service;
 }
 
-// The directory holds the upstreams of all services and changes far less often than flows are opened. Its records keep
-// their addresses until they are removed, some time after their upstream has gone.
+// The directory holds the upstreams of all services and changes far less often than flows are opened.
 const FlowPlacer::Records& FlowPlacer::recordsOf(const core::ServiceName& service)
 {
-    if (m_indexedChange != m_directory.newestChange()) {
+    if (m_indexedChange != m_directory.newestChange() || m_indexedRemovals != m_directory.removalCount()) {
         m_indexedChange = m_directory.newestChange();
+        m_indexedRemovals = m_directory.removalCount();
         m_recordsByService.clear();
         for (const auto& [id, record] : m_directory.records()) {
             if (record.report.state == InstanceState::Ready && !m_directory.sharesToken(record))
--- a/src/ibisgw/direct/FlowPlacer.h
+++ b/src/ibisgw/direct/FlowPlacer.h
@@ -54,9 +54,11 @@
     const ResponseMonitor& m_responses;
     // By IP address of the caller.
     std::unordered_map<std::uint32_t, UnconfirmedOpen> m_unconfirmedOpens;
-    // Upstreams that may get new flows, by service, as of the directory's change m_indexedChange.
+    // Upstreams that may get new flows, by service, as of the directory's change m_indexedChange and the number of its
+    // removals then.
     std::unordered_map<core::ServiceName, Records> m_recordsByService;
     std::uint64_t m_indexedChange { 0 };
+    std::uint64_t m_indexedRemovals { 0 };
     std::vector<Candidate> m_candidates;
 };
 
--- a/src/ibisgw/upstream/InstanceDirectory.cpp
+++ b/src/ibisgw/upstream/InstanceDirectory.cpp
@@ -255,6 +255,7 @@
         if (isExpired) {
             removeFromIndexes(it->second);
             removeAddress(it->second);
+            ++m_removalCount;
         }
         it = isExpired ? m_records.erase(it) : std::next(it);
     }
--- a/src/ibisgw/upstream/InstanceDirectory.h
+++ b/src/ibisgw/upstream/InstanceDirectory.h
@@ -74,6 +74,8 @@
     std::uint64_t newestUpdate() const { return m_newestUpdate; }
     // Number of the newest change, without renewals.
     std::uint64_t newestChange() const { return m_newestChange; }
+    // Number of records that were removed. Pointers to records are valid while it is unchanged.
+    std::uint64_t removalCount() const { return m_removalCount; }
     // Identifiers ordered by last change, and by last change or renewal.
     const ChangeIndex& byChange() const { return m_byChange; }
     const ChangeIndex& byUpdate() const { return m_byUpdate; }
@@ -116,6 +118,7 @@
     std::uint64_t m_digest { 0 };
     std::uint64_t m_newestUpdate { 0 };
     std::uint64_t m_newestChange { 0 };
+    std::uint64_t m_removalCount { 0 };
 };
 
 } // namespace ibisgw::upstream
--- a/tests/direct/FlowForwarderTests.cpp
+++ b/tests/direct/FlowForwarderTests.cpp
@@ -58,6 +58,19 @@
 
     // Guards against a list of candidates that is older than the directory: a flow would go to an upstream that has
     // left or that has come back with another service.
+    // Guards against freed memory that is read, and flows that are placed, for an upstream that has been overdue for so
+    // long that the directory has dropped its record.
+    TEST_CASE("no flow is placed on an upstream that the directory has dropped")
+    {
+        ForwarderFixture it;
+        it.add(1, "booking");
+        it.directory.setOverdue({ 1 }, 1000, 1, true, it.now);
+        CHECK(it.handle(it.opening()).action == ForwardAction::Forward);
+        it.directory.expire(it.now += 121s);
+        REQUIRE(it.directory.records().empty());
+        CHECK(it.handle(it.opening()).reason == ForwardReason::NoUpstream);
+    }
+
     // Guards against open flows that are lost, and callers that wait in vain, while a balancer must not use its
     // configuration for new flows.
     TEST_CASE("a balancer that may not place flows resets opening packets and continues open flows")
--- a/tests/platform/ControlServerTests.cpp
+++ b/tests/platform/ControlServerTests.cpp
@@ -107,7 +107,7 @@
             members[member] = value;
             std::string text;
             for (const auto& [name, content] : members)
-                text += (text.empty() ? "{\"" : ",\"") + name + "\":" + content;
+                text.append(text.empty() ? "{\"" : ",\"").append(name).append("\":").append(content);
             return text + "}";
         };
         const auto nested = [](std::size_t depth) { return std::string(depth, '[') + std::string(depth, ']'); };
