Fix a late farewell that ends the next lifetime of a host

Cause: a farewell without a body names no lifetime; it was taken for the one known when it was handled, though it came from the lifetime before.

Evidence: in the new test a farewell without a body ended a host that had only reported that it is ready.

Change: such a farewell ends only a host that has announced its end, as hosts report that they drain before a planned stop. Other ones are refused with 503 and logged, and are not acknowledged: the drain of that host isn't known here.

--- a/src/ibisgw/runtime/DirectController.cpp
+++ b/src/ibisgw/runtime/DirectController.cpp
@@ -246,12 +246,6 @@
     m_events.setLinesPerSecond(settings.logLinesPerSecond);
 }
 
-core::Incarnation DirectController::incarnationOf(upstream::InstanceId id) const
-{
-    const auto* record = m_directory.find(id);
-    return record ? record->report.incarnation : 0;
-}
-
 void DirectController::report(const upstream::InstanceReport& report, AnswerHandler answer)
 {
     const auto now = m_loop.now();
@@ -269,6 +263,24 @@
     m_waitingReports.push_back({ report.id, record->lastChange, now, now + answerTimeout, std::move(answer) });
 }
 
+void DirectController::reportEnd(
+    upstream::InstanceId id, std::optional<core::Incarnation> incarnation, AnswerHandler answer)
+{
+    const auto ending = incarnation ? incarnation : m_directory.departingIncarnation(id);
+    if (!ending) {
+        m_events.record(Event::ReportRefused, m_loop.now(), [&] {
+            return nlohmann::json { { "upstream", textOf(id) }, { "reason", "farewell of an earlier lifetime" } };
+        });
+        answer({ AnswerKind::Unavailable, {}, {} });
+        return;
+    }
+    upstream::InstanceReport end;
+    end.id = id;
+    end.state = upstream::InstanceState::Gone;
+    end.incarnation = *ending;
+    report(end, std::move(answer));
+}
+
 // Control address of a controller in the upstream's zone, if the upstream reports to one in another zone. Reports
 // within a zone have a shorter round-trip time and cause no traffic between zones.
 std::optional<core::Endpoint> DirectController::reportTargetOf(
--- a/src/ibisgw/runtime/DirectController.h
+++ b/src/ibisgw/runtime/DirectController.h
@@ -56,6 +56,8 @@
     core::Result<void> start();
     // The report of a departing upstream is answered once a majority of the controllers holds the departure.
     void report(const upstream::InstanceReport&, AnswerHandler);
+    // Farewell of an upstream, with the incarnation if it names one. Answered like report().
+    void reportEnd(upstream::InstanceId, std::optional<core::Incarnation>, AnswerHandler);
     // The text must be a valid configuration.
     void replaceConfiguration(direct::ConfigurationVersion, const std::string& text, AnswerHandler);
     void readConfiguration(AnswerHandler);
@@ -65,8 +67,6 @@
     // Stops the event loop once all open calls are answered. `openCalls` returns their number.
     void beginShutdown(std::function<std::size_t()> openCalls);
     void reload(const settings::DirectSettings&);
-    // Incarnation of the upstream in the directory; 0 if the upstream is unknown.
-    core::Incarnation incarnationOf(upstream::InstanceId) const;
     EventLog& events() { return m_events; }
     // Returns the metrics in the Prometheus text format.
     std::string renderMetrics();
--- a/src/ibisgw/upstream/InstanceDirectory.cpp
+++ b/src/ibisgw/upstream/InstanceDirectory.cpp
@@ -216,6 +216,14 @@
     return found == m_records.end() ? nullptr : &found->second;
 }
 
+std::optional<core::Incarnation> InstanceDirectory::departingIncarnation(InstanceId id) const
+{
+    const auto* record = find(id);
+    if (!record)
+        return 0;
+    return record->report.state == InstanceState::Ready ? std::nullopt : std::optional(record->report.incarnation);
+}
+
 const InstanceRecord* InstanceDirectory::findByToken(std::uint32_t token) const
 {
     const auto [first, last] = m_tokens.equal_range(token);
--- a/src/ibisgw/upstream/InstanceDirectory.h
+++ b/src/ibisgw/upstream/InstanceDirectory.h
@@ -4,6 +4,7 @@
 
 #include <cstddef>
 #include <map>
+#include <optional>
 #include <unordered_map>
 #include <vector>
 
@@ -57,6 +58,9 @@
     bool renew(InstanceId, core::Incarnation, std::uint64_t sequence, core::TimePoint now, core::NodeId source = {});
 
     const InstanceRecord* find(InstanceId) const;
+    // Incarnation that ends with a farewell that names none. Empty if the upstream has not announced its end: then the
+    // farewell is a late one of an earlier incarnation. 0 if the upstream is unknown.
+    std::optional<core::Incarnation> departingIncarnation(InstanceId) const;
     // Returns the upstream of a token, or null if the token is unknown or shared by two upstreams.
     const InstanceRecord* findByToken(std::uint32_t token) const;
     // Whether the token belongs to an incarnation that has ended.
--- a/tests/platform/ControlServerTests.cpp
+++ b/tests/platform/ControlServerTests.cpp
@@ -166,4 +166,39 @@
         it.runFor(savePeriod);
         CHECK(adapters::loadUpstreamDirectory(it.folder.path()).instances.size() == 1);
     }
+
+    // Guards against a live host that is taken for gone, with its open flows reset, by the farewell of its earlier
+    // lifetime that a paused controller handles late.
+    TEST_CASE("a farewell that names no lifetime ends only a host that has announced its end")
+    {
+        Controller it;
+        const auto heartbeat = [](const std::string& state, int sequence) {
+            return R"({"service":"slotdesk","address":"10.128.0.9:8080","zone":"a","version":"v1","max_concurrency":2,)"
+                   R"("cold_remaining_ms":0,"born":1779980662000,"state":")"
+                + state + R"(","sequence":)" + std::to_string(sequence) + "}";
+        };
+        const auto count = [&](const std::string& state) {
+            return it.controller->renderMetrics().find("ibisgw_upstreams{state=\"" + state + "\"} 1")
+                != std::string::npos;
+        };
+        REQUIRE(it.post("/Instances.Heartbeat/i-7f3a91c2", heartbeat("ready", 1)).status == 200);
+        REQUIRE(count("ready"));
+
+        SUBCASE("a late one of an earlier lifetime")
+        {
+            CHECK(it.post("/Instances.Deregister/i-7f3a91c2", "").status == 503);
+            CHECK(count("ready"));
+        }
+        SUBCASE("one of the present lifetime, which drains")
+        {
+            it.post("/Instances.Heartbeat/i-7f3a91c2", heartbeat("draining", 2));
+            it.post("/Instances.Deregister/i-7f3a91c2", "");
+            CHECK(count("gone"));
+        }
+        SUBCASE("one that names the present lifetime")
+        {
+            it.post("/Instances.Deregister/i-7f3a91c2", R"({"born":1779980662000})");
+            CHECK(count("gone"));
+        }
+    }
 }
