Fix a heartbeat of another writer that displaces a live host

Cause: a controller took any service. The directory ends the earlier upstream at an address, and retires the token of one that changes its service.

Change: a report of an upstream that is not known in this form is refused with 400 if the configuration held here does not name its service. Renewals of known upstreams and reports before the first configuration are taken as before.

--- a/src/ibisgw/runtime/DirectController.cpp
+++ b/src/ibisgw/runtime/DirectController.cpp
@@ -68,21 +68,22 @@
 
 } // namespace
 
-core::Result<std::unique_ptr<DirectController>> DirectController::create(
-    const settings::DirectSettings& settings, adapters::EventLoop& loop, std::uint64_t seed)
+core::Result<std::unique_ptr<DirectController>> DirectController::create(const settings::DirectSettings& settings,
+    adapters::EventLoop& loop, const ConfigurationFormat& format, std::uint64_t seed)
 {
     BOOST_LEAF_AUTO(peer, adapters::UdpSocket::bind(settings.peer));
     auto random = std::make_unique<core::PcgRandomSource>(seed);
     BOOST_LEAF_AUTO(store, adapters::FileLogStore::open(settings.dataFolder, *random));
     return std::unique_ptr<DirectController>(
-        new DirectController(settings, loop, std::move(random), peer, std::move(store)));
+        new DirectController(settings, loop, format, std::move(random), peer, std::move(store)));
 }
 
 DirectController::DirectController(const settings::DirectSettings& settings, adapters::EventLoop& loop,
-    std::unique_ptr<core::PcgRandomSource> random, adapters::UdpSocket peer,
+    const ConfigurationFormat& format, std::unique_ptr<core::PcgRandomSource> random, adapters::UdpSocket peer,
     std::unique_ptr<adapters::FileLogStore> store)
     : m_settings(settings)
     , m_loop(loop)
+    , m_configurationFormat(format)
     , m_random(std::move(random))
     , m_logStore(std::move(store))
     , m_peers(loop, peer, static_cast<std::uint32_t>(m_random->next()),
@@ -249,6 +250,11 @@
 void DirectController::report(const upstream::InstanceReport& report, AnswerHandler answer)
 {
     const auto now = m_loop.now();
+    if (isForeign(report)) {
+        refuseReport(textOf(report.id), "the configuration does not name its service");
+        answer({ AnswerKind::Refused, {}, {} });
+        return;
+    }
     const auto outcome = m_directory.apply(report, {}, now);
     const auto* record = m_directory.find(report.id);
     const bool isLeaving = report.state != upstream::InstanceState::Ready;
@@ -263,14 +269,36 @@
     m_waitingReports.push_back({ report.id, record->lastChange, now, now + answerTimeout, std::move(answer) });
 }
 
+// Another writer may report the identifier or the address of an upstream, and would end that upstream. The directory
+// may hold upstreams of a service that a later configuration no longer names; their reports still renew them.
+bool DirectController::isForeign(const upstream::InstanceReport& report)
+{
+    if (report.state == upstream::InstanceState::Gone)
+        return false;
+    const auto* record = m_directory.find(report.id);
+    const bool isKnown = record && record->report.incarnation == report.incarnation
+        && record->report.service == report.service && record->report.address == report.address;
+    return !isKnown && m_register.version() > 0 && !isServiceNamed(report.service);
+}
+
+bool DirectController::isServiceNamed(const core::ServiceName& service)
+{
+    if (m_servicesVersion != m_register.version()) {
+        m_servicesVersion = m_register.version();
+        const auto text = configuration::decompressDocument(m_register.text());
+        auto reading = text ? m_configurationFormat.read(*text) : ConfigurationReadResult {};
+        m_services = reading.configuration ? std::move(reading.configuration->services) : decltype(m_services) {};
+    }
+    // A configuration that cannot be read was accepted by a newer version of this program and names services, too.
+    return m_services.empty() || std::ranges::find(m_services, service) != m_services.end();
+}
+
 void DirectController::reportEnd(
     upstream::InstanceId id, std::optional<core::Incarnation> incarnation, AnswerHandler answer)
 {
     const auto ending = incarnation ? incarnation : m_directory.departingIncarnation(id);
     if (!ending) {
-        m_events.record(Event::ReportRefused, m_loop.now(), [&] {
-            return nlohmann::json { { "upstream", textOf(id) }, { "reason", "farewell of an earlier lifetime" } };
-        });
+        refuseReport(textOf(id), "farewell of an earlier lifetime");
         answer({ AnswerKind::Unavailable, {}, {} });
         return;
     }
@@ -384,8 +412,13 @@
 void DirectController::logRefusedReport(const std::string& instance)
 {
     constexpr std::size_t maxText = 64;
+    refuseReport(instance.substr(0, maxText), "malformed");
+}
+
+void DirectController::refuseReport(const std::string& instance, const std::string& reason)
+{
     m_events.record(Event::ReportRefused, m_loop.now(), [&] {
-        return nlohmann::json { { "upstream", instance.substr(0, maxText) }, { "reason", "malformed" } };
+        return nlohmann::json { { "upstream", instance }, { "reason", reason } };
     });
 }
 
--- a/src/ibisgw/runtime/DirectController.h
+++ b/src/ibisgw/runtime/DirectController.h
@@ -9,6 +9,7 @@
 #include "ibisgw/configuration/ConfigurationRegister.h"
 #include "ibisgw/configuration/RaftOutput.h"
 #include "ibisgw/core/PcgRandomSource.h"
+#include "ibisgw/runtime/ConfigurationFormat.h"
 #include "ibisgw/runtime/DirectoryChangeLogger.h"
 #include "ibisgw/runtime/EventLog.h"
 #include "ibisgw/runtime/ProcessMonitor.h"
@@ -30,6 +31,7 @@
 enum class AnswerKind : std::uint8_t {
     Done,
     RedirectToLeader, // ControlAnswer::leader holds the control address of the leader
+    Refused, // the request is valid, but names what does not exist
     Unavailable, // the leader is unknown, or the result was not confirmed in time; the client may retry elsewhere
 };
 
@@ -51,10 +53,11 @@
     using AnswerHandler = std::function<void(const ControlAnswer&)>;
 
     static core::Result<std::unique_ptr<DirectController>> create(
-        const settings::DirectSettings&, adapters::EventLoop&, std::uint64_t seed);
+        const settings::DirectSettings&, adapters::EventLoop&, const ConfigurationFormat&, std::uint64_t seed);
 
     core::Result<void> start();
-    // The report of a departing upstream is answered once a majority of the controllers holds the departure.
+    // The report of a departing upstream is answered once a majority of the controllers holds the departure. A report
+    // of an unknown upstream is refused if the configuration does not name its service: it comes from another writer.
     void report(const upstream::InstanceReport&, AnswerHandler);
     // Farewell of an upstream, with the incarnation if it names one. Answered like report().
     void reportEnd(upstream::InstanceId, std::optional<core::Incarnation>, AnswerHandler);
@@ -91,8 +94,8 @@
         AnswerHandler answer;
     };
 
-    DirectController(const settings::DirectSettings&, adapters::EventLoop&, std::unique_ptr<core::PcgRandomSource>,
-        adapters::UdpSocket peer, std::unique_ptr<adapters::FileLogStore>);
+    DirectController(const settings::DirectSettings&, adapters::EventLoop&, const ConfigurationFormat&,
+        std::unique_ptr<core::PcgRandomSource>, adapters::UdpSocket peer, std::unique_ptr<adapters::FileLogStore>);
 
     void send(core::NodeId, const configuration::RaftMessage&) override;
     void send(core::NodeId, const sync::SyncMessage&) override;
@@ -108,7 +111,10 @@
     void loadInstances();
     void saveInstances();
     bool isConfirmed(upstream::InstanceId, std::uint64_t change) const;
+    bool isForeign(const upstream::InstanceReport&);
+    bool isServiceNamed(const core::ServiceName&);
     void logStoreFailure(const std::string& reason);
+    void refuseReport(const std::string& instance, const std::string& reason);
     ControlAnswer redirectToLeader() const;
     std::optional<core::Endpoint> reportTargetOf(const upstream::InstanceReport&, core::TimePoint now) const;
     std::vector<core::NodeId> controllerNodes() const;
@@ -116,6 +122,7 @@
 
     settings::DirectSettings m_settings;
     adapters::EventLoop& m_loop;
+    const ConfigurationFormat& m_configurationFormat;
     // On the heap because the log store keeps a reference to it.
     std::unique_ptr<core::PcgRandomSource> m_random;
     std::unique_ptr<adapters::FileLogStore> m_logStore;
@@ -132,6 +139,9 @@
     std::vector<WaitingReport> m_waitingReports;
     std::vector<WaitingChange> m_waitingChanges;
     std::vector<WaitingRead> m_waitingReads;
+    // Services of the configuration with the version m_servicesVersion.
+    std::vector<core::ServiceName> m_services;
+    direct::ConfigurationVersion m_servicesVersion { 0 };
     core::TimePoint m_nextExpiry {};
     std::uint64_t m_savedChange { 0 };
     std::vector<core::NodeId> m_savedBalancers;
--- a/tests/platform/ControlServerTests.cpp
+++ b/tests/platform/ControlServerTests.cpp
@@ -11,6 +11,7 @@
 
 #include <filesystem>
 #include <map>
+#include <unistd.h>
 
 using namespace ibisgw;
 
@@ -18,7 +19,20 @@
 
 constexpr std::uint32_t loopback = 0x7f000001;
 
-// The control API of one controller that has not found its group.
+// An address of this process alone, so that tests that run at the same time may use the same port.
+core::Endpoint ownEndpoint(std::uint16_t port)
+{
+    constexpr std::uint32_t loopbackNetwork = 0x7f000000;
+    const auto number = static_cast<std::uint32_t>(::getpid()) & 0xffff;
+    return { loopbackNetwork | (number << 8) | 1, port };
+}
+
+enum class Group : std::uint8_t {
+    None, // the controller has not found its group
+    Alone, // the controller is the only member
+};
+
+// The control API of one controller.
 struct Controller {
     support::TemporaryFolder folder;
     adapters::EventLoop loop;
@@ -26,13 +40,16 @@
     std::unique_ptr<runtime::DirectController> controller;
     std::unique_ptr<platform::ControlServer> server;
 
-    Controller()
+    explicit Controller(Group group = Group::None)
     {
+        constexpr std::uint16_t peerPort = 17720;
         settings::DirectSettings settings;
-        settings.peer = { loopback, 0 };
-        settings.seeds = { { loopback, 1 } };
+        settings.peer = group == Group::Alone ? ownEndpoint(peerPort) : core::Endpoint { loopback, 0 };
+        settings.seeds = { group == Group::Alone ? settings.peer : core::Endpoint { loopback, 1 } };
+        settings.firstStart = group == Group::Alone;
+        settings.toleratedDiskLosses = 0;
         settings.dataFolder = folder.path();
-        controller = runtime::DirectController::create(settings, loop, 1).value();
+        controller = runtime::DirectController::create(settings, loop, format, 1).value();
         REQUIRE(controller->start());
         server = platform::ControlServer::start(loop, { loopback, 0 }, *controller, format).value();
     }
@@ -201,4 +218,38 @@
             CHECK(count("gone"));
         }
     }
+
+    // Guards against open flows that are reset, and a live host that gets no flow any more, because another writer has
+    // sent a heartbeat at the host's address or under its identifier.
+    TEST_CASE("a heartbeat with a service that the configuration does not name displaces no host")
+    {
+        Controller it(Group::Alone);
+        support::runUntil(it.loop, [&] { return it.post("/Config.Replace", configurationNamed("r-1")).status == 200; });
+        const auto heartbeat = [&](const std::string& id, const std::string& service, int sequence) {
+            return it
+                .post("/Instances.Heartbeat/" + id,
+                    R"({"address":"10.128.0.9:8080","zone":"a","version":"v1","max_concurrency":2,"state":"ready",)"
+                    R"("cold_remaining_ms":0,"born":1779980662000,"service":")"
+                        + service + R"(","sequence":)" + std::to_string(sequence) + "}")
+                .status;
+        };
+        const auto hasOneHost = [&] {
+            const auto metrics = it.controller->renderMetrics();
+            return metrics.find("ibisgw_upstreams{state=\"ready\"} 1") != std::string::npos
+                && metrics.find("ibisgw_upstreams{state=\"gone\"} 0") != std::string::npos;
+        };
+        REQUIRE(heartbeat("i-7f3a91c2", "atelier", 1) == 200);
+
+        SUBCASE("at the address of a host")
+        {
+            CHECK(heartbeat("i-00c0ffee", "node-agent", 1) == 400);
+        }
+        SUBCASE("under the identifier of a host")
+        {
+            CHECK(heartbeat("i-7f3a91c2", "node-agent", 2) == 400);
+        }
+        CHECK(hasOneHost());
+        CHECK(heartbeat("i-7f3a91c2", "atelier", 2) == 200);
+        CHECK(hasOneHost());
+    }
 }
