Split the calls of upstreams and operators off DirectController

The calls of upstreams and operators are in DirectControllerCalls.cpp now, and the answering of reports, changes and reads is a function each.

--- a/src/ibisgw/runtime/DirectController.cpp
+++ b/src/ibisgw/runtime/DirectController.cpp
@@ -3,8 +3,6 @@
 #include "ibisgw/adapters/RaftCodec.h"
 #include "ibisgw/adapters/SyncCodec.h"
 #include "ibisgw/adapters/UpstreamDirectoryFile.h"
-#include "ibisgw/configuration/DocumentCompression.h"
-#include "ibisgw/core/FlowKey.h"
 #include "ibisgw/runtime/LogFields.h"
 #include "ibisgw/runtime/Subscription.h"
 
@@ -15,7 +13,6 @@
 namespace {
 
 using adapters::PeerChannel;
-using configuration::ReplaceStatus;
 
 constexpr std::chrono::milliseconds tickPeriod { 20 };
 constexpr core::Duration expiryInterval = std::chrono::seconds(1);
@@ -28,9 +25,6 @@
 // A starting controller hands out a configuration without an election once the commit index was saved.
 constexpr core::Duration commitSaveInterval = std::chrono::milliseconds(100);
 
-// Upstreams and operators try another controller after 1 s without an answer, so calls are answered before that.
-constexpr core::Duration answerTimeout = std::chrono::milliseconds(850);
-
 // Minimum time between the termination signal and exit: the other controllers take over, and the last answers are sent.
 constexpr core::Duration minShutdownTime = std::chrono::milliseconds(300);
 // Maximum wait for the removal from the group; longer than the election of a leader.
@@ -247,93 +241,6 @@
     m_events.setLinesPerSecond(settings.logLinesPerSecond);
 }
 
-void DirectController::report(const upstream::InstanceReport& report, AnswerHandler answer)
-{
-    const auto now = m_loop.now();
-    if (isForeign(report)) {
-        refuseReport(textOf(report.id), "the configuration does not name its service");
-        answer({ AnswerKind::Refused, {}, {} });
-        return;
-    }
-    const auto outcome = m_directory.apply(report, {}, now);
-    const auto* record = m_directory.find(report.id);
-    const bool isLeaving = report.state != upstream::InstanceState::Ready;
-    // The next tick writes and publishes all departures in one batch; after a start of the fleet there are thousands at
-    // a time.
-    if (isLeaving && record && outcome == upstream::ReportOutcome::Changed)
-        m_departures.add(record->report);
-    if (!isLeaving || !record || isConfirmed(report.id, record->lastChange)) {
-        answer({ AnswerKind::Done, {}, {}, reportTargetOf(report, now) });
-        return;
-    }
-    m_waitingReports.push_back({ report.id, record->lastChange, now, now + answerTimeout, std::move(answer) });
-}
-
-// Another writer may report the identifier or the address of an upstream, and would end that upstream. The directory
-// may hold upstreams of a service that a later configuration no longer names; their reports still renew them.
-bool DirectController::isForeign(const upstream::InstanceReport& report)
-{
-    if (report.state == upstream::InstanceState::Gone)
-        return false;
-    const auto* record = m_directory.find(report.id);
-    const bool isKnown = record && record->report.incarnation == report.incarnation
-        && record->report.service == report.service && record->report.address == report.address;
-    return !isKnown && m_register.version() > 0 && !isServiceNamed(report.service);
-}
-
-bool DirectController::isServiceNamed(const core::ServiceName& service)
-{
-    if (m_servicesVersion != m_register.version()) {
-        m_servicesVersion = m_register.version();
-        const auto text = configuration::decompressDocument(m_register.text());
-        auto reading = text ? m_configurationFormat.read(*text) : ConfigurationReadResult {};
-        m_services = reading.configuration ? std::move(reading.configuration->services) : decltype(m_services) {};
-    }
-    // A configuration that cannot be read was accepted by a newer version of this program and names services, too.
-    return m_services.empty() || std::ranges::find(m_services, service) != m_services.end();
-}
-
-void DirectController::reportEnd(
-    upstream::InstanceId id, std::optional<core::Incarnation> incarnation, AnswerHandler answer)
-{
-    const auto ending = incarnation ? incarnation : m_directory.departingIncarnation(id);
-    if (!ending) {
-        refuseReport(textOf(id), "farewell of an earlier lifetime");
-        answer({ AnswerKind::Unavailable, {}, {} });
-        return;
-    }
-    upstream::InstanceReport end;
-    end.id = id;
-    end.state = upstream::InstanceState::Gone;
-    end.incarnation = *ending;
-    report(end, std::move(answer));
-}
-
-// Control address of a controller in the upstream's zone, if the upstream reports to one in another zone. Reports
-// within a zone have a shorter round-trip time and cause no traffic between zones.
-std::optional<core::Endpoint> DirectController::reportTargetOf(
-    const upstream::InstanceReport& report, core::TimePoint now) const
-{
-    if (report.state != upstream::InstanceState::Ready || report.zone == m_settings.zone)
-        return std::nullopt;
-    const auto nodes = m_subscriber.currentControllersIn(report.zone, now);
-    const auto best = std::ranges::max_element(
-        nodes, {}, [&report](core::NodeId it) { return core::rendezvousWeight(report.id.value, it.value); });
-    if (best == nodes.end())
-        return std::nullopt;
-    return core::Endpoint { best->endpoint().address, m_settings.control.port };
-}
-
-// A departure is confirmed once a majority of the controllers holds it. A balancer only follows a controller that
-// reaches a majority, and any two majorities overlap, so that controller reaches one that holds the departure.
-bool DirectController::isConfirmed(upstream::InstanceId id, std::uint64_t change) const
-{
-    const auto nodes = controllerNodes();
-    const bool isMember = std::ranges::find(nodes, m_peers.self()) != nodes.end();
-    const std::size_t ownConfirmations = isMember && m_departures.isDurable(id) ? 1 : 0;
-    return m_feed.confirmations(change, nodes) + ownConfirmations >= nodes.size() / 2 + 1;
-}
-
 bool DirectController::keep(std::span<const upstream::InstanceReport> reports)
 {
     return boost::leaf::try_handle_all(
@@ -372,120 +279,6 @@
         m_register.loggedVersion(), m_register.raft().isConfirmedVoter() };
 }
 
-void DirectController::replaceConfiguration(
-    direct::ConfigurationVersion version, const std::string& text, AnswerHandler answer)
-{
-    const auto now = m_loop.now();
-    // The text is compressed only if it is proposed here, as most calls are repeats or must be redirected to the
-    // leader.
-    auto status = m_register.statusWithoutProposal(version);
-    if (!status)
-        status = m_register.replace(version, configuration::compressDocument(text), now, *this);
-    if (status == ReplaceStatus::Unknown) {
-        answer(redirectToLeader());
-    } else {
-        m_events.record(Event::ConfigurationProposed, now, [&] {
-            return nlohmann::json { { "version", version }, { "held", m_register.version() },
-                { "bytes", text.size() } };
-        });
-        m_waitingChanges.push_back({ version, now, now + answerTimeout, std::move(answer) });
-    }
-    completeWaitingCalls(now);
-}
-
-void DirectController::readConfiguration(AnswerHandler answer)
-{
-    const auto now = m_loop.now();
-    const auto ticket = m_register.beginRead(now, *this);
-    if (!ticket) {
-        m_events.record(Event::ReadRefused, now, [this] {
-            return nlohmann::json { { "reason", "this controller is not the leader" },
-                { "held", m_register.version() } };
-        });
-        answer(redirectToLeader());
-        return;
-    }
-    m_waitingReads.push_back({ *ticket, now + answerTimeout, std::move(answer) });
-    completeWaitingCalls(now);
-}
-
-void DirectController::logRefusedReport(const std::string& instance)
-{
-    constexpr std::size_t maxText = 64;
-    refuseReport(instance.substr(0, maxText), "malformed");
-}
-
-void DirectController::refuseReport(const std::string& instance, const std::string& reason)
-{
-    m_events.record(Event::ReportRefused, m_loop.now(), [&] {
-        return nlohmann::json { { "upstream", instance }, { "reason", reason } };
-    });
-}
-
-void DirectController::logInvalidConfiguration(const core::Problem& problem)
-{
-    m_events.record(Event::ConfigurationInvalid, m_loop.now(), [&] {
-        return nlohmann::json { { "path", problem.path }, { "problem", problem.message },
-            { "held", m_register.version() } };
-    });
-}
-
-ControlAnswer DirectController::redirectToLeader() const
-{
-    const auto leader = m_register.raft().leader();
-    if (!leader.isValid() || leader == m_peers.self())
-        return { AnswerKind::Unavailable, {}, {} };
-    return { AnswerKind::RedirectToLeader, core::Endpoint { leader.endpoint().address, m_settings.control.port }, {} };
-}
-
-void DirectController::completeWaitingCalls(core::TimePoint now)
-{
-    std::erase_if(m_waitingReports, [&](const WaitingReport& it) {
-        const bool isDone = isConfirmed(it.instance, it.change);
-        if (!isDone && now >= it.deadline)
-            m_events.record(Event::ReportUnconfirmed, now, [&] {
-                return nlohmann::json { { "upstream", textOf(it.instance) },
-                    { "controllers", controllerNodes().size() },
-                    { "confirmed", m_feed.confirmations(it.change, controllerNodes()) } };
-            });
-        if (isDone)
-            m_leaveConfirmationLatency.record(now - it.receivedAt);
-        if (isDone || now >= it.deadline)
-            it.answer({ isDone ? AnswerKind::Done : AnswerKind::Unavailable, {}, {} });
-        return isDone || now >= it.deadline;
-    });
-    std::erase_if(m_waitingChanges, [&](const WaitingChange& it) {
-        const auto status = m_register.statusOf(it.version);
-        if (status == ReplaceStatus::Pending && now < it.deadline)
-            return false;
-        const auto event
-            = status == ReplaceStatus::Accepted ? Event::ConfigurationAcknowledged : Event::ConfigurationUndecided;
-        m_events.record(event, now, [&] {
-            return nlohmann::json { { "version", it.version }, { "held", m_register.version() },
-                { "seconds", core::toSeconds(now - it.receivedAt) } };
-        });
-        if (status == ReplaceStatus::Accepted)
-            m_commitLatency.record(now - it.receivedAt);
-        it.answer({ status == ReplaceStatus::Accepted ? AnswerKind::Done : AnswerKind::Unavailable, {}, {} });
-        return true;
-    });
-    std::erase_if(m_waitingReads, [&](const WaitingRead& it) {
-        const auto state = m_register.readState(it.ticket);
-        if (state == configuration::ReadState::Pending && now < it.deadline)
-            return false;
-        const auto text = state == configuration::ReadState::Ready && m_register.version() > 0
-            ? configuration::decompressDocument(m_register.text())
-            : std::nullopt;
-        if (!text)
-            m_events.record(Event::ReadRefused, now, [this] {
-                return nlohmann::json { { "reason", "leadership was not confirmed before the timeout" },
-                    { "held", m_register.version() } };
-            });
-        it.answer({ text ? AnswerKind::Done : AnswerKind::Unavailable, {}, text.value_or("") });
-        return true;
-    });
-}
-
 void DirectController::receive(core::NodeId sender, PeerChannel channel, std::string_view body)
 {
     const auto now = m_loop.now();
--- a/src/ibisgw/runtime/DirectController.h
+++ b/src/ibisgw/runtime/DirectController.h
@@ -106,6 +106,10 @@
     void handle(core::NodeId sender, const sync::UnresponsiveReport&, core::TimePoint now);
     void tick();
     void completeWaitingCalls(core::TimePoint now);
+    // Answer a call whose outcome is known or whose deadline has passed; false if it still waits.
+    bool completeReport(const WaitingReport&, core::TimePoint now);
+    bool completeChange(const WaitingChange&, core::TimePoint now);
+    bool completeRead(const WaitingRead&, core::TimePoint now);
     void logRaftChanges(core::TimePoint now);
     bool canReachMajority(core::TimePoint now) const;
     void loadInstances();
