--- a/tests/configuration/OpenMembershipTests.cpp
+++ b/tests/configuration/OpenMembershipTests.cpp
@@ -34,6 +34,27 @@
     return nodes[random.below(nodes.size())];
 }
 
+// The disks that are most likely to hold the newest change, up to the tolerance: the leader's and those of followers.
+std::vector<core::NodeId> likelyHolders(const RegisterGroup& group, std::size_t tolerated)
+{
+    std::vector<core::NodeId> nodes { group.leader() };
+    for (const auto& it : group.running()) {
+        if (nodes.size() < tolerated && it != nodes.front())
+            nodes.push_back(it);
+    }
+    return nodes;
+}
+
+// Each of the controllers restarts with an empty disk.
+void loseDisks(RegisterGroup& group, const std::vector<core::NodeId>& nodes)
+{
+    for (const auto& it : nodes) {
+        group.stop(it);
+        group.wipe(it);
+        group.start(it);
+    }
+}
+
 // Injects one random fault that the group must tolerate, and calls `change` while it lasts.
 template <typename Change>
 void injectFault(RegisterGroup& group, core::RandomSource& random, std::size_t tolerated, Change change)
@@ -169,12 +190,7 @@
             RegisterGroup group(controllers, tolerated, 3);
             group.runFor(4s);
             REQUIRE(group.replace(9));
-            // The disks that are most likely to hold the change: the leader's and those of followers.
-            std::vector<core::NodeId> lost { group.leader() };
-            for (const auto& it : group.running()) {
-                if (lost.size() < tolerated && it != lost.front())
-                    lost.push_back(it);
-            }
+            const auto lost = likelyHolders(group, tolerated);
 
             SUBCASE("while all other controllers lose power")
             {
@@ -187,11 +203,7 @@
             }
             SUBCASE("while the other controllers keep running")
             {
-                for (const auto& it : lost) {
-                    group.stop(it);
-                    group.wipe(it);
-                    group.start(it);
-                }
+                loseDisks(group, lost);
             }
             CHECK(group.read() == 9);
             group.runFor(repairDuration);
@@ -273,17 +285,7 @@
                 }
             }
             REQUIRE(group.replace(2));
-            // The disks of the leader and of further controllers, up to the tolerance.
-            std::vector<core::NodeId> lost { group.leader() };
-            for (const auto& it : group.running()) {
-                if (lost.size() < tolerated && it != lost.front())
-                    lost.push_back(it);
-            }
-            for (const auto& it : lost) {
-                group.stop(it);
-                group.wipe(it);
-                group.start(it);
-            }
+            loseDisks(group, likelyHolders(group, tolerated));
             CHECK(group.read() == 2);
             CHECK(group.replace(3));
             group.runFor(repairDuration);
