Send new flows to other zones when the upstreams of a zone fail together

When all upstreams of a zone fail, each balancer judged 40 of them one by one, and callers spent their three tries within milliseconds. A balancer now suspects a zone when three upstreams are silent for 50 ms and none of the zone has responded since, unless all zones of the service would be suspected. It ends with a response or a new report; one flow a second tries the zone until then.

--- a/src/ibisgw/direct/FlowForwarder.cpp
+++ b/src/ibisgw/direct/FlowForwarder.cpp
@@ -175,7 +175,7 @@
     if (!flow.isOpen && flow.isPlacedHere) {
         openTime = now - flow.openedAt;
         m_placer.confirm(segment.flow);
-        m_flows.load(record->report.id).noteOpenAnswered();
+        m_flows.load(record->report.id).noteOpenAnswered(now);
         m_responses.noteProgress(record->report.id);
     }
     flow.isOpen = true;
--- a/src/ibisgw/direct/FlowPlacer.cpp
+++ b/src/ibisgw/direct/FlowPlacer.cpp
@@ -1,5 +1,7 @@
 #include "ibisgw/direct/FlowPlacer.h"
 
+#include <algorithm>
+
 namespace ibisgw::direct {
 
 namespace {
@@ -11,6 +13,20 @@
 // flows concurrently and hasn't been refused.
 constexpr core::Duration minRefusalDelay = std::chrono::milliseconds(4);
 
+// An opening packet that hasn't been answered after several round trips between zones counts as evidence for the
+// failure of a zone. Shorter than the time after which a single upstream is avoided, because several of them must be
+// silent.
+constexpr core::Duration silenceThreshold = std::chrono::milliseconds(50);
+
+// Older silence says nothing: the caller may have given up, or its later packets reach another balancer.
+constexpr core::Duration maxSilence = std::chrono::seconds(1);
+
+bool isSilent(const InstanceLoad& load, core::TimePoint now)
+{
+    const auto since = load.unconfirmedSince();
+    return since && now - *since >= silenceThreshold && now - *since <= maxSilence;
+}
+
 } // namespace
 
 FlowPlacer::FlowPlacer(core::ZoneName zone, const upstream::InstanceDirectory& directory,
@@ -29,13 +45,16 @@
 {
     // A caller whose open was refused opens another flow at once, which must not go to the same upstream.
     const auto excluded = silent ? silent : unconfirmedInstanceOf(flow, now);
-    const auto& records = recordsOf(drawService(route));
+    const auto& service = drawService(route);
+    const auto& records = recordsOf(service);
     collectCandidates(records, excluded, now);
     if (m_candidates.empty() && excluded)
         collectCandidates(records, std::nullopt, now);
+    suspectFailedZones(service, records, now);
     const auto* candidate = m_selector.select(m_candidates, now);
     if (!candidate)
         return nullptr;
+    m_zoneOutages.notePlaced(service, candidate->record->report.zone, now);
     m_unconfirmedOpens[flow.caller.address] = { flow, candidate->record->report.id, now };
     return candidate->record;
 }
@@ -79,6 +98,37 @@
     }
 }
 
+void FlowPlacer::suspectFailedZones(const core::ServiceName& service, const Records& records, core::TimePoint now)
+{
+    const auto silent = std::ranges::count_if(m_candidates, [now](const auto& it) { return isSilent(*it.load, now); });
+    const bool mayHaveFailed = static_cast<std::size_t>(silent) >= ZoneOutageMonitor::minSilentUpstreams;
+    if (!mayHaveFailed && m_zoneOutages.suspectedZones() == 0)
+        return;
+    m_zoneOutages.update(service, observe(records, now), now);
+    for (auto& it : m_candidates) {
+        const auto& zone = it.record->report.zone;
+        if (m_zoneOutages.isSuspected(service, zone) && !m_zoneOutages.isTrialDue(service, zone, now))
+            it.isSuspect = true;
+    }
+}
+
+ZoneObservations FlowPlacer::observe(const Records& records, core::TimePoint now)
+{
+    ZoneObservations zones;
+    for (const auto* record : records) {
+        auto& zone = zones[record->report.zone];
+        zone.lastProgressAt = std::max(zone.lastProgressAt, m_flows.load(record->report.id).lastProgressAt());
+        zone.newestReportChange = std::max(zone.newestReportChange, record->lastReportChange);
+    }
+    for (const auto* record : records) {
+        auto& zone = zones[record->report.zone];
+        const auto& load = m_flows.load(record->report.id);
+        if (isSilent(load, now) && *load.unconfirmedSince() > zone.lastProgressAt)
+            ++zone.silentUpstreams;
+    }
+    return zones;
+}
+
 bool FlowPlacer::isSuspect(const InstanceRecord& record, const InstanceLoad& load, core::TimePoint now) const
 {
     return record.isOverdue || m_responses.isUnresponsive(record.report.id) || load.isAvoided(now)
--- a/src/ibisgw/direct/FlowPlacer.h
+++ b/src/ibisgw/direct/FlowPlacer.h
@@ -5,6 +5,7 @@
 #include "ibisgw/direct/InstanceSelector.h"
 #include "ibisgw/direct/ResponseMonitor.h"
 #include "ibisgw/direct/RouteConfiguration.h"
+#include "ibisgw/direct/ZoneOutageMonitor.h"
 
 #include <optional>
 #include <unordered_map>
@@ -30,6 +31,7 @@
     void confirm(const core::FlowKey&);
     // Removes opens that are too old to matter.
     void expire(core::TimePoint now);
+    ZoneOutageMonitor& zoneOutages() { return m_zoneOutages; }
 
 private:
     // The newest flow of a caller address for which no packet after the opening one has arrived.
@@ -44,6 +46,10 @@
     const Records& recordsOf(const core::ServiceName&);
     void collectCandidates(const Records&, std::optional<upstream::InstanceId> excluded, core::TimePoint now);
     bool isSuspect(const upstream::InstanceRecord&, const InstanceLoad&, core::TimePoint now) const;
+    // Updates the judgement of the zones of a service and marks the candidates of zones whose upstreams have failed
+    // together, except for a flow that tries such a zone.
+    void suspectFailedZones(const core::ServiceName&, const Records&, core::TimePoint now);
+    ZoneObservations observe(const Records&, core::TimePoint now);
     std::optional<upstream::InstanceId> unconfirmedInstanceOf(const core::FlowKey&, core::TimePoint now) const;
 
     core::ZoneName m_zone;
@@ -60,6 +66,7 @@
     std::uint64_t m_indexedChange { 0 };
     std::uint64_t m_indexedRemovals { 0 };
     std::vector<Candidate> m_candidates;
+    ZoneOutageMonitor m_zoneOutages;
 };
 
 } // namespace ibisgw::direct
--- a/src/ibisgw/direct/FlowTracker.cpp
+++ b/src/ibisgw/direct/FlowTracker.cpp
@@ -104,7 +104,7 @@
     const core::FlowKey& key, TrackedFlow& flow, FlowObservation& observation, core::TimePoint now)
 {
     m_responses.noteProgress(flow.instance);
-    load(flow.instance).noteProgress();
+    load(flow.instance).noteProgress(now);
     // A caller that acknowledges the response only with its next request shows when it sent that one.
     if (flow.isAwaitingResponse && !observation.startsRequest)
         noteResponse(key, flow, now - flow.workStartedAt, now);
--- a/src/ibisgw/direct/InstanceLoad.cpp
+++ b/src/ibisgw/direct/InstanceLoad.cpp
@@ -49,9 +49,15 @@
         && now - *m_unconfirmedSince <= maxUnconfirmedTime;
 }
 
-void InstanceLoad::noteOpenAnswered()
+void InstanceLoad::noteProgress(core::TimePoint now)
 {
-    noteProgress();
+    m_unconfirmedSince.reset();
+    m_lastProgressAt = now;
+}
+
+void InstanceLoad::noteOpenAnswered(core::TimePoint now)
+{
+    noteProgress(now);
     m_consecutiveUnanswered = 0;
     m_avoidancePeriod = {};
     m_avoidedUntil = {};
--- a/src/ibisgw/direct/InstanceLoad.h
+++ b/src/ibisgw/direct/InstanceLoad.h
@@ -18,13 +18,17 @@
     // An opening packet was forwarded to the upstream.
     void noteOpenSent(core::TimePoint now);
     // A packet of a caller acknowledges new data from the upstream.
-    void noteProgress() { m_unconfirmedSince.reset(); }
+    void noteProgress(core::TimePoint now);
+    core::TimePoint lastProgressAt() const { return m_lastProgressAt; }
+    // When the first opening packet since the last response was sent; empty if there is none. Restarts after one second
+    // without a response.
+    std::optional<core::TimePoint> unconfirmedSince() const { return m_unconfirmedSince; }
     // Whether the upstream has shown no response since an opening packet that it should have answered by now. Either
     // it has ended and its VM refuses flows so fast that the upstream appears to be idle, or its queue is full.
     bool isUnconfirmed(core::TimePoint now) const;
 
     // The upstream accepted an opening packet.
-    void noteOpenAnswered();
+    void noteOpenAnswered(core::TimePoint now);
     // A caller retransmitted an opening packet that had been forwarded to the upstream.
     void noteOpenUnanswered(core::TimePoint now);
     // Whether the upstream has left several opening packets in a row unanswered and the avoidance period isn't over.
@@ -50,6 +54,7 @@
     core::TimePoint m_lastWorkAt {};
     // When the first opening packet was sent since the last response of the upstream; restarts after one second.
     std::optional<core::TimePoint> m_unconfirmedSince;
+    core::TimePoint m_lastProgressAt {};
     // Weighted mean of the last response time ratios, and when the last one was noted.
     double m_responseRatio { 1 };
     core::TimePoint m_lastResponseAt {};
--- a/src/ibisgw/runtime/DirectBalancer.cpp
+++ b/src/ibisgw/runtime/DirectBalancer.cpp
@@ -234,6 +234,7 @@
     m_forwarder.tick(now);
     updateProbes(now);
     resetLostFlows(now);
+    logZoneOutages(now);
     m_changeLogger.logChanges(m_directory, m_events, now);
     m_decisionLogger.flush(m_forwarder.version(), now);
     updateReadiness(now);
@@ -279,6 +280,15 @@
         m_events.record(Event::LostFlowsReset, now, [&] { return nlohmann::json { { "flows", lost.size() } }; });
 }
 
+void DirectBalancer::logZoneOutages(core::TimePoint now)
+{
+    for (const auto& it : m_forwarder.zoneOutages().takeChanges()) {
+        m_events.record(it.isSuspected ? Event::ZoneSuspected : Event::ZoneRecovered, now, [&] {
+            return nlohmann::json { { "service", it.service }, { "zone", it.zone } };
+        });
+    }
+}
+
 void DirectBalancer::handleProbeResult(upstream::InstanceId id, direct::ProbeResult result)
 {
     const auto now = m_loop.now();
--- a/src/ibisgw/runtime/DirectBalancer.h
+++ b/src/ibisgw/runtime/DirectBalancer.h
@@ -66,6 +66,7 @@
     void reportUnresponsive(upstream::InstanceId);
     void updateProbes(core::TimePoint now);
     void resetLostFlows(core::TimePoint now);
+    void logZoneOutages(core::TimePoint now);
     void updateReadiness(core::TimePoint now);
 
     settings::DirectSettings m_settings;
--- a/src/ibisgw/runtime/Event.h
+++ b/src/ibisgw/runtime/Event.h
@@ -29,6 +29,8 @@
     UpstreamUnresponsive,
     UpstreamResponsive,
     SilenceReported,
+    ZoneSuspected,
+    ZoneRecovered,
     ReportRefused,
     ReportUnconfirmed,
     // Configurations (balancers and controllers).
--- a/tests/support/LoadPattern.cpp
+++ b/tests/support/LoadPattern.cpp
@@ -57,4 +57,17 @@
     return pattern;
 }
 
+LoadPattern guideZonePattern()
+{
+    LoadPattern pattern;
+    pattern.balancers = 28;
+    pattern.upstreams = 120;
+    pattern.remoteUpstreams = 80;
+    pattern.routes = {
+        { RouteKind::Idempotent, 328, 15ms, 400ms, 2000ms, 0, 2 },
+        { RouteKind::NonIdempotent, 162, 20ms, 400ms, 2000ms, 0, 1 },
+    };
+    return pattern;
+}
+
 } // namespace support
--- a/tests/support/LoadPattern.h
+++ b/tests/support/LoadPattern.h
@@ -39,6 +39,12 @@
     double factor { 5 };
 };
 
+// The upstreams of the balancers' zone fail together: their VMs refuse all packets. They return as new incarnations.
+struct ZoneFailurePattern {
+    ibisgw::core::Duration from;
+    ibisgw::core::Duration until;
+};
+
 struct BurstPattern {
     ibisgw::core::Duration from;
     ibisgw::core::Duration until;
@@ -58,6 +64,7 @@
     std::optional<OutagePattern> outage;
     std::optional<SlowdownPattern> slowdown;
     std::optional<BurstPattern> burst;
+    std::optional<ZoneFailurePattern> zoneFailure;
 };
 
 // Returns what is wrong with a pattern; empty for a valid one.
@@ -69,5 +76,7 @@
 LoadPattern workshopPattern(double loadFactor);
 // The balancers of one of the workshop's zones, with its share of the load and the upstreams of all zones.
 LoadPattern workshopZonePattern();
+// The balancers of one zone of a museum guide, with its share of the load and the upstreams of all three zones.
+LoadPattern guideZonePattern();
 
 } // namespace support
--- a/tests/support/LoadReplay.cpp
+++ b/tests/support/LoadReplay.cpp
@@ -54,7 +54,7 @@
         m_upstreams.push_back(std::make_unique<ReplayUpstream>(m_queue, m_pattern.slots, m_pattern.queueLimit));
         auto report = makeReport(n + 1);
         report.service = serviceName;
-        report.zone = n < m_pattern.upstreams - m_pattern.remoteUpstreams ? "a" : "b";
+        report.zone = n < localUpstreams() ? "a" : "b";
         report.slots = m_pattern.slots;
         m_reports.push_back(report);
     }
@@ -107,6 +107,8 @@
             m_queue.at(m_start + std::max(up, outage->stateAt), [&it, this](auto) { giveState(*it); });
         }
     }
+    if (m_pattern.zoneFailure)
+        scheduleZoneFailure(*m_pattern.zoneFailure);
     if (const auto& slowdown = m_pattern.slowdown) {
         for (unsigned n = 0; n < slowdown->upstreams; ++n) {
             m_queue.at(
@@ -116,6 +118,25 @@
     }
 }
 
+void LoadReplay::scheduleZoneFailure(const ZoneFailurePattern& failure)
+{
+    m_queue.at(m_start + failure.from, [this](auto) {
+        for (std::size_t n = 0; n < localUpstreams(); ++n)
+            m_upstreams[n]->setRunning(false);
+    });
+    m_queue.at(m_start + failure.until, [this](auto) { returnZone(); });
+}
+
+void LoadReplay::returnZone()
+{
+    for (std::size_t n = 0; n < localUpstreams(); ++n) {
+        m_upstreams[n]->setRunning(true);
+        ++m_reports[n].incarnation;
+    }
+    for (const auto& it : m_balancers)
+        giveState(*it);
+}
+
 void LoadReplay::scheduleTicks(core::TimePoint until)
 {
     if (m_queue.now() > until)
@@ -188,7 +209,11 @@
 void LoadReplay::deliver(const FlowSegment& segment, const ForwardDecision& decision)
 {
     auto& caller = *m_callers.at(segment.flow.caller.address);
-    if (decision.action == ForwardAction::Reset) {
+    const bool isRefused
+        = decision.action == ForwardAction::Forward && !m_upstreams[decision.instance.value - 1]->isRunning();
+    if (isRefused) {
+        m_queue.after(upstreamDelay + callerDelay, [&caller, flow = segment.flow](auto) { caller.handleReset(flow); });
+    } else if (decision.action == ForwardAction::Reset) {
         m_queue.after(callerDelay, [&caller, flow = segment.flow](auto) { caller.handleReset(flow); });
     } else if (decision.action == ForwardAction::Forward && segment.isOpening) {
         m_queue.after(upstreamDelay + callerDelay,
--- a/tests/support/LoadReplay.h
+++ b/tests/support/LoadReplay.h
@@ -30,6 +30,9 @@
     void addUpstreams();
     void addRoute(const RoutePattern&);
     void scheduleFaults();
+    void scheduleZoneFailure(const ZoneFailurePattern&);
+    void returnZone();
+    std::size_t localUpstreams() const { return m_pattern.upstreams - m_pattern.remoteUpstreams; }
     void scheduleTicks(ibisgw::core::TimePoint until);
     void scheduleArrival(std::size_t route);
     void startRequest(std::size_t route);
--- a/tests/support/ReplayUpstream.h
+++ b/tests/support/ReplayUpstream.h
@@ -16,6 +16,8 @@
 
     ReplayUpstream(MessageQueue&, std::uint16_t slots, std::size_t queueLimit);
 
+    void setRunning(bool isRunning) { m_isRunning = isRunning; }
+    bool isRunning() const { return m_isRunning; }
     void setSlowdown(double factor) { m_slowdown = factor; }
     void handleRequest(ibisgw::core::Duration serviceTime, Reply);
     std::uint64_t executedCount() const { return m_executed; }
@@ -32,6 +34,7 @@
     std::uint16_t m_slots;
     std::size_t m_queueLimit;
     double m_slowdown { 1 };
+    bool m_isRunning { true };
     std::uint16_t m_busy { 0 };
     std::uint64_t m_executed { 0 };
     std::deque<Request> m_waiting;
