Share among balancers which upstreams leave requests unanswered

An upstream that accepts flows, passes its health check and answers nothing looked idle after the latency objective, and each balancer found it by requests of its own. A request without an answer for twice its objective now counts against the upstream while nearly all other requests of its route are answered; the upstream gets no new flows for 1 s, doubling to 8 s, until it answers. Balancers report it to their controller; with two reporters, controllers tell all balancers, for at most a third of a service. Nothing is sent while no request is missing its answer.

--- a/src/ibisgw/adapters/SyncCodec.cpp
+++ b/src/ibisgw/adapters/SyncCodec.cpp
@@ -163,6 +163,21 @@
     json.push_back(message.incarnation);
 }
 
+void write(const FailureReport& message, Json& json)
+{
+    json.push_back(message.mark.id.value);
+    json.push_back(message.mark.incarnation);
+    json.push_back(message.reporter.value);
+}
+
+void write(const FailureMarks& message, Json& json)
+{
+    auto marks = Json::array();
+    for (const auto& it : message.marks)
+        marks.push_back(Json::array({ it.id.value, it.incarnation }));
+    json.push_back(std::move(marks));
+}
+
 void read(detail::JsonArrayReader& reader, Subscription& message)
 {
     message.subscriber = reader.number();
@@ -215,6 +230,23 @@
     message.incarnation = reader.number();
 }
 
+void read(detail::JsonArrayReader& reader, FailureReport& message)
+{
+    message.mark.id.value = reader.number();
+    message.mark.incarnation = reader.number();
+    message.reporter.value = reader.number();
+}
+
+void read(detail::JsonArrayReader& reader, FailureMarks& message)
+{
+    for (const auto& it : reader.array()) {
+        detail::JsonArrayReader mark(it);
+        message.marks.push_back({ { mark.number() }, mark.number() });
+        if (!mark.finished())
+            reader.fail();
+    }
+}
+
 // Reads the message as the alternative of the variant with index `type`; fails when there is no such alternative.
 template <std::size_t index = 0>
 void readMessage(detail::JsonArrayReader& reader, std::size_t type, SyncMessage& message)
--- a/src/ibisgw/direct/FlowForwarder.h
+++ b/src/ibisgw/direct/FlowForwarder.h
@@ -96,6 +96,7 @@
     const InstanceLoad* loadOf(upstream::InstanceId id) const { return m_flows.loadOf(id); }
     // Number of upstreams that get fewer new flows because they respond slowly.
     std::size_t slowInstances(core::TimePoint now) const { return m_flows.slowInstances(now); }
+    UnansweredRequestMonitor& unansweredRequests() { return m_flows.unanswered(); }
     ZoneOutageMonitor& zoneOutages() { return m_placer.zoneOutages(); }
     std::uint64_t count(ForwardReason reason) const { return m_counts[static_cast<std::size_t>(reason)]; }
 
--- a/src/ibisgw/direct/FlowPlacer.cpp
+++ b/src/ibisgw/direct/FlowPlacer.cpp
@@ -132,7 +132,7 @@
 bool FlowPlacer::isSuspect(const InstanceRecord& record, const InstanceLoad& load, core::TimePoint now) const
 {
     return record.isOverdue || m_responses.isUnresponsive(record.report.id) || load.isAvoided(now)
-        || load.isUnconfirmed(now);
+        || load.isUnconfirmed(now) || m_flows.unanswered().isFailing(record.report.id, now);
 }
 
 std::optional<upstream::InstanceId> FlowPlacer::unconfirmedInstanceOf(
--- a/src/ibisgw/direct/FlowTracker.cpp
+++ b/src/ibisgw/direct/FlowTracker.cpp
@@ -16,6 +16,10 @@
 // Callers retransmit data after 200 ms or more; an older sequence number that arrives sooner is due to reordering.
 constexpr core::Duration reorderingWindow = std::chrono::milliseconds(100);
 
+// Multiple of the latency objective after which an answer counts as missing. Single requests take several times as long
+// as usual.
+constexpr int maxAnswerTime = 2;
+
 // Compares sequence numbers that wrap around (RFC 1982).
 bool isAfter(std::uint32_t a, std::uint32_t b)
 {
@@ -105,6 +109,9 @@
 {
     m_responses.noteProgress(flow.instance);
     load(flow.instance).noteProgress(now);
+    m_unanswered.noteProgress(flow.instance);
+    if (flow.isAwaitingResponse && !flow.isResponseMissing)
+        m_unanswered.noteAnswered(key.service, flow.instance);
     // A caller that acknowledges the response only with its next request shows when it sent that one.
     if (flow.isAwaitingResponse && !observation.startsRequest)
         noteResponse(key, flow, now - flow.workStartedAt, now);
@@ -163,6 +170,7 @@
     flow.isWorking = true;
     flow.isResponding = false;
     flow.isAwaitingResponse = true;
+    flow.isResponseMissing = false;
     flow.workStartedAt = now;
     flow.workEndsAt = now + flow.expectedWorkDuration;
     flow.workNumber = ++m_workCount;
@@ -184,13 +192,29 @@
         const auto deadline = m_workDeadlines.top();
         m_workDeadlines.pop();
         const auto found = m_flows.find(deadline.flow);
-        if (found == m_flows.end() || found->second.workNumber != deadline.workNumber || !found->second.isWorking)
+        if (found == m_flows.end() || found->second.workNumber != deadline.workNumber)
+            continue;
+        auto& flow = found->second;
+        if (flow.isWorking && flow.workEndsAt > now) {
+            m_workDeadlines.push({ flow.workEndsAt, deadline.flow, deadline.workNumber });
             continue;
-        if (found->second.workEndsAt <= now)
-            endWork(found->second);
-        else
-            m_workDeadlines.push({ found->second.workEndsAt, deadline.flow, deadline.workNumber });
+        }
+        endWork(flow);
+        checkAnswer(found->first, flow, now);
+    }
+}
+
+void FlowTracker::checkAnswer(const core::FlowKey& key, TrackedFlow& flow, core::TimePoint now)
+{
+    if (!flow.isAwaitingResponse || flow.isResponseMissing || !flow.isOpen)
+        return;
+    const auto answerDueAt = flow.workStartedAt + maxAnswerTime * flow.expectedWorkDuration;
+    if (now < answerDueAt) {
+        m_workDeadlines.push({ answerDueAt, key, flow.workNumber });
+        return;
     }
+    flow.isResponseMissing = true;
+    m_unanswered.noteUnanswered(key.service, flow.instance, now);
 }
 
 void FlowTracker::expire(core::Duration idleTimeout, core::TimePoint now)
@@ -229,6 +253,7 @@
         if (directory.find(it.first))
             return false;
         m_responses.remove(it.first);
+        m_unanswered.remove(it.first);
         return true;
     });
 }
--- a/src/ibisgw/direct/FlowTracker.h
+++ b/src/ibisgw/direct/FlowTracker.h
@@ -5,6 +5,7 @@
 #include "ibisgw/direct/MedianEstimate.h"
 #include "ibisgw/direct/ResponseMonitor.h"
 #include "ibisgw/direct/RouteConfiguration.h"
+#include "ibisgw/direct/UnansweredRequestMonitor.h"
 #include "ibisgw/upstream/InstanceDirectory.h"
 
 #include <functional>
@@ -36,6 +37,8 @@
     core::TimePoint workStartedAt;
     // The response to the newest request hasn't been seen yet, even if the work counts as ended.
     bool isAwaitingResponse { false };
+    // That response was noted as missing.
+    bool isResponseMissing { false };
     // Time at which the work counts as ended if no packet has shown its end before.
     core::TimePoint workEndsAt;
     core::Duration expectedWorkDuration { 0 };
@@ -93,6 +96,8 @@
     std::vector<FlowSegment> takeResettable(const std::function<bool(const TrackedFlow&)>& condition);
 
     std::size_t size() const { return m_flows.size(); }
+    UnansweredRequestMonitor& unanswered() { return m_unanswered; }
+    const UnansweredRequestMonitor& unanswered() const { return m_unanswered; }
     InstanceLoad& load(upstream::InstanceId id) { return m_loads[id]; }
     const InstanceLoad* loadOf(upstream::InstanceId) const;
     // Number of upstreams that respond more slowly than usual.
@@ -114,10 +119,13 @@
     void observeSequence(TrackedFlow&, const FlowSegment&, FlowObservation&, core::TimePoint now);
     void observeResponse(const core::FlowKey&, TrackedFlow&, FlowObservation&, core::TimePoint now);
     void endWork(TrackedFlow&);
+    // Handles the deadline of a request whose work counts as ended: its answer may be overdue.
+    void checkAnswer(const core::FlowKey&, TrackedFlow&, core::TimePoint now);
     void noteResponse(const core::FlowKey&, const TrackedFlow&, core::Duration, core::TimePoint now);
 
     FlowTrackerLimits m_limits;
     ResponseMonitor& m_responses;
+    UnansweredRequestMonitor m_unanswered;
     FlowMap m_flows;
     std::unordered_map<upstream::InstanceId, InstanceLoad> m_loads;
     std::priority_queue<WorkDeadline, std::vector<WorkDeadline>, std::greater<>> m_workDeadlines;
--- a/src/ibisgw/runtime/DirectBalancer.cpp
+++ b/src/ibisgw/runtime/DirectBalancer.cpp
@@ -195,6 +195,17 @@
             retryPendingPackets(now);
     } else if (const auto* transfer = std::get_if<sync::ConfigurationTransfer>(&*message)) {
         applyConfiguration(*transfer, now);
+    } else if (const auto* marks = std::get_if<sync::FailureMarks>(&*message)) {
+        handle(*marks, now);
+    }
+}
+
+void DirectBalancer::handle(const sync::FailureMarks& marks, core::TimePoint now)
+{
+    for (const auto& it : marks.marks) {
+        const auto* record = m_directory.find(it.id);
+        if (record && record->report.incarnation == it.incarnation)
+            m_forwarder.unansweredRequests().noteShared(it.id, now);
     }
 }
 
@@ -234,6 +245,7 @@
     m_forwarder.tick(now);
     updateProbes(now);
     resetLostFlows(now);
+    reportFailures(now);
     logZoneOutages(now);
     m_changeLogger.logChanges(m_directory, m_events, now);
     m_decisionLogger.flush(m_forwarder.version(), now);
@@ -280,6 +292,16 @@
         m_events.record(Event::LostFlowsReset, now, [&] { return nlohmann::json { { "flows", lost.size() } }; });
 }
 
+void DirectBalancer::reportFailures(core::TimePoint now)
+{
+    const auto controller = m_subscriber.followedController();
+    for (const auto& it : m_forwarder.unansweredRequests().takeReports(now)) {
+        const auto* record = m_directory.find(it);
+        if (record && controller.isValid())
+            send(controller, sync::FailureReport { { it, record->report.incarnation }, {} });
+    }
+}
+
 void DirectBalancer::logZoneOutages(core::TimePoint now)
 {
     for (const auto& it : m_forwarder.zoneOutages().takeChanges()) {
--- a/src/ibisgw/runtime/DirectBalancer.h
+++ b/src/ibisgw/runtime/DirectBalancer.h
@@ -67,6 +67,8 @@
     void updateProbes(core::TimePoint now);
     void resetLostFlows(core::TimePoint now);
     void logZoneOutages(core::TimePoint now);
+    void reportFailures(core::TimePoint now);
+    void handle(const sync::FailureMarks&, core::TimePoint now);
     void updateReadiness(core::TimePoint now);
 
     settings::DirectSettings m_settings;
--- a/src/ibisgw/runtime/DirectBalancerMetrics.cpp
+++ b/src/ibisgw/runtime/DirectBalancerMetrics.cpp
@@ -29,6 +29,8 @@
         = static_cast<double>(m_forwarder.openFlows());
     m_metrics.gauge("ibisgw_slow_upstreams", "Upstreams that respond several times more slowly than usual")
         = static_cast<double>(m_forwarder.slowInstances(m_loop.now()));
+    m_metrics.gauge("ibisgw_failing_upstreams", "Upstreams that get no new flows because they answer no requests")
+        = static_cast<double>(m_forwarder.unansweredRequests().failingInstances(m_loop.now()));
     m_metrics.gauge("ibisgw_zones_suspected", "Pairs of service and zone whose upstreams seem to have failed together")
         = static_cast<double>(m_forwarder.zoneOutages().suspectedZones());
     m_metrics.gauge("ibisgw_egress_queue_bytes", "Bytes that wait for the link")
--- a/src/ibisgw/runtime/DirectController.cpp
+++ b/src/ibisgw/runtime/DirectController.cpp
@@ -88,6 +88,7 @@
     , m_departures(*this)
     , m_subscriber(controllerSubscription(settings, m_peers.self(), *m_random), m_directory, &m_departures)
     , m_overdueMonitor(settings.reportInterval)
+    , m_failures(m_directory)
     , m_events(settings.logLinesPerSecond)
     , m_processMonitor(m_metrics, tickPeriod)
     , m_commitLatency(m_metrics.latency(
@@ -127,6 +128,7 @@
     m_overdueMonitor.tick(m_directory, canReachMajority(now), now);
     m_departures.flush(now);
     m_feed.publish(feedHead(), now, *this);
+    m_failures.publish(m_feed.followers(), now, *this);
     completeWaitingCalls(now);
     logRaftChanges(now);
     m_changeLogger.logChanges(m_directory, m_events, now);
@@ -300,6 +302,8 @@
         handle(sender, *request);
     else if (const auto* report = std::get_if<sync::UnresponsiveReport>(&*message))
         handle(sender, *report, now);
+    else if (const auto* failure = std::get_if<sync::FailureReport>(&*message))
+        handle(sender, *failure, now);
 }
 
 void DirectController::handle(core::NodeId sender, const sync::Subscription& subscription, core::TimePoint now)
@@ -327,6 +331,18 @@
         m_feed.publish(feedHead(), now, *this);
 }
 
+void DirectController::handle(core::NodeId sender, const sync::FailureReport& report, core::TimePoint now)
+{
+    auto others = controllerNodes();
+    std::erase(others, m_peers.self());
+    if (!m_failures.handle(sender, report, others, now, *this))
+        return;
+    m_events.record(Event::UpstreamFailing, now, [&] {
+        return nlohmann::json { { "upstream", textOf(report.mark.id) } };
+    });
+    m_failures.publish(m_feed.followers(), now, *this);
+}
+
 void DirectController::send(core::NodeId peer, const configuration::RaftMessage& message)
 {
     m_peers.send(peer, PeerChannel::Consensus, adapters::encodeRaftMessage(message));
--- a/src/ibisgw/runtime/DirectController.h
+++ b/src/ibisgw/runtime/DirectController.h
@@ -17,6 +17,7 @@
 #include "ibisgw/settings/DirectSettings.h"
 #include "ibisgw/sync/DirectoryFeed.h"
 #include "ibisgw/sync/DirectorySubscriber.h"
+#include "ibisgw/sync/FailureExchange.h"
 #include "ibisgw/upstream/OverdueMonitor.h"
 #include "ibisgw/upstream/UnresponsiveMarker.h"
 
@@ -104,6 +105,7 @@
     void handle(core::NodeId sender, const sync::Subscription&, core::TimePoint now);
     void handle(core::NodeId sender, const sync::ConfigurationRequest&);
     void handle(core::NodeId sender, const sync::UnresponsiveReport&, core::TimePoint now);
+    void handle(core::NodeId sender, const sync::FailureReport&, core::TimePoint now);
     void tick();
     void completeWaitingCalls(core::TimePoint now);
     // Answer a call whose outcome is known or whose deadline has passed; false if it still waits.
@@ -140,6 +142,7 @@
     sync::DirectorySubscriber m_subscriber;
     upstream::OverdueMonitor m_overdueMonitor;
     upstream::UnresponsiveMarker m_unresponsiveMarker;
+    sync::FailureExchange m_failures;
     std::vector<WaitingReport> m_waitingReports;
     std::vector<WaitingChange> m_waitingChanges;
     std::vector<WaitingRead> m_waitingReads;
--- a/src/ibisgw/runtime/Event.cpp
+++ b/src/ibisgw/runtime/Event.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-constexpr std::size_t eventCount = 42;
+constexpr std::size_t eventCount = 43;
 
 constexpr core::NameTable<Event, eventCount> eventNames { {
     { Event::FlowPlaced, "flow_placed" },
@@ -26,6 +26,7 @@
     { Event::UpstreamUnresponsive, "upstream_unresponsive" },
     { Event::UpstreamResponsive, "upstream_responsive" },
     { Event::SilenceReported, "silence_reported" },
+    { Event::UpstreamFailing, "upstream_failing" },
     { Event::ZoneSuspected, "zone_suspected" },
     { Event::ZoneRecovered, "zone_recovered" },
     { Event::ReportRefused, "report_refused" },
--- a/src/ibisgw/runtime/Event.h
+++ b/src/ibisgw/runtime/Event.h
@@ -29,6 +29,7 @@
     UpstreamUnresponsive,
     UpstreamResponsive,
     SilenceReported,
+    UpstreamFailing,
     ZoneSuspected,
     ZoneRecovered,
     ReportRefused,
--- a/src/ibisgw/sync/DirectoryFeed.cpp
+++ b/src/ibisgw/sync/DirectoryFeed.cpp
@@ -184,6 +184,16 @@
     }));
 }
 
+std::vector<core::NodeId> DirectoryFeed::followers() const
+{
+    std::vector<core::NodeId> nodes;
+    for (const auto& [node, subscriber] : m_subscribers) {
+        if (!subscriber.isController && subscriber.mode == FollowMode::Changes)
+            nodes.push_back(node);
+    }
+    return nodes;
+}
+
 std::vector<core::NodeId> DirectoryFeed::subscribedBalancers() const
 {
     std::vector<core::NodeId> nodes;
--- a/src/ibisgw/sync/DirectoryFeed.h
+++ b/src/ibisgw/sync/DirectoryFeed.h
@@ -40,6 +40,8 @@
     // Sets the balancers that followed this controller before its restart. publish() sends them its status for a few
     // seconds or until they subscribe, since the seeds of a balancer may start later than this controller.
     void setFormerBalancers(std::vector<core::NodeId> balancers, core::TimePoint now);
+    // Balancers that receive the changes of the directory from this controller.
+    std::vector<core::NodeId> followers() const;
     // Balancers whose subscriptions have not expired.
     std::vector<core::NodeId> subscribedBalancers() const;
 
--- a/src/ibisgw/sync/SyncMessage.h
+++ b/src/ibisgw/sync/SyncMessage.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "ibisgw/direct/RouteConfiguration.h"
+#include "ibisgw/upstream/FailureMarker.h"
 #include "ibisgw/upstream/InstanceReport.h"
 
 #include <string>
@@ -121,8 +122,25 @@
     bool operator==(const UnresponsiveReport&) const = default;
 };
 
-using SyncMessage
-    = std::variant<Subscription, DirectoryUpdate, ConfigurationRequest, ConfigurationTransfer, UnresponsiveReport>;
+// Reports to a controller that an upstream accepts requests of callers and doesn't answer them.
+struct FailureReport {
+    upstream::FailureMark mark;
+    // The balancer that has found it, in a report that a controller relays to the others; otherwise invalid.
+    core::NodeId reporter;
+
+    bool operator==(const FailureReport&) const = default;
+};
+
+// The upstreams that several balancers have found not to answer requests. Valid for a short time.
+struct FailureMarks {
+    std::vector<upstream::FailureMark> marks;
+
+    bool operator==(const FailureMarks&) const = default;
+};
+
+// Daemons of earlier versions ignore messages of a type that they don't know; new types are added at the end.
+using SyncMessage = std::variant<Subscription, DirectoryUpdate, ConfigurationRequest, ConfigurationTransfer,
+    UnresponsiveReport, FailureReport, FailureMarks>;
 
 // Sends messages to other daemons; implemented by the daemon and by test fakes. Delivery is unreliable: a message may
 // be lost.
--- /dev/null
+++ b/src/ibisgw/upstream/FailureMarker.cpp
@@ -0,0 +1,66 @@
+#include "ibisgw/upstream/FailureMarker.h"
+
+#include <algorithm>
+
+namespace ibisgw::upstream {
+
+namespace {
+
+// A single balancer may have lost the answers itself.
+constexpr std::size_t minReporters = 2;
+constexpr core::Duration reportLifetime = std::chrono::seconds(3);
+constexpr core::Duration markDuration = std::chrono::seconds(3);
+
+// At most one in this many ready upstreams of a service may be marked, but one always may.
+constexpr std::size_t markedShareDivisor = 3;
+
+} // namespace
+
+bool FailureMarker::note(
+    const InstanceDirectory& directory, const FailureMark& mark, core::NodeId reporter, core::TimePoint now)
+{
+    expire(now);
+    const auto* record = directory.find(mark.id);
+    if (!record || record->report.state != InstanceState::Ready || record->report.incarnation != mark.incarnation)
+        return false;
+    auto& reports = m_reports[mark.id];
+    if (reports.incarnation != mark.incarnation)
+        reports = { mark.incarnation, record->report.service, {}, {} };
+    reports.reporters[reporter] = now;
+    const bool wasMarked = now < reports.markedUntil;
+    if (reports.reporters.size() < minReporters || (!wasMarked && !canMarkAnother(directory, reports.service, now)))
+        return false;
+    reports.markedUntil = now + markDuration;
+    return !wasMarked;
+}
+
+bool FailureMarker::canMarkAnother(
+    const InstanceDirectory& directory, const core::ServiceName& service, core::TimePoint now) const
+{
+    const auto marked = static_cast<std::size_t>(std::ranges::count_if(
+        m_reports, [&](const auto& it) { return it.second.service == service && now < it.second.markedUntil; }));
+    const auto ready = static_cast<std::size_t>(std::ranges::count_if(directory.records(), [&](const auto& it) {
+        return it.second.report.service == service && it.second.report.state == InstanceState::Ready;
+    }));
+    return marked == 0 || (marked + 1) * markedShareDivisor <= ready;
+}
+
+std::vector<FailureMark> FailureMarker::marks(core::TimePoint now) const
+{
+    std::vector<FailureMark> marks;
+    for (const auto& [id, reports] : m_reports) {
+        if (now < reports.markedUntil)
+            marks.push_back({ id, reports.incarnation });
+    }
+    return marks;
+}
+
+void FailureMarker::expire(core::TimePoint now)
+{
+    for (auto& [id, reports] : m_reports)
+        std::erase_if(reports.reporters, [now](const auto& it) { return now - it.second > reportLifetime; });
+    std::erase_if(
+        m_reports, [now](const auto& it) { return it.second.reporters.empty() && now >= it.second.markedUntil; });
+}
+
+} // namespace ibisgw::upstream
--- a/tests/sync/DirectorySyncTests.cpp
+++ b/tests/sync/DirectorySyncTests.cpp
@@ -617,6 +617,8 @@
             statusOf(9, 9, false),
             ConfigurationRequest { 4 },
             UnresponsiveReport { { 5 }, 6 },
+            FailureReport { { { 5 }, 6 }, { 7 } },
+            FailureMarks { { { { 5 }, 6 }, { { 8 }, 9 } } },
             ConfigurationTransfer { 4, std::string("\x00\xff text", 7) },
         };
         for (const auto& it : messages) {
