Spread the trials of failing upstreams over time

When the marks of hanging upstreams ended, all balancers tried them at the same moment: 68 requests were refused and 133 failed within two seconds. A mark now lasts twice as long when it follows another, and balancers try the upstream again at different times over 6 s.

--- a/src/ibisgw/direct/UnansweredRequestMonitor.cpp
+++ b/src/ibisgw/direct/UnansweredRequestMonitor.cpp
@@ -18,6 +18,9 @@
 
 // Controllers repeat their marks twice in this time.
 constexpr core::Duration sharedMarkLifetime = std::chrono::seconds(1);
+// Balancers try an upstream again one after the other: it seems idle to all of them, and those that try it before the
+// first missing answer is reported lose a request each.
+constexpr std::chrono::duration<double> trialSpread { 6 };
 // Limits the reports of one upstream, and all reports of this balancer to about 2 kB/s.
 constexpr core::Duration minReportInterval = std::chrono::seconds(1);
 constexpr core::Duration reportBatchInterval = std::chrono::milliseconds(250);
@@ -58,9 +61,10 @@
     m_reports.push_back(id);
 }
 
-void UnansweredRequestMonitor::noteShared(upstream::InstanceId id, core::TimePoint now)
+void UnansweredRequestMonitor::noteShared(upstream::InstanceId id, double position, core::TimePoint now)
 {
-    m_instances[id].sharedUntil = now + sharedMarkLifetime;
+    const auto delay = std::chrono::duration_cast<core::Duration>(position * trialSpread);
+    m_instances[id].sharedUntil = now + sharedMarkLifetime + delay;
 }
 
 bool UnansweredRequestMonitor::isFailing(upstream::InstanceId id, core::TimePoint now) const
--- a/src/ibisgw/direct/UnansweredRequestMonitor.h
+++ b/src/ibisgw/direct/UnansweredRequestMonitor.h
@@ -21,8 +21,9 @@
     void noteUnanswered(core::Endpoint route, upstream::InstanceId, core::TimePoint now);
     // The upstream has answered a request of any route, also a late one.
     void noteProgress(upstream::InstanceId id) { m_instances.erase(id); }
-    // Other balancers have reported the upstream as failing.
-    void noteShared(upstream::InstanceId, core::TimePoint now);
+    // Other balancers have reported the upstream as failing. `position` from 0 to 1 is this balancer's place in the
+    // order in which balancers try the upstream again once the reports cease.
+    void noteShared(upstream::InstanceId, double position, core::TimePoint now);
     bool isFailing(upstream::InstanceId, core::TimePoint now) const;
     void remove(upstream::InstanceId id) { m_instances.erase(id); }
 
--- a/src/ibisgw/runtime/DirectBalancer.cpp
+++ b/src/ibisgw/runtime/DirectBalancer.cpp
@@ -2,9 +2,12 @@
 
 #include "ibisgw/adapters/SyncCodec.h"
 #include "ibisgw/configuration/DocumentCompression.h"
+#include "ibisgw/core/FlowKey.h"
 #include "ibisgw/runtime/LogFields.h"
 #include "ibisgw/runtime/Subscription.h"
 
+#include <limits>
+
 namespace ibisgw::runtime {
 
 namespace {
@@ -204,8 +207,12 @@
 {
     for (const auto& it : marks.marks) {
         const auto* record = m_directory.find(it.id);
-        if (record && record->report.incarnation == it.incarnation)
-            m_forwarder.unansweredRequests().noteShared(it.id, now);
+        if (!record || record->report.incarnation != it.incarnation)
+            continue;
+        const auto hash = core::rendezvousWeight(m_peers.self().value, it.id.value);
+        const double position
+            = static_cast<double>(hash) / static_cast<double>(std::numeric_limits<std::uint64_t>::max());
+        m_forwarder.unansweredRequests().noteShared(it.id, position, now);
     }
 }
 
--- a/src/ibisgw/upstream/FailureMarker.cpp
+++ b/src/ibisgw/upstream/FailureMarker.cpp
@@ -9,7 +9,11 @@
 // A single balancer may have lost the answers itself.
 constexpr std::size_t minReporters = 2;
 constexpr core::Duration reportLifetime = std::chrono::seconds(3);
-constexpr core::Duration markDuration = std::chrono::seconds(3);
+constexpr core::Duration minMarkDuration = std::chrono::seconds(3);
+constexpr core::Duration maxMarkDuration = std::chrono::seconds(12);
+// A mark that follows the last one within this time lasts twice as long. Longer than the time over which balancers
+// spread their first flows to an upstream whose mark has ended.
+constexpr core::Duration repetitionPeriod = std::chrono::seconds(10);
 
 // At most one in this many ready upstreams of a service may be marked, but one always may.
 constexpr std::size_t markedShareDivisor = 3;
@@ -25,12 +29,14 @@
         return false;
     auto& reports = m_reports[mark.id];
     if (reports.incarnation != mark.incarnation)
-        reports = { mark.incarnation, record->report.service, {}, {} };
+        reports = { mark.incarnation, record->report.service, {}, {}, {} };
     reports.reporters[reporter] = now;
     const bool wasMarked = now < reports.markedUntil;
     if (reports.reporters.size() < minReporters || (!wasMarked && !canMarkAnother(directory, reports.service, now)))
         return false;
-    reports.markedUntil = now + markDuration;
+    if (!wasMarked)
+        reports.markDuration = std::clamp(2 * reports.markDuration, minMarkDuration, maxMarkDuration);
+    reports.markedUntil = now + reports.markDuration;
     return !wasMarked;
 }
 
@@ -59,8 +65,9 @@
 {
     for (auto& [id, reports] : m_reports)
         std::erase_if(reports.reporters, [now](const auto& it) { return now - it.second > reportLifetime; });
-    std::erase_if(
-        m_reports, [now](const auto& it) { return it.second.reporters.empty() && now >= it.second.markedUntil; });
+    std::erase_if(m_reports, [now](const auto& it) {
+        return it.second.reporters.empty() && now >= it.second.markedUntil + repetitionPeriod;
+    });
 }
 
 } // namespace ibisgw::upstream
--- a/src/ibisgw/upstream/FailureMarker.h
+++ b/src/ibisgw/upstream/FailureMarker.h
@@ -16,8 +16,9 @@
 };
 
 // Collects the reports of balancers that an upstream accepts requests and doesn't answer them. The upstream is marked
-// once two balancers have reported it within a few seconds, and the mark fades when the reports cease. A mark only
-// makes new flows prefer other upstreams. At most a third of a service, or one upstream, is marked at a time.
+// once two balancers have reported it within a few seconds. The mark ends some time after the last report, and that
+// time doubles with each mark that soon follows another one. A mark only makes new flows prefer other upstreams. At
+// most a third of a service, or one upstream, is marked at a time.
 class FailureMarker {
 public:
     // Returns whether the report has marked the upstream.
@@ -33,6 +34,7 @@
         // Last report of each balancer.
         std::map<core::NodeId, core::TimePoint> reporters;
         core::TimePoint markedUntil {};
+        core::Duration markDuration { 0 };
     };
 
     bool canMarkAnother(const InstanceDirectory&, const core::ServiceName&, core::TimePoint now) const;
--- a/tests/direct/UnansweredRequestTests.cpp
+++ b/tests/direct/UnansweredRequestTests.cpp
@@ -70,10 +70,19 @@
         AnswerFixture, "an upstream that others report as failing gets no new flows until the reports cease")
     {
         requestsToFirst(100, always);
-        forwarder.unansweredRequests().noteShared({ 1 }, now);
+        forwarder.unansweredRequests().noteShared({ 1 }, 0, now);
         CHECK(requestsToFirst(24, always) == 0);
         now += 1s;
         CHECK(requestsToFirst(24, always) > 0);
+
+        SUBCASE("and balancers try it again one after the other")
+        {
+            forwarder.unansweredRequests().noteShared({ 1 }, 0.5, now);
+            now += 2s;
+            CHECK(requestsToFirst(24, always) == 0);
+            now += 2s;
+            CHECK(requestsToFirst(24, always) > 0);
+        }
     }
     // Guards against blaming upstreams for answers that this balancer can't see, because their acknowledgements come
     // with the next request or through another balancer.
--- a/tests/upstream/FailureMarkerTests.cpp
+++ b/tests/upstream/FailureMarkerTests.cpp
@@ -51,6 +51,11 @@
         {
             now += 4s;
             CHECK(marker.marks(now).empty());
+            // Longer the next time, so that callers lose fewer requests to trials of an upstream that keeps failing.
+            note(1, firstBalancer);
+            CHECK(note(1, secondBalancer));
+            now += 4s;
+            CHECK(marker.marks(now).size() == 1);
         }
         SUBCASE("and not as its next incarnation")
         {
