Keep new flows out of evacuated zones in the direct-return mode

Cause: an operator's order to evacuate an availability zone must reach every balancer, and no balancer may open a flow in the zone afterwards.

Change: an update of a controller holds the committed set of evacuated zones and the highest revision in its log. The feed sends a changed set at once to all subscribers; the subscriber keeps the set with the highest revision, and confirms a configuration only by controllers that have logged no newer set. The placement leaves out the upstreams of evacuated zones. An opening packet of a service whose ready upstreams are all in such zones is reset at once with the reason zone_evacuated. Open flows follow their token as before. While no order was given, the bytes of an update are those of earlier releases.

--- a/src/ibisgw/adapters/SyncCodec.cpp
+++ b/src/ibisgw/adapters/SyncCodec.cpp
@@ -2,6 +2,10 @@
 
 #include "ibisgw/adapters/detail/JsonArrayReader.h"
 #include "ibisgw/adapters/detail/RaftJson.h"
+#include "ibisgw/core/ObjectReader.h"
+
+#include <algorithm>
+#include <functional>
 
 namespace ibisgw::adapters {
 
@@ -14,6 +18,9 @@
 constexpr std::uint64_t syncProtocolVersion = 3;
 // Longest duration that is accepted: one day.
 constexpr std::uint64_t maxDurationMs = 86'400'000;
+// More zones than any deployment has. With names of at most core::maxTextBytes the list stays below the size limit of a
+// message.
+constexpr std::size_t maxEvacuatedZones = 256;
 
 std::int64_t toMs(core::Duration duration)
 {
@@ -105,6 +112,33 @@
     return nodes;
 }
 
+bool isValid(const core::ZoneName& zone)
+{
+    return !zone.empty() && zone.size() <= core::maxTextBytes;
+}
+
+// ZoneEvacuations::contains() counts on sorted zones without duplicates.
+bool isValid(const upstream::ZoneEvacuations& evacuations)
+{
+    const auto& zones = evacuations.zones;
+    if (zones.size() > maxEvacuatedZones || (evacuations.revision == 0 && !zones.empty()))
+        return false;
+    const bool isSorted = std::ranges::adjacent_find(zones, std::ranges::greater_equal {}) == zones.end();
+    return isSorted && std::ranges::all_of(zones, [](const auto& it) { return isValid(it); });
+}
+
+void readEvacuations(detail::JsonArrayReader& reader, DirectoryUpdate& message)
+{
+    message.evacuations.revision = reader.number();
+    message.loggedEvacuationRevision = reader.number();
+    const auto& zones = reader.array();
+    detail::JsonArrayReader zoneReader(zones);
+    for (std::size_t n = 0; n < zones.size() && !zoneReader.failed(); ++n)
+        message.evacuations.zones.push_back(zoneReader.text());
+    if (zoneReader.failed() || !isValid(message.evacuations))
+        reader.fail();
+}
+
 void write(const Subscription& message, Json& json)
 {
     json.push_back(message.subscriber);
@@ -139,11 +173,17 @@
     json.push_back(std::move(marks));
     json.push_back(message.zone);
     json.push_back(message.isCurrent);
-    // Daemons without these two fields reject longer updates, so they are written only if they say something.
-    if (message.loggedVersion != message.version || !message.isVoter) {
+    // Daemons without the further fields reject longer updates, so they are written only if they say something.
+    const bool hasEvacuations = message.evacuations.revision > 0 || message.loggedEvacuationRevision > 0;
+    if (message.loggedVersion != message.version || !message.isVoter || hasEvacuations) {
         json.push_back(message.loggedVersion);
         json.push_back(message.isVoter);
     }
+    if (hasEvacuations) {
+        json.push_back(message.evacuations.revision);
+        json.push_back(message.loggedEvacuationRevision);
+        json.push_back(message.evacuations.zones);
+    }
 }
 
 void write(const ConfigurationRequest& message, Json& json)
@@ -196,6 +236,8 @@
         return;
     message.loggedVersion = reader.number();
     message.isVoter = reader.boolean();
+    if (!reader.finished())
+        readEvacuations(reader, message);
 }
 
 void read(detail::JsonArrayReader& reader, ConfigurationRequest& message)
--- a/src/ibisgw/adapters/SyncEncoder.cpp
+++ b/src/ibisgw/adapters/SyncEncoder.cpp
@@ -28,7 +28,8 @@
     const sync::DirectoryUpdate& update, const sync::SyncMessage& message, core::TimePoint now)
 {
     const CacheKey key { update.from, update.to, update.items.size(), update.marks.size(), update.version,
-        update.membershipIndex, update.hasMore, update.isCurrent, update.loggedVersion, update.isVoter };
+        update.membershipIndex, update.hasMore, update.isCurrent, update.loggedVersion, update.isVoter,
+        update.evacuations.revision, update.loggedEvacuationRevision };
     const auto found = m_cache.find(key);
     if (found != m_cache.end() && now - found->second.encodedAt <= maxCacheAge)
         return found->second.bytes;
--- a/src/ibisgw/adapters/SyncEncoder.h
+++ b/src/ibisgw/adapters/SyncEncoder.h
@@ -35,6 +35,8 @@
         bool isCurrent { false };
         std::uint64_t loggedVersion { 0 };
         bool isVoter { true };
+        std::uint64_t evacuationRevision { 0 };
+        std::uint64_t loggedEvacuationRevision { 0 };
 
         auto operator<=>(const CacheKey&) const = default;
     };
--- a/src/ibisgw/direct/FlowForwarder.cpp
+++ b/src/ibisgw/direct/FlowForwarder.cpp
@@ -21,6 +21,7 @@
     { ForwardReason::UpstreamGone, "upstream_gone" },
     { ForwardReason::UpstreamUnresponsive, "upstream_unresponsive" },
     { ForwardReason::LateCopy, "late_copy" },
+    { ForwardReason::ZoneEvacuated, "zone_evacuated" },
 } };
 
 constexpr core::Duration expiryInterval = std::chrono::milliseconds(500);
@@ -70,6 +71,14 @@
     return true;
 }
 
+bool FlowForwarder::setEvacuations(upstream::ZoneEvacuations evacuations)
+{
+    if (evacuations.revision <= this->evacuations().revision)
+        return false;
+    m_placer.setEvacuations(std::move(evacuations));
+    return true;
+}
+
 ForwardDecision FlowForwarder::handle(const FlowSegment& segment, core::TimePoint now)
 {
     const auto found = m_routes.find(segment.flow.service);
@@ -115,8 +124,10 @@
         m_flows.remove(found);
     }
     const auto* record = m_placer.place(segment.flow, route, silent, now);
-    if (!record)
-        return { ForwardAction::Reset, ForwardReason::NoUpstream };
+    if (!record) {
+        const auto reason = m_placer.isServiceEvacuated() ? ForwardReason::ZoneEvacuated : ForwardReason::NoUpstream;
+        return { ForwardAction::Reset, reason };
+    }
     auto decision = forwardTo(*record, silent ? ForwardReason::PlacedAgain : ForwardReason::Placed);
     const auto& chosen = m_flows.load(record->report.id);
     decision.candidates = static_cast<std::uint32_t>(m_placer.candidateCount());
--- a/src/ibisgw/direct/FlowForwarder.h
+++ b/src/ibisgw/direct/FlowForwarder.h
@@ -34,8 +34,9 @@
     UpstreamGone,
     UpstreamUnresponsive,
     LateCopy, // retransmitted opening packet of a flow that is open already
+    ZoneEvacuated, // all ready upstreams of the service are in evacuated zones
 };
-constexpr std::size_t forwardReasonCount = 11;
+constexpr std::size_t forwardReasonCount = 12;
 
 std::string_view nameOf(ForwardReason);
 
@@ -82,6 +83,10 @@
     ResponseMonitor& responses() { return m_responses; }
     // Returns false and ignores the configuration if its version isn't higher than the one in force.
     bool apply(std::shared_ptr<const RouteConfiguration>, core::TimePoint now);
+    // New flows avoid the upstreams of these zones; open flows stay. Returns false and ignores the set if its revision
+    // isn't higher than that of the set in force.
+    bool setEvacuations(upstream::ZoneEvacuations);
+    const upstream::ZoneEvacuations& evacuations() const { return m_placer.evacuations(); }
     // Whether new flows are placed. Without that their opening packets are reset, and open flows go on.
     void setPlacing(bool isPlacing) { m_isPlacing = isPlacing; }
     // Call at least ten times a second.
--- a/src/ibisgw/direct/FlowPlacer.cpp
+++ b/src/ibisgw/direct/FlowPlacer.cpp
@@ -40,13 +40,21 @@
 {
 }
 
+void FlowPlacer::setEvacuations(upstream::ZoneEvacuations evacuations)
+{
+    m_evacuations = std::move(evacuations);
+    indexUpstreams();
+}
+
 const InstanceRecord* FlowPlacer::place(
     const core::FlowKey& flow, const Route& route, std::optional<upstream::InstanceId> silent, core::TimePoint now)
 {
     // A caller whose open was refused opens another flow at once, which must not go to the same upstream.
     const auto excluded = silent ? silent : unconfirmedInstanceOf(flow, now);
     const auto& service = drawService(route);
-    const auto& records = recordsOf(service);
+    const auto& upstreams = upstreamsOf(service);
+    const auto& records = upstreams.records;
+    m_isServiceEvacuated = records.empty() && upstreams.evacuated > 0;
     collectCandidates(records, excluded, now);
     if (m_candidates.empty() && excluded)
         collectCandidates(records, std::nullopt, now);
@@ -71,18 +79,28 @@
 }
 
 // The directory holds the upstreams of all services and changes far less often than flows are opened.
-const FlowPlacer::Records& FlowPlacer::recordsOf(const core::ServiceName& service)
+const FlowPlacer::ServiceUpstreams& FlowPlacer::upstreamsOf(const core::ServiceName& service)
 {
-    if (m_indexedChange != m_directory.newestChange() || m_indexedRemovals != m_directory.removalCount()) {
-        m_indexedChange = m_directory.newestChange();
-        m_indexedRemovals = m_directory.removalCount();
-        m_recordsByService.clear();
-        for (const auto& [id, record] : m_directory.records()) {
-            if (record.report.state == InstanceState::Ready && !m_directory.sharesToken(record))
-                m_recordsByService[record.report.service].push_back(&record);
-        }
+    if (m_indexedChange != m_directory.newestChange() || m_indexedRemovals != m_directory.removalCount())
+        indexUpstreams();
+    return m_upstreamsByService[service];
+}
+
+void FlowPlacer::indexUpstreams()
+{
+    m_indexedChange = m_directory.newestChange();
+    m_indexedRemovals = m_directory.removalCount();
+    m_upstreamsByService.clear();
+    for (const auto& [id, record] : m_directory.records()) {
+        const auto& report = record.report;
+        if (report.state != InstanceState::Ready || m_directory.sharesToken(record))
+            continue;
+        auto& upstreams = m_upstreamsByService[report.service];
+        if (m_evacuations.contains(report.zone))
+            ++upstreams.evacuated;
+        else
+            upstreams.records.push_back(&record);
     }
-    return m_recordsByService[service];
 }
 
 void FlowPlacer::collectCandidates(
--- a/src/ibisgw/direct/FlowPlacer.h
+++ b/src/ibisgw/direct/FlowPlacer.h
@@ -6,6 +6,7 @@
 #include "ibisgw/direct/ResponseMonitor.h"
 #include "ibisgw/direct/RouteConfiguration.h"
 #include "ibisgw/direct/ZoneOutageMonitor.h"
+#include "ibisgw/upstream/ZoneEvacuations.h"
 
 #include <optional>
 #include <unordered_map>
@@ -25,6 +26,11 @@
     // unless that was confirmed.
     const upstream::InstanceRecord* place(
         const core::FlowKey&, const Route&, std::optional<upstream::InstanceId> silent, core::TimePoint now);
+    // Upstreams of these zones get no new flows.
+    void setEvacuations(upstream::ZoneEvacuations);
+    const upstream::ZoneEvacuations& evacuations() const { return m_evacuations; }
+    // Whether the service of the last placement has ready upstreams, all of them in evacuated zones.
+    bool isServiceEvacuated() const { return m_isServiceEvacuated; }
     // Number of upstreams that the last placement chose from.
     std::size_t candidateCount() const { return m_candidates.size(); }
     // The caller has received a response from the flow's upstream.
@@ -41,9 +47,16 @@
         core::TimePoint at;
     };
     using Records = std::vector<const upstream::InstanceRecord*>;
+    // The ready upstreams of a service.
+    struct ServiceUpstreams {
+        // Those that may get new flows.
+        Records records;
+        std::size_t evacuated { 0 };
+    };
 
     const core::ServiceName& drawService(const Route&);
-    const Records& recordsOf(const core::ServiceName&);
+    const ServiceUpstreams& upstreamsOf(const core::ServiceName&);
+    void indexUpstreams();
     void collectCandidates(const Records&, std::optional<upstream::InstanceId> excluded, core::TimePoint now);
     bool isSuspect(const upstream::InstanceRecord&, const InstanceLoad&, core::TimePoint now) const;
     // Updates the judgement of the zones of a service and marks the candidates of zones whose upstreams have failed
@@ -60,9 +73,10 @@
     const ResponseMonitor& m_responses;
     // By IP address of the caller.
     std::unordered_map<std::uint32_t, UnconfirmedOpen> m_unconfirmedOpens;
-    // Upstreams that may get new flows, by service, as of the directory's change m_indexedChange and the number of its
-    // removals then.
-    std::unordered_map<core::ServiceName, Records> m_recordsByService;
+    upstream::ZoneEvacuations m_evacuations;
+    bool m_isServiceEvacuated { false };
+    // As of the directory's change m_indexedChange and the number of its removals then.
+    std::unordered_map<core::ServiceName, ServiceUpstreams> m_upstreamsByService;
     std::uint64_t m_indexedChange { 0 };
     std::uint64_t m_indexedRemovals { 0 };
     std::vector<Candidate> m_candidates;
--- a/src/ibisgw/runtime/ConfigurationMonitor.cpp
+++ b/src/ibisgw/runtime/ConfigurationMonitor.cpp
@@ -4,7 +4,8 @@
 
 void ConfigurationMonitor::update(sync::ConfigurationCheck check, core::TimePoint now)
 {
-    // Once confirmed, a configuration stays so while the controllers are in contact, as they announce each newer one.
+    // Once confirmed, a configuration and the evacuated zones stay so while the controllers are in contact, as they
+    // announce each newer one.
     m_isConfirmed = check == sync::ConfigurationCheck::Confirmed
         || (m_isConfirmed && check == sync::ConfigurationCheck::Unconfirmed);
     if (m_isConfirmed || check == sync::ConfigurationCheck::Isolated)
--- a/src/ibisgw/runtime/ConfigurationMonitor.h
+++ b/src/ibisgw/runtime/ConfigurationMonitor.h
@@ -7,10 +7,10 @@
 
 namespace ibisgw::runtime {
 
-// Decides whether a balancer may place new flows by the configuration that it holds. After a start or an isolation that
-// configuration may be outdated: the controllers that were reached first may have missed changes. An isolated balancer
-// goes on with what it holds, since nobody can tell it more. One that reaches a majority of the controllers must have
-// its configuration confirmed, within a time in which the controllers elect a leader.
+// Decides whether a balancer may place new flows by the configuration and the set of evacuated zones that it holds.
+// After a start or an isolation they may be outdated: the controllers that were reached first may have missed changes.
+// An isolated balancer goes on with what it holds, since nobody can tell it more. One that reaches a majority of the
+// controllers must have both confirmed, within a time in which the controllers elect a leader.
 class ConfigurationMonitor {
 public:
     // Longer than an election after a start of all controllers, shorter than the shortest time after which a balancer
--- a/src/ibisgw/runtime/DirectBalancer.cpp
+++ b/src/ibisgw/runtime/DirectBalancer.cpp
@@ -185,6 +185,7 @@
         return;
     if (const auto* update = std::get_if<sync::DirectoryUpdate>(&*message)) {
         m_subscriber.handle(sender, *update, now, *this);
+        applyEvacuations(now);
         m_hasReceivedDirectory = m_hasReceivedDirectory || m_subscriber.hasCompleteDirectory();
         if (update->version > m_announcedVersion) {
             m_announcedVersion = update->version;
@@ -220,6 +221,16 @@
     retryPendingPackets(now);
 }
 
+void DirectBalancer::applyEvacuations(core::TimePoint now)
+{
+    const auto& evacuations = m_subscriber.evacuations();
+    if (evacuations.revision == m_forwarder.evacuations().revision || !m_forwarder.setEvacuations(evacuations))
+        return;
+    m_events.record(Event::EvacuationsInForce, now, [&] {
+        return nlohmann::json { { "revision", evacuations.revision }, { "zones", evacuations.zones } };
+    });
+}
+
 void DirectBalancer::send(core::NodeId peer, const sync::SyncMessage& message)
 {
     m_peers.send(peer, adapters::PeerChannel::Sync, adapters::encodeSyncMessage(message));
@@ -230,6 +241,7 @@
     const auto now = m_loop.now();
     recordActivity(now);
     m_subscriber.tick(now, *this);
+    applyEvacuations(now);
     m_subscriber.fetchConfiguration(m_forwarder.version(), now, *this);
     m_forwarder.tick(now);
     updateProbes(now);
@@ -319,7 +331,8 @@
 {
     const bool hasReachableController = m_subscriber.reachableControllers(now) > 0;
     m_isolationMonitor.update(hasReachableController, now);
-    m_configurationMonitor.update(m_subscriber.checkConfiguration(m_forwarder.version(), now), now);
+    const auto check = m_subscriber.checkConfiguration(m_forwarder.version(), m_forwarder.evacuations().revision, now);
+    m_configurationMonitor.update(check, now);
     m_forwarder.setPlacing(m_configurationMonitor.mayPlaceFlows());
     if (isReady() != m_wasReady) {
         m_wasReady = isReady();
--- a/src/ibisgw/runtime/DirectBalancer.h
+++ b/src/ibisgw/runtime/DirectBalancer.h
@@ -61,6 +61,7 @@
     void releasePackets();
     void receiveMessage(core::NodeId sender, std::string_view body);
     void applyConfiguration(const sync::ConfigurationTransfer&, core::TimePoint now);
+    void applyEvacuations(core::TimePoint now);
     void tick();
     void handleProbeResult(upstream::InstanceId, direct::ProbeResult);
     void reportUnresponsive(upstream::InstanceId);
--- a/src/ibisgw/runtime/DirectBalancerMetrics.cpp
+++ b/src/ibisgw/runtime/DirectBalancerMetrics.cpp
@@ -34,8 +34,14 @@
     m_metrics.gauge("ibisgw_egress_queue_bytes", "Bytes that wait for the link")
         = static_cast<double>(m_pacer.queuedBytes());
     m_metrics.gauge("ibisgw_configuration_version", "Version in force") = static_cast<double>(m_forwarder.version());
-    m_metrics.gauge("ibisgw_configuration_unconfirmed", "1 while the version in force may be outdated")
+    m_metrics.gauge(
+        "ibisgw_configuration_unconfirmed", "1 while the version or the evacuated zones in force may be outdated")
         = m_configurationMonitor.mayPlaceFlows() ? 0 : 1;
+    const auto& evacuations = m_forwarder.evacuations();
+    m_metrics.gauge("ibisgw_evacuated_zones", "Availability zones whose upstreams get no new flows")
+        = static_cast<double>(evacuations.zones.size());
+    m_metrics.gauge("ibisgw_evacuation_revision", "Revision of the set of evacuated zones in force")
+        = static_cast<double>(evacuations.revision);
     m_metrics.gauge("ibisgw_ready", "1 while new flows may come") = isReady() ? 1 : 0;
     m_metrics.gauge("ibisgw_reachable_controllers", "Controllers that have answered lately")
         = static_cast<double>(m_subscriber.reachableControllers(m_loop.now()));
--- a/src/ibisgw/runtime/Event.cpp
+++ b/src/ibisgw/runtime/Event.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-constexpr std::size_t eventCount = 42;
+constexpr std::size_t eventCount = 43;
 
 constexpr core::NameTable<Event, eventCount> eventNames { {
     { Event::FlowPlaced, "flow_placed" },
@@ -35,6 +35,7 @@
     { Event::ConfigurationInvalid, "configuration_invalid" },
     { Event::ConfigurationUndecided, "configuration_undecided" },
     { Event::ConfigurationInForce, "configuration_in_force" },
+    { Event::EvacuationsInForce, "evacuations_in_force" },
     { Event::ReadRefused, "read_refused" },
     { Event::LeaderChanged, "leader_changed" },
     { Event::MembersChanged, "members_changed" },
--- a/src/ibisgw/runtime/Event.h
+++ b/src/ibisgw/runtime/Event.h
@@ -39,6 +39,7 @@
     ConfigurationInvalid,
     ConfigurationUndecided,
     ConfigurationInForce,
+    EvacuationsInForce,
     ReadRefused,
     // Raft and its log store (controllers).
     LeaderChanged,
--- a/src/ibisgw/sync/DirectoryFeed.cpp
+++ b/src/ibisgw/sync/DirectoryFeed.cpp
@@ -80,19 +80,20 @@
 {
     sendAnnouncements(status, now, output);
     publishTo(true, status, now, output);
-    if (now < m_nextBalancerUpdate)
+    const bool isEvacuationChanged = status.evacuations.revision != m_publishedEvacuationRevision[0];
+    if (now < m_nextBalancerUpdate && !isEvacuationChanged)
         return;
     m_nextBalancerUpdate = now + minBalancerUpdateInterval;
     publishStatus(status, output);
     publishTo(false, status, now, output);
 }
 
-// Pushes a new configuration version, and a change of isCurrent or isVoter, also to the balancers that follow another
-// controller.
+// Pushes a new configuration version, a new set of evacuated zones, and a change of isCurrent or isVoter, also to the
+// balancers that follow another controller.
 void DirectoryFeed::publishStatus(const FeedStatus& status, SyncOutput& output)
 {
     const bool isChanged = status.version != m_publishedVersion[0] || status.isCurrent != m_publishedIsCurrent
-        || status.isVoter != m_publishedIsVoter;
+        || status.isVoter != m_publishedIsVoter || status.evacuations.revision != m_publishedEvacuationRevision[0];
     m_publishedIsCurrent = status.isCurrent;
     m_publishedIsVoter = status.isVoter;
     if (!isChanged)
@@ -107,10 +108,13 @@
 {
     auto& publishedChange = m_publishedChange[toControllers ? 1 : 0];
     auto& publishedVersion = m_publishedVersion[toControllers ? 1 : 0];
-    if (m_directory.newestChange() == publishedChange && status.version == publishedVersion)
+    auto& publishedEvacuationRevision = m_publishedEvacuationRevision[toControllers ? 1 : 0];
+    if (m_directory.newestChange() == publishedChange && status.version == publishedVersion
+        && status.evacuations.revision == publishedEvacuationRevision)
         return;
     publishedChange = m_directory.newestChange();
     publishedVersion = status.version;
+    publishedEvacuationRevision = status.evacuations.revision;
     std::erase_if(
         m_subscribers, [now](const auto& it) { return now - it.second.lastSubscriptionAt > subscriberTimeout; });
     // Balancers that hold the same changes receive the same update, which is built once. So do controllers that hold
@@ -135,7 +139,7 @@
 {
     return { m_feed, acknowledged, acknowledged, {}, {}, status.version, status.controllers, status.membershipIndex,
         acknowledged < m_directory.newestChange(), {}, status.zone, status.isCurrent, status.loggedVersion,
-        status.isVoter };
+        status.isVoter, status.evacuations, status.loggedEvacuationRevision };
 }
 
 DirectoryUpdate DirectoryFeed::makeUpdate(
--- a/src/ibisgw/sync/DirectoryFeed.h
+++ b/src/ibisgw/sync/DirectoryFeed.h
@@ -2,6 +2,7 @@
 
 #include "ibisgw/sync/SyncMessage.h"
 #include "ibisgw/upstream/InstanceDirectory.h"
+#include "ibisgw/upstream/ZoneEvacuations.h"
 
 #include <map>
 #include <span>
@@ -21,6 +22,8 @@
     // See DirectoryUpdate.
     direct::ConfigurationVersion loggedVersion { 0 };
     bool isVoter { true };
+    upstream::ZoneEvacuations evacuations;
+    std::uint64_t loggedEvacuationRevision { 0 };
 };
 
 // Sends the upstream directory of one controller to its subscribers: the balancers that follow the controller, and the
@@ -34,7 +37,8 @@
     // Registers or refreshes a subscriber and replies with the next update.
     void handle(core::NodeId from, const Subscription&, const FeedStatus&, core::TimePoint now, SyncOutput&);
     // Sends the changes since the last call to the subscribers. To be called in each iteration of the event loop; a
-    // call without changes sends nothing.
+    // call without changes sends nothing. A change of the evacuated zones goes to all subscribers at once, other
+    // changes for balancers are collected for a short time.
     void publish(const FeedStatus&, core::TimePoint now, SyncOutput&);
 
     // Sets the balancers that followed this controller before its restart. publish() sends them its status for a few
@@ -91,6 +95,7 @@
     // What publish() sent last: [0] to balancers, [1] to controllers.
     std::uint64_t m_publishedChange[2] {};
     direct::ConfigurationVersion m_publishedVersion[2] {};
+    std::uint64_t m_publishedEvacuationRevision[2] {};
     bool m_publishedIsCurrent { false };
     bool m_publishedIsVoter { false };
     core::TimePoint m_nextBalancerUpdate {};
--- a/src/ibisgw/sync/DirectorySubscriber.cpp
+++ b/src/ibisgw/sync/DirectorySubscriber.cpp
@@ -172,6 +172,7 @@
     auto& feed = m_feeds[from];
     noteStatus(feed, update, now);
     adoptControllers(update);
+    adoptEvacuations(update);
     if (update.from > feed.acknowledged)
         return;
     const bool isDurable = keepDepartures(update, now);
@@ -196,6 +197,7 @@
     feed.unansweredSince.reset();
     feed.version = update.version;
     feed.loggedVersion = update.loggedVersion;
+    feed.loggedEvacuationRevision = update.loggedEvacuationRevision;
     feed.zone = update.zone;
     feed.isCurrent = update.isCurrent;
     feed.isVoter = update.isVoter;
@@ -277,6 +279,12 @@
     m_members = update.controllers;
 }
 
+void DirectorySubscriber::adoptEvacuations(const DirectoryUpdate& update)
+{
+    if (update.evacuations.revision > m_evacuations.revision)
+        m_evacuations = update.evacuations;
+}
+
 void DirectorySubscriber::addController(core::NodeId node)
 {
     constexpr std::size_t maxContacts = 16;
@@ -318,7 +326,8 @@
     output.send(m_lastRequested, ConfigurationRequest { held });
 }
 
-ConfigurationCheck DirectorySubscriber::checkConfiguration(direct::ConfigurationVersion held, core::TimePoint now) const
+ConfigurationCheck DirectorySubscriber::checkConfiguration(
+    direct::ConfigurationVersion heldVersion, std::uint64_t heldEvacuationRevision, core::TimePoint now) const
 {
     const auto& members = m_members.empty() ? m_options.seeds : m_members;
     std::size_t inContact = 0;
@@ -328,7 +337,9 @@
         if (found == m_feeds.end() || !isInContact(found->second, now, contactLimit))
             continue;
         ++inContact;
-        if (found->second.isVoter && found->second.loggedVersion <= held)
+        const auto& feed = found->second;
+        if (feed.isVoter && feed.loggedVersion <= heldVersion
+            && feed.loggedEvacuationRevision <= heldEvacuationRevision)
             ++confirming;
     }
     const auto majority = members.size() / 2 + 1;
--- a/src/ibisgw/sync/DirectorySubscriber.h
+++ b/src/ibisgw/sync/DirectorySubscriber.h
@@ -26,11 +26,11 @@
     core::ZoneName zone;
 };
 
-// Whether a configuration is known to be the newest accepted one.
+// Whether a configuration and a set of evacuated zones are known to be the newest accepted ones.
 enum class ConfigurationCheck : std::uint8_t {
     Isolated, // fewer than a majority of the controllers are in contact, so that nothing can be known
-    Unconfirmed, // a majority is in contact, and a newer version may have been accepted
-    Confirmed, // a majority of the controllers are voters that have logged no newer version
+    Unconfirmed, // a majority is in contact, and a newer version or set may have been accepted
+    Confirmed, // a majority of the controllers are voters that have logged neither a newer version nor a newer set
 };
 
 // Keeps a copy of the upstream directory up to date by subscriptions to the feeds of controllers. A controller
@@ -51,8 +51,10 @@
     // Requests the newest configuration if a controller has reported one above the version held here. Requests go to
     // one controller at a time; the next controller is tried when no transfer arrives.
     void fetchConfiguration(direct::ConfigurationVersion held, core::TimePoint now, SyncOutput&);
-    // Each accepted version is in the logs of a majority of the voters, and any two majorities have a voter in common.
-    ConfigurationCheck checkConfiguration(direct::ConfigurationVersion held, core::TimePoint now) const;
+    // Each accepted version, and each committed set of evacuated zones, is in the logs of a majority of the voters, and
+    // any two majorities have a voter in common.
+    ConfigurationCheck checkConfiguration(
+        direct::ConfigurationVersion heldVersion, std::uint64_t heldEvacuationRevision, core::TimePoint now) const;
     // Sends the subscriptions that are due.
     void tick(core::TimePoint now, SyncOutput&);
     // Makes all subscriptions due, because updates may have been missed.
@@ -61,6 +63,8 @@
     // Adds a controller that has sent a message without being a seed or a known member of the group.
     void addController(core::NodeId);
 
+    // The committed set of evacuated zones with the highest revision received from any controller.
+    const upstream::ZoneEvacuations& evacuations() const { return m_evacuations; }
     // True when all changes of at least one controller were received.
     bool hasCompleteDirectory() const;
     // Number of controllers that have sent an update within contactLimit.
@@ -82,6 +86,7 @@
         // Status of the controller, from its last update.
         direct::ConfigurationVersion version { 0 };
         direct::ConfigurationVersion loggedVersion { 0 };
+        std::uint64_t loggedEvacuationRevision { 0 };
         core::ZoneName zone;
         bool isCurrent { false };
         bool isVoter { false };
@@ -101,6 +106,7 @@
     FollowMode modeOf(core::NodeId, const Feed&, core::TimePoint now) const;
     void chooseFollowed(core::TimePoint now);
     bool isResponding(const Feed&, core::TimePoint now) const;
+    void adoptEvacuations(const DirectoryUpdate&);
     static void noteStatus(Feed&, const DirectoryUpdate&, core::TimePoint now);
     bool needsImmediateSubscription(core::NodeId, const Feed&, const DirectoryUpdate&, bool isNew, core::TimePoint now);
     bool noteFillProgress(core::NodeId, bool hasMore, core::TimePoint now);
@@ -121,6 +127,7 @@
     // Controllers of addController(), the oldest first.
     std::vector<core::NodeId> m_contacts;
     std::uint64_t m_membershipIndex { 0 };
+    upstream::ZoneEvacuations m_evacuations;
     std::optional<core::TimePoint> m_startedAt;
     // Earliest time of the next configuration request, and the controller that received the last one.
     core::TimePoint m_nextConfigurationRequest {};
--- a/src/ibisgw/sync/SyncMessage.h
+++ b/src/ibisgw/sync/SyncMessage.h
@@ -2,6 +2,7 @@
 
 #include "ibisgw/direct/RouteConfiguration.h"
 #include "ibisgw/upstream/InstanceReport.h"
+#include "ibisgw/upstream/ZoneEvacuations.h"
 
 #include <string>
 #include <variant>
@@ -93,6 +94,10 @@
     direct::ConfigurationVersion loggedVersion { 0 };
     // The controller is a voter of the group, and its log holds every entry that it has acknowledged.
     bool isVoter { true };
+    // Committed set of evacuated zones with the highest revision that the controller has received.
+    upstream::ZoneEvacuations evacuations;
+    // Highest revision of such a set in the controller's log, committed or not.
+    std::uint64_t loggedEvacuationRevision { 0 };
 
     bool operator==(const DirectoryUpdate&) const = default;
 };
--- a/tests/runtime/ConfigurationMonitorTests.cpp
+++ b/tests/runtime/ConfigurationMonitorTests.cpp
@@ -39,7 +39,7 @@
             m_subscriber.handle(it, update, m_group.now(), m_output);
             m_held = std::max(m_held, controller.version());
         }
-        m_monitor.update(m_subscriber.checkConfiguration(m_held, m_group.now()), m_group.now());
+        m_monitor.update(m_subscriber.checkConfiguration(m_held, 0, m_group.now()), m_group.now());
     }
 
     direct::ConfigurationVersion held() const { return m_held; }
--- a/tests/sync/DirectorySyncTests.cpp
+++ b/tests/sync/DirectorySyncTests.cpp
@@ -499,31 +499,31 @@
         DirectorySubscriber subscriber({ balancerNode, 5, false, controllers }, copy);
         const auto receive
             = [&](core::NodeId from, const DirectoryUpdate& update) { subscriber.handle(from, update, now, outbox); };
-        CHECK(subscriber.checkConfiguration(9, now) == ConfigurationCheck::Isolated);
+        CHECK(subscriber.checkConfiguration(9, 0, now) == ConfigurationCheck::Isolated);
         receive(controllers[0], statusOf(9, 9, true));
-        CHECK(subscriber.checkConfiguration(9, now) == ConfigurationCheck::Isolated);
+        CHECK(subscriber.checkConfiguration(9, 0, now) == ConfigurationCheck::Isolated);
 
         SUBCASE("that have logged no newer version")
         {
             receive(controllers[1], statusOf(8, 9, true));
-            CHECK(subscriber.checkConfiguration(9, now) == ConfigurationCheck::Confirmed);
-            CHECK(subscriber.checkConfiguration(9, now + contactLimit + 1ms) == ConfigurationCheck::Isolated);
+            CHECK(subscriber.checkConfiguration(9, 0, now) == ConfigurationCheck::Confirmed);
+            CHECK(subscriber.checkConfiguration(9, 0, now + contactLimit + 1ms) == ConfigurationCheck::Isolated);
         }
         SUBCASE("not by one that has logged a newer version")
         {
             receive(controllers[1], statusOf(9, 12, true));
-            CHECK(subscriber.checkConfiguration(9, now) == ConfigurationCheck::Unconfirmed);
-            CHECK(subscriber.checkConfiguration(12, now) == ConfigurationCheck::Confirmed);
+            CHECK(subscriber.checkConfiguration(9, 0, now) == ConfigurationCheck::Unconfirmed);
+            CHECK(subscriber.checkConfiguration(12, 0, now) == ConfigurationCheck::Confirmed);
         }
         SUBCASE("not by one that has lost its disk")
         {
             receive(controllers[1], statusOf(0, 0, false));
-            CHECK(subscriber.checkConfiguration(9, now) == ConfigurationCheck::Unconfirmed);
+            CHECK(subscriber.checkConfiguration(9, 0, now) == ConfigurationCheck::Unconfirmed);
         }
         SUBCASE("not by one that is no member")
         {
             receive({ 13 }, statusOf(9, 9, true));
-            CHECK(subscriber.checkConfiguration(9, now) == ConfigurationCheck::Isolated);
+            CHECK(subscriber.checkConfiguration(9, 0, now) == ConfigurationCheck::Isolated);
         }
     }
 
