--- a/src/ibisgw/runtime/Event.cpp
+++ b/src/ibisgw/runtime/Event.cpp
@@ -36,6 +36,7 @@
     { Event::ConfigurationInvalid, "configuration_invalid" },
     { Event::ConfigurationUndecided, "configuration_undecided" },
     { Event::ConfigurationInForce, "configuration_in_force" },
+    { Event::EvacuationsInForce, "evacuations_in_force" },
     { Event::ReadRefused, "read_refused" },
     { Event::LeaderChanged, "leader_changed" },
     { Event::MembersChanged, "members_changed" },
--- a/src/ibisgw/runtime/Event.h
+++ b/src/ibisgw/runtime/Event.h
@@ -40,6 +40,7 @@
     ConfigurationInvalid,
     ConfigurationUndecided,
     ConfigurationInForce,
+    EvacuationsInForce,
     ReadRefused,
     // Raft and its log store (controllers).
     LeaderChanged,
--- a/src/ibisgw/sync/SyncMessage.h
+++ b/src/ibisgw/sync/SyncMessage.h
@@ -3,6 +3,7 @@
 #include "ibisgw/direct/RouteConfiguration.h"
 #include "ibisgw/upstream/FailureMarker.h"
 #include "ibisgw/upstream/InstanceReport.h"
+#include "ibisgw/upstream/ZoneEvacuations.h"
 
 #include <string>
 #include <variant>
@@ -94,6 +95,10 @@
     direct::ConfigurationVersion loggedVersion { 0 };
     // The controller is a voter of the group, and its log holds every entry that it has acknowledged.
     bool isVoter { true };
+    // Committed set of evacuated zones with the highest revision that the controller has received.
+    upstream::ZoneEvacuations evacuations;
+    // Highest revision of such a set in the controller's log, committed or not.
+    std::uint64_t loggedEvacuationRevision { 0 };
 
     bool operator==(const DirectoryUpdate&) const = default;
 };
