Add the evacuations to the status of a feed

Controllers publish the committed set of evacuated zones and the highest revision in their logs with their status. The fields are at the end with default values, so that existing initializers are unchanged.

--- a/src/ibisgw/sync/DirectoryFeed.h
+++ b/src/ibisgw/sync/DirectoryFeed.h
@@ -2,6 +2,7 @@
 
 #include "ibisgw/sync/SyncMessage.h"
 #include "ibisgw/upstream/InstanceDirectory.h"
+#include "ibisgw/upstream/ZoneEvacuations.h"
 
 #include <map>
 #include <span>
@@ -21,6 +22,10 @@
     // See DirectoryUpdate.
     direct::ConfigurationVersion loggedVersion { 0 };
     bool isVoter { true };
+    // Committed set of evacuated zones.
+    upstream::ZoneEvacuations evacuations;
+    // Highest revision of evacuated zones in the log of the controller, committed or not.
+    std::uint64_t loggedEvacuationRevision { 0 };
 };
 
 // Sends the upstream directory of one controller to its subscribers: the balancers that follow the controller, and the
