Take orders to evacuate zones on the leader of the controllers

EvacuationOrders proposes the next revision, starting from the newest set in the log of the leader, or begins a read when the order changes nothing. A changed set is acknowledged once its entry is applied while the same term is led; an unchanged one once the read is confirmed and the entry that holds the set is applied.

--- a/src/ibisgw/configuration/ConfigurationRegister.cpp
+++ b/src/ibisgw/configuration/ConfigurationRegister.cpp
@@ -13,6 +13,7 @@
 
 ConfigurationRegister::ConfigurationRegister(RaftOptions options, LogStore& store, core::RandomSource& random)
     : m_raft(std::move(options), store, m_state, random)
+    , m_evacuationOrders(m_raft, m_state)
 {
 }
 
--- a/src/ibisgw/configuration/ConfigurationRegister.h
+++ b/src/ibisgw/configuration/ConfigurationRegister.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "ibisgw/configuration/EvacuationOrders.h"
 #include "ibisgw/configuration/RaftNode.h"
 #include "ibisgw/configuration/RegisterState.h"
 
@@ -14,9 +15,10 @@
     Unknown, // this controller cannot decide the change; the sender retries it at any controller
 };
 
-// A replicated register that holds one configuration text. The caller chooses the version numbers, and the highest
-// committed version is in force. Runs a RaftNode, tracks the status of proposed changes, and restarts the node after
-// a store failure, so that a disk that rejects writes for a while does not stop the controller permanently.
+// A replicated register that holds one configuration text and the set of evacuated zones. The caller chooses the
+// version numbers of the text, and the highest committed version is in force. Runs a RaftNode, tracks the status of
+// proposed changes, and restarts the node after a store failure, so that a disk that rejects writes for a while does
+// not stop the controller permanently.
 class ConfigurationRegister {
 public:
     ConfigurationRegister(RaftOptions, LogStore&, core::RandomSource&);
@@ -48,6 +50,13 @@
     // Highest version in the log of this controller, accepted or not.
     std::uint64_t loggedVersion() const;
 
+    // Newest committed set of evacuated zones that this controller has applied.
+    const upstream::ZoneEvacuations& evacuations() const { return m_state.evacuations(); }
+    // Highest revision of evacuated zones in the log of this controller, committed or not.
+    std::uint64_t loggedEvacuationRevision() const { return m_evacuationOrders.newest().evacuations.revision; }
+    EvacuationOrders& evacuationOrders() { return m_evacuationOrders; }
+    const EvacuationOrders& evacuationOrders() const { return m_evacuationOrders; }
+
     const RaftNode& raft() const { return m_raft; }
     const Membership& membership() const { return m_raft.log().membership(); }
 
@@ -57,6 +66,7 @@
 
     RegisterState m_state;
     RaftNode m_raft;
+    EvacuationOrders m_evacuationOrders;
     // Versions that this controller has proposed as leader of m_pendingTerm and that are not committed yet.
     std::set<std::uint64_t> m_pendingVersions;
     Term m_pendingTerm { 0 };
--- a/tests/support/RegisterGroup.cpp
+++ b/tests/support/RegisterGroup.cpp
@@ -13,6 +13,8 @@
 
 constexpr core::Duration tickInterval = 20ms;
 constexpr core::Duration leaveLimit = 3s;
+// Time after which a controller answers an order whose outcome is open.
+constexpr core::Duration orderTimeout = 850ms;
 // Number of controllers that the settings of each controller list as seeds.
 constexpr std::size_t seedCount = 3;
 
@@ -115,7 +117,8 @@
 void RegisterGroup::deliver(core::NodeId from, core::NodeId to, const RaftMessage& message)
 {
     const auto target = m_members.find(to);
-    if (m_isolated.contains(from) || m_isolated.contains(to) || target == m_members.end() || !target->second.instance)
+    if (m_isolated.contains(from) || m_isolated.contains(to) || m_paused.contains(to) || target == m_members.end()
+        || !target->second.instance)
         return;
     Output output(*this, to);
     target->second.instance->handleMessage(from, message, m_queue.now(), output);
@@ -128,7 +131,7 @@
         m_queue.runFor(tickInterval);
         for (auto& [node, member] : m_members) {
             Output output(*this, node);
-            if (member.instance)
+            if (member.instance && !m_paused.contains(node))
                 member.instance->tick(m_queue.now(), output);
         }
     }
@@ -174,6 +177,25 @@
     });
 }
 
+std::optional<OrderTicket> RegisterGroup::order(core::NodeId node, const EvacuationOrder& order)
+{
+    Output output(*this, node);
+    return m_members.at(node).instance->evacuationOrders().begin(order, m_queue.now(), output);
+}
+
+bool RegisterGroup::evacuate(const EvacuationOrder& order, core::Duration limit)
+{
+    return retryAtLeader(limit, [&](ConfigurationRegister& instance, RaftOutput& output) {
+        const auto ticket = instance.evacuationOrders().begin(order, m_queue.now(), output);
+        if (!ticket)
+            return false;
+        const auto end = m_queue.now() + orderTimeout;
+        while (m_queue.now() < end && instance.evacuationOrders().statusOf(*ticket) == OrderStatus::Pending)
+            runFor(tickInterval);
+        return instance.evacuationOrders().statusOf(*ticket) == OrderStatus::Acknowledged;
+    });
+}
+
 std::uint64_t RegisterGroup::read(core::Duration limit)
 {
     std::uint64_t version = 0;
--- a/tests/support/RegisterGroup.h
+++ b/tests/support/RegisterGroup.h
@@ -39,14 +39,23 @@
     // Drops all messages to and from the controller until reconnect().
     void isolate(core::NodeId node) { m_isolated.insert(node); }
     void reconnect(core::NodeId node) { m_isolated.erase(node); }
+    // Suspends the process until resume(): it neither runs nor receives messages.
+    void pause(core::NodeId node) { m_paused.insert(node); }
+    void resume(core::NodeId node) { m_paused.erase(node); }
 
     // Sets the share of the messages that are lost.
     void setLoss(double loss) { m_queue.conditions().loss = loss; }
+    // Sets the time that each message takes.
+    void setDelay(core::Duration delay) { m_queue.conditions().minDelay = m_queue.conditions().maxDelay = delay; }
 
     void runFor(core::Duration);
     // Replaces the configuration by one with this version, retrying at the current leader. False when the change was
     // not accepted within the limit.
     bool replace(std::uint64_t version, core::Duration limit = std::chrono::seconds(5));
+    // Gives the order to the controller; empty if the controller does not take it.
+    std::optional<configuration::OrderTicket> order(core::NodeId, const configuration::EvacuationOrder&);
+    // Repeats the order at the current leader until it is acknowledged. False when it was not within the limit.
+    bool evacuate(const configuration::EvacuationOrder&, core::Duration limit = std::chrono::seconds(5));
     // Version returned by a linearizable read; 0 if no read was confirmed within the limit.
     std::uint64_t read(core::Duration limit = std::chrono::seconds(10));
 
@@ -82,6 +91,7 @@
     std::vector<core::NodeId> m_seeds;
     std::map<core::NodeId, Member> m_members;
     std::set<core::NodeId> m_isolated;
+    std::set<core::NodeId> m_paused;
     core::PcgRandomSource m_random;
     MessageQueue m_queue;
 };
