Serve the calls that evacuate zones in the direct-return mode

Operators start and finish the evacuation of a zone at any controller: POST /Evacuations.Start/ZONE and /Evacuations.Finish/ZONE. Calls are answered within 850 ms with 200, 307, 503, or 400 for a zone that the settings do not list. The committed set and the highest logged revision are part of the status that a controller publishes, in the same turn of the event loop and before the operator is answered.

Events evacuation_ordered and evacuations_in_force; metrics ibisgw_evacuated_zones, ibisgw_evacuation_revision and ibisgw_evacuation_commit_seconds.

--- a/src/ibisgw/runtime/DirectController.cpp
+++ b/src/ibisgw/runtime/DirectController.cpp
@@ -95,6 +95,8 @@
     , m_leaveConfirmationLatency(m_metrics.latency(
           "ibisgw_leave_confirmation_seconds", "From the report of an upstream that leaves to its acknowledgement"))
     , m_diskSyncLatency(m_metrics.latency("ibisgw_disk_sync_seconds", "Time of a sync of the log"))
+    , m_evacuationCalls(
+          m_register, { m_settings, m_directory, m_subscriber, m_register.evacuationOrders() }, m_events, m_metrics)
     , m_shutdownTimer({ minShutdownTime, quietPeriod, settings.gracePeriod - shutdownMargin })
 {
     m_logStore->onSynced([this](core::Duration it) { m_diskSyncLatency.record(it); });
@@ -237,6 +239,7 @@
 void DirectController::reload(const settings::DirectSettings& settings)
 {
     m_settings.seeds = settings.seeds;
+    m_settings.zones = settings.zones;
     m_subscriber.setSeeds(settings.seedNodes());
     m_events.setLinesPerSecond(settings.logLinesPerSecond);
 }
@@ -276,7 +279,8 @@
     const bool isCurrent = isAlone
         || (m_subscriber.hasCompleteDirectory() && canReachMajority(m_loop.now()) && !m_departures.isFailing());
     return { m_register.version(), nodes, m_register.raft().log().membershipIndex(), m_settings.zone, isCurrent,
-        m_register.loggedVersion(), m_register.raft().isConfirmedVoter() };
+        m_register.loggedVersion(), m_register.raft().isConfirmedVoter(), m_register.evacuations(),
+        m_register.loggedEvacuationRevision() };
 }
 
 void DirectController::receive(core::NodeId sender, PeerChannel channel, std::string_view body)
--- a/src/ibisgw/runtime/DirectController.h
+++ b/src/ibisgw/runtime/DirectController.h
@@ -10,7 +10,9 @@
 #include "ibisgw/configuration/RaftOutput.h"
 #include "ibisgw/core/PcgRandomSource.h"
 #include "ibisgw/runtime/ConfigurationFormat.h"
+#include "ibisgw/runtime/ControlAnswer.h"
 #include "ibisgw/runtime/DirectoryChangeLogger.h"
+#include "ibisgw/runtime/EvacuationCalls.h"
 #include "ibisgw/runtime/EventLog.h"
 #include "ibisgw/runtime/ProcessMonitor.h"
 #include "ibisgw/runtime/ShutdownTimer.h"
@@ -27,31 +29,12 @@
 
 namespace ibisgw::runtime {
 
-// Outcome of a call of an upstream or an operator.
-enum class AnswerKind : std::uint8_t {
-    Done,
-    RedirectToLeader, // ControlAnswer::leader holds the control address of the leader
-    Refused, // the request is valid, but names what does not exist
-    Unavailable, // the leader is unknown, or the result was not confirmed in time; the client may retry elsewhere
-};
-
-struct ControlAnswer {
-    AnswerKind kind { AnswerKind::Unavailable };
-    std::optional<core::Endpoint> leader;
-    // Text of the configuration, for a read.
-    std::string text;
-    // Control address to which the upstream should send its reports from now on; empty to keep the present one.
-    std::optional<core::Endpoint> reportTo;
-};
-
 // Controller process of the direct-return mode: receives reports of upstreams and configurations of operators,
 // replicates configurations through Raft, and publishes the upstream directory to balancers and other controllers.
 class DirectController final : private configuration::RaftOutput,
                                private sync::SyncOutput,
                                private sync::DepartureStore {
 public:
-    using AnswerHandler = std::function<void(const ControlAnswer&)>;
-
     static core::Result<std::unique_ptr<DirectController>> create(
         const settings::DirectSettings&, adapters::EventLoop&, const ConfigurationFormat&, std::uint64_t seed);
 
@@ -64,6 +47,7 @@
     // The text must be a valid configuration.
     void replaceConfiguration(direct::ConfigurationVersion, const std::string& text, AnswerHandler);
     void readConfiguration(AnswerHandler);
+    void orderEvacuation(const configuration::EvacuationOrder&, AnswerHandler);
     // Log input that the API has rejected.
     void logRefusedReport(const std::string& instance);
     void logInvalidConfiguration(const core::Problem&);
@@ -157,6 +141,7 @@
     adapters::LatencyHistogram& m_commitLatency;
     adapters::LatencyHistogram& m_leaveConfirmationLatency;
     adapters::LatencyHistogram& m_diskSyncLatency;
+    EvacuationCalls m_evacuationCalls;
     core::NodeId m_loggedLeader;
     std::uint64_t m_loggedMembershipIndex { 0 };
     configuration::RaftRole m_loggedRole { configuration::RaftRole::CheckingDisk };
--- a/src/ibisgw/runtime/DirectControllerCalls.cpp
+++ b/src/ibisgw/runtime/DirectControllerCalls.cpp
@@ -8,15 +8,8 @@
 // Calls of upstreams and operators.
 namespace ibisgw::runtime {
 
-namespace {
-
 using configuration::ReplaceStatus;
 
-// Upstreams and operators try another controller after 1 s without an answer, so calls are answered before that.
-constexpr core::Duration answerTimeout = std::chrono::milliseconds(850);
-
-} // namespace
-
 void DirectController::report(const upstream::InstanceReport& report, AnswerHandler answer)
 {
     const auto now = m_loop.now();
@@ -36,7 +29,7 @@
         answer({ AnswerKind::Done, {}, {}, reportTargetOf(report, now) });
         return;
     }
-    m_waitingReports.push_back({ report.id, record->lastChange, now, now + answerTimeout, std::move(answer) });
+    m_waitingReports.push_back({ report.id, record->lastChange, now, now + callTimeout, std::move(answer) });
 }
 
 // Another writer may report the identifier or the address of an upstream, and would end that upstream. The directory
@@ -120,7 +113,7 @@
             return nlohmann::json { { "version", version }, { "held", m_register.version() },
                 { "bytes", text.size() } };
         });
-        m_waitingChanges.push_back({ version, now, now + answerTimeout, std::move(answer) });
+        m_waitingChanges.push_back({ version, now, now + callTimeout, std::move(answer) });
     }
     completeWaitingCalls(now);
 }
@@ -137,7 +130,16 @@
         answer(redirectToLeader());
         return;
     }
-    m_waitingReads.push_back({ *ticket, now + answerTimeout, std::move(answer) });
+    m_waitingReads.push_back({ *ticket, now + callTimeout, std::move(answer) });
+    completeWaitingCalls(now);
+}
+
+// A committed set is published before the operator learns of it.
+void DirectController::orderEvacuation(const configuration::EvacuationOrder& order, AnswerHandler answer)
+{
+    const auto now = m_loop.now();
+    m_evacuationCalls.begin(order, redirectToLeader(), now, *this, std::move(answer));
+    m_feed.publish(feedHead(), now, *this);
     completeWaitingCalls(now);
 }
 
@@ -175,6 +177,7 @@
     std::erase_if(m_waitingReports, [&](const WaitingReport& it) { return completeReport(it, now); });
     std::erase_if(m_waitingChanges, [&](const WaitingChange& it) { return completeChange(it, now); });
     std::erase_if(m_waitingReads, [&](const WaitingRead& it) { return completeRead(it, now); });
+    m_evacuationCalls.complete(now);
 }
 
 bool DirectController::completeReport(const WaitingReport& waiting, core::TimePoint now)
--- a/src/ibisgw/runtime/DirectControllerMetrics.cpp
+++ b/src/ibisgw/runtime/DirectControllerMetrics.cpp
@@ -25,6 +25,7 @@
         m_metrics.counter("ibisgw_calls_total", "Calls of operators and upstreams by outcome",
             { { "outcome", std::string(nameOf(event)) } })
             = m_events.count(event);
+    m_evacuationCalls.updateMetrics();
     m_processMonitor.updateCounters(m_events, m_peers);
     updateUpstreamGauges(m_directory, m_metrics);
     return m_metrics.render();
--- a/src/ibisgw/runtime/Event.cpp
+++ b/src/ibisgw/runtime/Event.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-constexpr std::size_t eventCount = 42;
+constexpr std::size_t eventCount = 44;
 
 constexpr core::NameTable<Event, eventCount> eventNames { {
     { Event::FlowPlaced, "flow_placed" },
@@ -36,6 +36,8 @@
     { Event::ConfigurationUndecided, "configuration_undecided" },
     { Event::ConfigurationInForce, "configuration_in_force" },
     { Event::ReadRefused, "read_refused" },
+    { Event::EvacuationOrdered, "evacuation_ordered" },
+    { Event::EvacuationsInForce, "evacuations_in_force" },
     { Event::LeaderChanged, "leader_changed" },
     { Event::MembersChanged, "members_changed" },
     { Event::StoreFailed, "store_failed" },
--- a/src/ibisgw/runtime/Event.h
+++ b/src/ibisgw/runtime/Event.h
@@ -40,6 +40,9 @@
     ConfigurationUndecided,
     ConfigurationInForce,
     ReadRefused,
+    // Evacuations of zones (balancers and controllers).
+    EvacuationOrdered,
+    EvacuationsInForce,
     // Raft and its log store (controllers).
     LeaderChanged,
     MembersChanged,
--- a/src/ibisgw/settings/DirectSettings.cpp
+++ b/src/ibisgw/settings/DirectSettings.cpp
@@ -39,6 +39,7 @@
 {
     reader.readEndpoint("control", settings.control, Presence::Required, PortRule::ZeroAllowed);
     reader.readText("data_folder", settings.dataFolder, Presence::Required);
+    reader.readNames("zones", settings.zones, Presence::Optional);
     reader.readBoolean("first_start", settings.firstStart);
     reader.readInteger(
         "tolerated_disk_losses", settings.toleratedDiskLosses, 0, maxToleratedDiskLosses, Presence::Optional);
--- a/src/ibisgw/settings/DirectSettings.h
+++ b/src/ibisgw/settings/DirectSettings.h
@@ -34,6 +34,8 @@
     // Controllers only: address at which upstreams send reports and operators submit configurations.
     core::Endpoint control;
     std::string dataFolder;
+    // Names of all zones of the deployment; empty if they are not known.
+    std::vector<core::ZoneName> zones;
     // True only at the first start of the whole deployment, when all disks are empty: the controllers may then
     // bootstrap a group.
     bool firstStart { false };
