--- a/src/ibisgw/runtime/Event.cpp
+++ b/src/ibisgw/runtime/Event.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-constexpr std::size_t eventCount = 43;
+constexpr std::size_t eventCount = 45;
 
 constexpr core::NameTable<Event, eventCount> eventNames { {
     { Event::FlowPlaced, "flow_placed" },
@@ -36,8 +36,9 @@
     { Event::ConfigurationInvalid, "configuration_invalid" },
     { Event::ConfigurationUndecided, "configuration_undecided" },
     { Event::ConfigurationInForce, "configuration_in_force" },
-    { Event::EvacuationsInForce, "evacuations_in_force" },
     { Event::ReadRefused, "read_refused" },
+    { Event::EvacuationOrdered, "evacuation_ordered" },
+    { Event::EvacuationsInForce, "evacuations_in_force" },
     { Event::LeaderChanged, "leader_changed" },
     { Event::MembersChanged, "members_changed" },
     { Event::StoreFailed, "store_failed" },
--- a/src/ibisgw/runtime/Event.h
+++ b/src/ibisgw/runtime/Event.h
@@ -40,8 +40,10 @@
     ConfigurationInvalid,
     ConfigurationUndecided,
     ConfigurationInForce,
-    EvacuationsInForce,
     ReadRefused,
+    // Evacuations of zones (balancers and controllers).
+    EvacuationOrdered,
+    EvacuationsInForce,
     // Raft and its log store (controllers).
     LeaderChanged,
     MembersChanged,
--- a/src/ibisgw/sync/DirectoryFeed.h
+++ b/src/ibisgw/sync/DirectoryFeed.h
@@ -22,7 +22,9 @@
     // See DirectoryUpdate.
     direct::ConfigurationVersion loggedVersion { 0 };
     bool isVoter { true };
+    // Committed set of evacuated zones.
     upstream::ZoneEvacuations evacuations;
+    // Highest revision of evacuated zones in the log of the controller, committed or not.
     std::uint64_t loggedEvacuationRevision { 0 };
 };
 
