Ignore the silence of upstreams while the balancer's own link is congested

In a replay of ten times the callers, balancers with links of 2 Mbit/s found up to 16 upstreams of all zones unresponsive within 0.3 s, although these served, and reset their open flows. The silence was the balancers' own: up to 1 s of packets waited in the pacer.

LinkCongestion judges by the waits in the pacer, drops because its queue is full, and pauses of the process. Until 200 ms after the last sign, retransmissions, unconfirmed openings, response times and probes without an answer are not held against upstreams, and no probe starts. Refused probes count as before. SilenceLimit bounds the damage of what LinkCongestion doesn't see: when a tenth of the upstreams of every zone of a service and more than three are silent, no further one is found unresponsive without a refusal.

The replay of ten times the callers was not run again for this commit.

--- a/src/ibisgw/direct/EgressPacer.cpp
+++ b/src/ibisgw/direct/EgressPacer.cpp
@@ -88,6 +88,12 @@
     return std::nullopt;
 }
 
+core::Duration EgressPacer::longestWait(EgressClass egressClass, core::TimePoint now) const
+{
+    const auto& queue = m_queues[static_cast<std::size_t>(egressClass)];
+    return queue.empty() ? core::Duration::zero() : now - queue.front().queuedAt;
+}
+
 void EgressPacer::removeOldSent(core::TimePoint now)
 {
     while (!m_sent.empty() && now - m_sent.front().first > retransmissionWindow) {
--- a/src/ibisgw/direct/EgressPacer.h
+++ b/src/ibisgw/direct/EgressPacer.h
@@ -55,6 +55,8 @@
 
     bool isEmpty() const { return m_queuedBytes == 0; }
     std::size_t queuedBytes() const { return m_queuedBytes; }
+    // How long the oldest queued packet of the class has waited; 0 if there is none.
+    core::Duration longestWait(EgressClass, core::TimePoint now) const;
     std::uint64_t droppedRetransmissions() const { return m_droppedRetransmissions; }
     std::uint64_t droppedFull() const { return m_droppedFull; }
 
--- a/src/ibisgw/direct/FlowForwarder.cpp
+++ b/src/ibisgw/direct/FlowForwarder.cpp
@@ -53,8 +53,9 @@
     const InstanceSelector& selector, core::RandomSource& random)
     : m_options(std::move(options))
     , m_directory(directory)
-    , m_flows(m_options.limits, m_responses)
-    , m_placer(m_options.zone, directory, selector, random, m_flows, m_responses)
+    , m_silenceLimit(directory, m_responses)
+    , m_flows(m_options.limits, m_responses, m_congestion)
+    , m_placer(m_options.zone, directory, selector, random, m_flows, m_responses, m_congestion)
 {
 }
 
@@ -108,7 +109,8 @@
         if (flow.isOpen && now - flow.openedAt < FlowTracker::maxUnopenedFlowAge)
             return { ForwardAction::Drop, ForwardReason::LateCopy };
         if (!flow.isOpen && segment.acknowledged > 0) {
-            m_flows.load(flow.instance).noteOpenUnanswered(now);
+            if (!m_congestion.isCongested(now))
+                m_flows.load(flow.instance).noteOpenUnanswered(now);
             m_responses.noteRetransmission(flow.instance, now);
             silent = flow.instance;
         }
@@ -193,6 +195,16 @@
         && m_responses.isUnresponsive(record.report.id);
 }
 
+void FlowForwarder::noteProbe(upstream::InstanceId id, ProbeResult result, core::TimePoint now)
+{
+    if (result != ProbeResult::NoAnswer || !m_silenceLimit.isReachedFor(id)) {
+        m_responses.noteProbe(id, result, now);
+        return;
+    }
+    m_responses.discardProbe(id, now);
+    ++m_probesOverLimit;
+}
+
 void FlowForwarder::tick(core::TimePoint now)
 {
     m_flows.endOverdueWork(now);
--- a/src/ibisgw/direct/FlowForwarder.h
+++ b/src/ibisgw/direct/FlowForwarder.h
@@ -6,6 +6,7 @@
 #include "ibisgw/direct/FlowTracker.h"
 #include "ibisgw/direct/ResponseMonitor.h"
 #include "ibisgw/direct/RouteConfiguration.h"
+#include "ibisgw/direct/SilenceLimit.h"
 
 #include <memory>
 #include <optional>
@@ -80,6 +81,11 @@
 
     ForwardDecision handle(const FlowSegment&, core::TimePoint now);
     ResponseMonitor& responses() { return m_responses; }
+    // Must be told of the waits of packets for the link and of pauses of the process.
+    LinkCongestion& congestion() { return m_congestion; }
+    const LinkCongestion& congestion() const { return m_congestion; }
+    // Passes the result of a probe to responses(), unless too many upstreams of all zones are silent at once.
+    void noteProbe(upstream::InstanceId, ProbeResult, core::TimePoint now);
     // Returns false and ignores the configuration if its version isn't higher than the one in force.
     bool apply(std::shared_ptr<const RouteConfiguration>, core::TimePoint now);
     // Whether new flows are placed. Without that their opening packets are reset, and open flows go on.
@@ -97,6 +103,8 @@
     // Number of upstreams that get fewer new flows because they respond slowly.
     std::size_t slowInstances(core::TimePoint now) const { return m_flows.slowInstances(now); }
     ZoneOutageMonitor& zoneOutages() { return m_placer.zoneOutages(); }
+    // Observations that were not held against upstreams because the fault is probably this balancer's own.
+    std::uint64_t evidenceDiscarded() const { return m_congestion.discardedCount() + m_probesOverLimit; }
     std::uint64_t count(ForwardReason reason) const { return m_counts[static_cast<std::size_t>(reason)]; }
 
 private:
@@ -117,7 +125,9 @@
     std::shared_ptr<const RouteConfiguration> m_configuration;
     bool m_isPlacing { true };
     std::unordered_map<core::Endpoint, const Route*> m_routes;
-    ResponseMonitor m_responses;
+    LinkCongestion m_congestion;
+    ResponseMonitor m_responses { m_congestion };
+    SilenceLimit m_silenceLimit;
     FlowTracker m_flows;
     FlowPlacer m_placer;
     core::TimePoint m_nextExpiry {};
@@ -126,6 +136,7 @@
     std::uint64_t m_lastLossCount { 0 };
     core::TimePoint m_nextLostFlowSearch {};
     core::TimePoint m_lostFlowSearchEnd {};
+    std::uint64_t m_probesOverLimit { 0 };
     std::uint64_t m_counts[forwardReasonCount] {};
 };
 
--- a/src/ibisgw/direct/FlowPlacer.cpp
+++ b/src/ibisgw/direct/FlowPlacer.cpp
@@ -21,22 +21,18 @@
 // Older silence says nothing: the caller may have given up, or its later packets reach another balancer.
 constexpr core::Duration maxSilence = std::chrono::seconds(1);
 
-bool isSilent(const InstanceLoad& load, core::TimePoint now)
-{
-    const auto since = load.unconfirmedSince();
-    return since && now - *since >= silenceThreshold && now - *since <= maxSilence;
-}
-
 } // namespace
 
 FlowPlacer::FlowPlacer(core::ZoneName zone, const upstream::InstanceDirectory& directory,
-    const InstanceSelector& selector, core::RandomSource& random, FlowTracker& flows, const ResponseMonitor& responses)
+    const InstanceSelector& selector, core::RandomSource& random, FlowTracker& flows, const ResponseMonitor& responses,
+    const LinkCongestion& congestion)
     : m_zone(std::move(zone))
     , m_directory(directory)
     , m_selector(selector)
     , m_random(random)
     , m_flows(flows)
     , m_responses(responses)
+    , m_congestion(congestion)
 {
 }
 
@@ -100,7 +96,7 @@
 
 void FlowPlacer::suspectFailedZones(const core::ServiceName& service, const Records& records, core::TimePoint now)
 {
-    const auto silent = std::ranges::count_if(m_candidates, [now](const auto& it) { return isSilent(*it.load, now); });
+    const auto silent = std::ranges::count_if(m_candidates, [&](const auto& it) { return isSilent(*it.load, now); });
     const bool mayHaveFailed = static_cast<std::size_t>(silent) >= ZoneOutageMonitor::minSilentUpstreams;
     if (!mayHaveFailed && m_zoneOutages.suspectedZones() == 0)
         return;
@@ -129,17 +125,23 @@
     return zones;
 }
 
+bool FlowPlacer::isSilent(const InstanceLoad& load, core::TimePoint now) const
+{
+    const auto since = load.unconfirmedSince();
+    return since && now - m_congestion.countedFrom(*since) >= silenceThreshold && now - *since <= maxSilence;
+}
+
 bool FlowPlacer::isSuspect(const InstanceRecord& record, const InstanceLoad& load, core::TimePoint now) const
 {
     return record.isOverdue || m_responses.isUnresponsive(record.report.id) || load.isAvoided(now)
-        || load.isUnconfirmed(now);
+        || load.isUnconfirmed(now, m_congestion.clearAt());
 }
 
 std::optional<upstream::InstanceId> FlowPlacer::unconfirmedInstanceOf(
     const core::FlowKey& flow, core::TimePoint now) const
 {
     const auto found = m_unconfirmedOpens.find(flow.caller.address);
-    if (found == m_unconfirmedOpens.end())
+    if (found == m_unconfirmedOpens.end() || found->second.at < m_congestion.clearAt())
         return std::nullopt;
     const auto age = now - found->second.at;
     if (age < minRefusalDelay || age > FlowTracker::maxUnopenedFlowAge)
--- a/src/ibisgw/direct/FlowPlacer.h
+++ b/src/ibisgw/direct/FlowPlacer.h
@@ -18,7 +18,7 @@
 class FlowPlacer {
 public:
     FlowPlacer(core::ZoneName, const upstream::InstanceDirectory&, const InstanceSelector&, core::RandomSource&,
-        FlowTracker&, const ResponseMonitor&);
+        FlowTracker&, const ResponseMonitor&, const LinkCongestion&);
 
     // Returns null if no upstream of the service may get new flows. `silent` has not responded to an earlier packet
     // that opens the flow; it is selected only if no other is left. So is the upstream of the caller's last open,
@@ -45,6 +45,8 @@
     const core::ServiceName& drawService(const Route&);
     const Records& recordsOf(const core::ServiceName&);
     void collectCandidates(const Records&, std::optional<upstream::InstanceId> excluded, core::TimePoint now);
+    // Whether the upstream hasn't responded to an opening packet soon; counts as evidence for the failure of its zone.
+    bool isSilent(const InstanceLoad&, core::TimePoint now) const;
     bool isSuspect(const upstream::InstanceRecord&, const InstanceLoad&, core::TimePoint now) const;
     // Updates the judgement of the zones of a service and marks the candidates of zones whose upstreams have failed
     // together, except for a flow that tries such a zone.
@@ -58,6 +60,7 @@
     core::RandomSource& m_random;
     FlowTracker& m_flows;
     const ResponseMonitor& m_responses;
+    const LinkCongestion& m_congestion;
     // By IP address of the caller.
     std::unordered_map<std::uint32_t, UnconfirmedOpen> m_unconfirmedOpens;
     // Upstreams that may get new flows, by service, as of the directory's change m_indexedChange and the number of its
--- a/src/ibisgw/direct/FlowTracker.cpp
+++ b/src/ibisgw/direct/FlowTracker.cpp
@@ -24,9 +24,10 @@
 
 } // namespace
 
-FlowTracker::FlowTracker(FlowTrackerLimits limits, ResponseMonitor& responses)
+FlowTracker::FlowTracker(FlowTrackerLimits limits, ResponseMonitor& responses, LinkCongestion& congestion)
     : m_limits(limits)
     , m_responses(responses)
+    , m_congestion(congestion)
 {
 }
 
@@ -106,7 +107,7 @@
     m_responses.noteProgress(flow.instance);
     load(flow.instance).noteProgress(now);
     // A caller that acknowledges the response only with its next request shows when it sent that one.
-    if (flow.isAwaitingResponse && !observation.startsRequest)
+    if (flow.isAwaitingResponse && !observation.startsRequest && !m_congestion.discards(flow.workStartedAt))
         noteResponse(key, flow, now - flow.workStartedAt, now);
     flow.isAwaitingResponse = false;
     if (!flow.isWorking)
--- a/src/ibisgw/direct/FlowTracker.h
+++ b/src/ibisgw/direct/FlowTracker.h
@@ -74,7 +74,7 @@
     // A flow whose opening packet has received no response is removed after this time without a packet.
     static constexpr core::Duration maxUnopenedFlowAge = std::chrono::seconds(2);
 
-    FlowTracker(FlowTrackerLimits, ResponseMonitor&);
+    FlowTracker(FlowTrackerLimits, ResponseMonitor&, LinkCongestion&);
 
     Entry find(const core::FlowKey& key) { return m_flows.find(key); }
     Entry end() { return m_flows.end(); }
@@ -118,6 +118,7 @@
 
     FlowTrackerLimits m_limits;
     ResponseMonitor& m_responses;
+    LinkCongestion& m_congestion;
     FlowMap m_flows;
     std::unordered_map<upstream::InstanceId, InstanceLoad> m_loads;
     std::priority_queue<WorkDeadline, std::vector<WorkDeadline>, std::greater<>> m_workDeadlines;
--- a/src/ibisgw/direct/InstanceLoad.cpp
+++ b/src/ibisgw/direct/InstanceLoad.cpp
@@ -43,9 +43,9 @@
         m_unconfirmedSince = now;
 }
 
-bool InstanceLoad::isUnconfirmed(core::TimePoint now) const
+bool InstanceLoad::isUnconfirmed(core::TimePoint now, core::TimePoint countedFrom) const
 {
-    return m_unconfirmedSince && now - *m_unconfirmedSince > confirmationTimeout
+    return m_unconfirmedSince && now - std::max(*m_unconfirmedSince, countedFrom) > confirmationTimeout
         && now - *m_unconfirmedSince <= maxUnconfirmedTime;
 }
 
--- a/src/ibisgw/direct/InstanceLoad.h
+++ b/src/ibisgw/direct/InstanceLoad.h
@@ -24,8 +24,9 @@
     // without a response.
     std::optional<core::TimePoint> unconfirmedSince() const { return m_unconfirmedSince; }
     // Whether the upstream has shown no response since an opening packet that it should have answered by now. Either
-    // it has ended and its VM refuses flows so fast that the upstream appears to be idle, or its queue is full.
-    bool isUnconfirmed(core::TimePoint now) const;
+    // it has ended and its VM refuses flows so fast that the upstream appears to be idle, or its queue is full. Silence
+    // before `countedFrom` doesn't count.
+    bool isUnconfirmed(core::TimePoint now, core::TimePoint countedFrom = {}) const;
 
     // The upstream accepted an opening packet.
     void noteOpenAnswered(core::TimePoint now);
--- /dev/null
+++ b/src/ibisgw/direct/LinkCongestion.cpp
@@ -0,0 +1,67 @@
+#include "ibisgw/direct/LinkCongestion.h"
+
+#include "ibisgw/core/NameTable.h"
+
+namespace ibisgw::direct {
+
+namespace {
+
+constexpr core::NameTable<CongestionCause, 3> causeNames { {
+    { CongestionCause::Wait, "wait" },
+    { CongestionCause::Drop, "drop" },
+    { CongestionCause::Stall, "stall" },
+} };
+
+// Wait from which on a packet shows congestion, by its class. Opening packets: half of the 50 ms after which one
+// without a response counts as evidence. Data of requests: three quarters of the 100 ms for an unconfirmed opening; a
+// burst of 16 full packets, which callers send at once, waits 70 ms at 2 Mbit/s. Uploads: half of the 200 ms after
+// which callers retransmit.
+constexpr std::array<core::Duration, egressClassCount> waitThresholds {
+    std::chrono::milliseconds(25),
+    std::chrono::milliseconds(75),
+    std::chrono::milliseconds(100),
+};
+
+// A longer gap in the execution of the process delays packets as much as a full link does.
+constexpr core::Duration stallThreshold = std::chrono::milliseconds(100);
+
+// The judgement ends this long after the last sign of congestion: callers retransmit the packets that were late then
+// after 200 ms at most.
+constexpr core::Duration holdTime = std::chrono::milliseconds(200);
+
+} // namespace
+
+std::string_view nameOf(CongestionCause cause)
+{
+    return causeNames.nameOf(cause);
+}
+
+void LinkCongestion::noteWait(EgressClass egressClass, core::Duration wait, core::TimePoint now)
+{
+    if (wait >= waitThresholds[static_cast<std::size_t>(egressClass)])
+        note(CongestionCause::Wait, now);
+}
+
+void LinkCongestion::noteActivity(core::TimePoint now)
+{
+    if (m_lastActivityAt && now - *m_lastActivityAt > stallThreshold)
+        note(CongestionCause::Stall, now);
+    m_lastActivityAt = now;
+}
+
+void LinkCongestion::note(CongestionCause cause, core::TimePoint now)
+{
+    if (!isCongested(now))
+        m_cause = cause;
+    m_clearAt = now + holdTime;
+}
+
+bool LinkCongestion::discards(core::TimePoint since)
+{
+    if (since >= m_clearAt)
+        return false;
+    ++m_discardedCount;
+    return true;
+}
+
+} // namespace ibisgw::direct
--- /dev/null
+++ b/src/ibisgw/direct/PacedLink.cpp
@@ -0,0 +1,35 @@
+#include "ibisgw/direct/PacedLink.h"
+
+namespace ibisgw::direct {
+
+PacedLink::PacedLink(PacerOptions options, LinkCongestion& congestion)
+    : m_pacer(options)
+    , m_congestion(congestion)
+{
+}
+
+bool PacedLink::enqueue(EgressPacket packet, core::TimePoint now)
+{
+    const auto droppedBefore = m_pacer.droppedFull();
+    const bool isQueued = m_pacer.enqueue(std::move(packet), now);
+    if (m_pacer.droppedFull() > droppedBefore)
+        m_congestion.noteDrop(now);
+    return isQueued;
+}
+
+std::optional<EgressPacket> PacedLink::next(core::TimePoint now)
+{
+    auto packet = m_pacer.next(now);
+    if (packet)
+        m_congestion.noteWait(packet->egressClass, now - packet->queuedAt, now);
+    return packet;
+}
+
+void PacedLink::tick(core::TimePoint now)
+{
+    m_congestion.noteActivity(now);
+    for (const auto egressClass : { EgressClass::Control, EgressClass::Interactive, EgressClass::Bulk })
+        m_congestion.noteWait(egressClass, m_pacer.longestWait(egressClass, now), now);
+}
+
+} // namespace ibisgw::direct
--- /dev/null
+++ b/src/ibisgw/direct/PacedLink.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include "ibisgw/direct/EgressPacer.h"
+#include "ibisgw/direct/LinkCongestion.h"
+
+namespace ibisgw::direct {
+
+// A balancer's link: paces the packets that it sends and reports their waits to LinkCongestion.
+class PacedLink {
+public:
+    PacedLink(PacerOptions, LinkCongestion&);
+
+    // As for EgressPacer.
+    bool admit(std::size_t bytes, core::TimePoint now) { return m_pacer.admit(bytes, now); }
+    bool enqueue(EgressPacket, core::TimePoint now);
+    std::optional<EgressPacket> next(core::TimePoint now);
+    // Judges the packets that still wait. Call before silence is judged.
+    void tick(core::TimePoint now);
+
+    const EgressPacer& pacer() const { return m_pacer; }
+
+private:
+    EgressPacer m_pacer;
+    LinkCongestion& m_congestion;
+};
+
+} // namespace ibisgw::direct
--- a/src/ibisgw/direct/ResponseMonitor.cpp
+++ b/src/ibisgw/direct/ResponseMonitor.cpp
@@ -22,7 +22,18 @@
 
 } // namespace
 
+ResponseMonitor::ResponseMonitor(LinkCongestion& congestion)
+    : m_congestion(congestion)
+{
+}
+
 void ResponseMonitor::noteRetransmission(upstream::InstanceId id, core::TimePoint now)
+{
+    if (!m_congestion.discards(now))
+        noteSuspected(id, now);
+}
+
+void ResponseMonitor::noteSuspected(upstream::InstanceId id, core::TimePoint now)
 {
     auto& state = m_states[id];
     ++state.retransmissions;
@@ -53,6 +64,8 @@
         return;
     auto& state = found->second;
     state.isProbing = false;
+    if (result == ProbeResult::NoAnswer && m_congestion.discards(state.probedAt))
+        return;
     if (result == ProbeResult::Answered) {
         state.probeFailures = state.retransmissions = 0;
         state.isUnresponsive = false;
@@ -64,6 +77,7 @@
     if (state.retransmissions == 0 && !state.isUnresponsive)
         return;
     ++state.probeFailures;
+    state.isRefused = result == ProbeResult::Refused;
     if (!state.isUnresponsive && state.probeFailures >= probeFailureThreshold) {
         state.isUnresponsive = true;
         ++m_lossCount;
@@ -76,6 +90,15 @@
     state.nextProbe += state.probeInterval;
 }
 
+void ResponseMonitor::discardProbe(upstream::InstanceId id, core::TimePoint now)
+{
+    const auto found = m_states.find(id);
+    if (found == m_states.end())
+        return;
+    found->second.isProbing = false;
+    found->second.nextProbe = now + answeredProbeInterval;
+}
+
 void ResponseMonitor::discardProbes()
 {
     for (auto& [id, state] : m_states)
@@ -91,8 +114,10 @@
             it = m_states.erase(it);
             continue;
         }
-        if (!state.isProbing && now >= state.nextProbe && (state.retransmissions > 0 || state.isUnresponsive)) {
+        const bool isSuspect = state.retransmissions > 0 || state.isUnresponsive;
+        if (!m_congestion.isCongested(now) && !state.isProbing && now >= state.nextProbe && isSuspect) {
             state.isProbing = true;
+            state.probedAt = now;
             ids.push_back(it->first);
         }
         ++it;
@@ -106,4 +131,10 @@
     return found != m_states.end() && found->second.isUnresponsive;
 }
 
+bool ResponseMonitor::isSilent(upstream::InstanceId id) const
+{
+    const auto found = m_states.find(id);
+    return found != m_states.end() && found->second.isUnresponsive && !found->second.isRefused;
+}
+
 } // namespace ibisgw::direct
--- a/src/ibisgw/direct/ResponseMonitor.h
+++ b/src/ibisgw/direct/ResponseMonitor.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "ibisgw/core/Time.h"
+#include "ibisgw/direct/LinkCongestion.h"
 #include "ibisgw/upstream/InstanceReport.h"
 
 #include <cstdint>
@@ -17,18 +18,24 @@
 
 // Detects upstreams that stop responding without notice, so that their callers needn't retransmit packets until their
 // deadline. An upstream whose callers retransmit packets without any progress is probed, and becomes unresponsive when
-// the probes fail as well. Progress of any of its flows or a successful probe ends this state.
+// the probes fail as well. Progress of any of its flows or a successful probe ends this state. While this balancer's
+// link is congested, retransmissions and probes without an answer are ignored, and no probe starts. A refused probe
+// counts.
 class ResponseMonitor {
 public:
+    explicit ResponseMonitor(LinkCongestion&);
+
     // A caller retransmitted a packet that had been forwarded to the upstream.
     void noteRetransmission(upstream::InstanceId, core::TimePoint now);
     // Another daemon reports that the upstream is silent: it is probed by this balancer, too.
-    void noteSuspected(upstream::InstanceId id, core::TimePoint now) { noteRetransmission(id, now); }
+    void noteSuspected(upstream::InstanceId, core::TimePoint now);
     // The upstream has sent a report: if it is unresponsive, it is probed without delay.
     void noteReporting(upstream::InstanceId, core::TimePoint now);
     // A packet of a caller shows that the upstream has accepted its flow or has sent new data.
     void noteProgress(upstream::InstanceId);
     void noteProbe(upstream::InstanceId, ProbeResult, core::TimePoint now);
+    // Ignores the result of the outstanding probe, and lets the next one start later.
+    void discardProbe(upstream::InstanceId, core::TimePoint now);
     // Ignores the results of all outstanding probes, which mean nothing if this process was suspended meanwhile.
     void discardProbes();
     void remove(upstream::InstanceId id) { m_states.erase(id); }
@@ -36,6 +43,8 @@
     // Returns the upstreams to probe now. The caller must pass the result of each probe to noteProbe().
     std::vector<upstream::InstanceId> takeProbes(core::TimePoint now);
     bool isUnresponsive(upstream::InstanceId) const;
+    // Whether the upstream is unresponsive and its VM hasn't refused the last probe.
+    bool isSilent(upstream::InstanceId) const;
     // Number of times that an upstream has become unresponsive.
     std::uint64_t lossCount() const { return m_lossCount; }
 
@@ -47,12 +56,16 @@
         std::uint32_t probeFailures { 0 };
         bool isProbing { false };
         bool isUnresponsive { false };
+        // The last failed probe was refused.
+        bool isRefused { false };
+        core::TimePoint probedAt;
         core::TimePoint nextProbe;
         // Interval between probes while the upstream is unresponsive; 0 before the first.
         core::Duration probeInterval { 0 };
         core::TimePoint lastRetransmissionAt;
     };
 
+    LinkCongestion& m_congestion;
     std::unordered_map<upstream::InstanceId, State> m_states;
     std::uint64_t m_lossCount { 0 };
 };
--- a/src/ibisgw/runtime/DirectBalancer.cpp
+++ b/src/ibisgw/runtime/DirectBalancer.cpp
@@ -60,7 +60,7 @@
                   receiveMessage(sender, body);
           })
     , m_subscriber(subscriberOptions(settings, m_peers.self(), m_random), m_directory)
-    , m_pacer({ settings.linkBytesPerSecond })
+    , m_link({ settings.linkBytesPerSecond }, m_forwarder.congestion())
     , m_pacerTimer(loop.addTimer(pacerPeriod, [this] { releasePackets(); }))
     , m_events(settings.logLinesPerSecond)
     , m_prober(loop, [this](upstream::InstanceId id, direct::ProbeResult result) { handleProbeResult(id, result); })
@@ -117,6 +117,7 @@
 // After a pause the controllers have stopped sending changes, and those of the pause are missing here.
 void DirectBalancer::recordActivity(core::TimePoint now)
 {
+    m_forwarder.congestion().noteActivity(now);
     if (!m_pauseMonitor.recordActivity(now, m_loop.uptime()))
         return;
     m_subscriber.requestUpdates(now);
@@ -156,24 +157,24 @@
     std::size_t bytes, core::Endpoint target, core::TimePoint now)
 {
     const auto out = std::span(m_packetBuffer).first(bytes);
-    if (m_pacer.admit(bytes, now)) {
+    if (m_link.admit(bytes, now)) {
         m_packets.send(out, target);
         return;
     }
     // Lets the pacer drop copies of a packet that is queued or was just sent. Packets without data are not compared.
     const auto identity = segment.payloadBytes == 0 ? 0 : core::rendezvousWeight(segment.flow.hash(), segment.sequence);
-    m_pacer.enqueue({ decision.egressClass, target, identity, { out.begin(), out.end() } }, now);
+    m_link.enqueue({ decision.egressClass, target, identity, { out.begin(), out.end() } }, now);
     m_pacerTimer.start();
 }
 
 void DirectBalancer::releasePackets()
 {
     const auto now = m_loop.now();
-    while (const auto packet = m_pacer.next(now)) {
+    while (const auto packet = m_link.next(now)) {
         m_packets.send(packet->bytes, packet->target);
         m_egressWait.record(now - packet->queuedAt);
     }
-    if (!m_pacer.isEmpty())
+    if (!m_link.pacer().isEmpty())
         m_pacerTimer.start();
 }
 
@@ -229,6 +230,8 @@
 {
     const auto now = m_loop.now();
     recordActivity(now);
+    m_link.tick(now);
+    m_congestionLogger.log(m_forwarder.congestion(), m_events, now);
     m_subscriber.tick(now, *this);
     m_subscriber.fetchConfiguration(m_forwarder.version(), now, *this);
     m_forwarder.tick(now);
@@ -294,7 +297,7 @@
     const auto now = m_loop.now();
     auto& responses = m_forwarder.responses();
     const bool wasUnresponsive = responses.isUnresponsive(id);
-    responses.noteProbe(id, result, now);
+    m_forwarder.noteProbe(id, result, now);
     if (responses.isUnresponsive(id) == wasUnresponsive)
         return;
     if (!wasUnresponsive)
--- a/src/ibisgw/runtime/DirectBalancer.h
+++ b/src/ibisgw/runtime/DirectBalancer.h
@@ -4,9 +4,9 @@
 #include "ibisgw/adapters/MetricsRegistry.h"
 #include "ibisgw/adapters/PeerDatagrams.h"
 #include "ibisgw/core/PcgRandomSource.h"
-#include "ibisgw/direct/EgressPacer.h"
 #include "ibisgw/direct/FlowForwarder.h"
 #include "ibisgw/direct/LeastWorkSelector.h"
+#include "ibisgw/direct/PacedLink.h"
 #include "ibisgw/direct/PendingPackets.h"
 #include "ibisgw/runtime/ConfigurationFormat.h"
 #include "ibisgw/runtime/ConfigurationMonitor.h"
@@ -15,6 +15,7 @@
 #include "ibisgw/runtime/DirectoryChangeLogger.h"
 #include "ibisgw/runtime/EventLog.h"
 #include "ibisgw/runtime/IsolationMonitor.h"
+#include "ibisgw/runtime/LinkCongestionLogger.h"
 #include "ibisgw/runtime/PacketFormat.h"
 #include "ibisgw/runtime/PauseMonitor.h"
 #include "ibisgw/runtime/ProcessMonitor.h"
@@ -81,11 +82,12 @@
     adapters::PeerDatagrams m_peers;
     sync::DirectorySubscriber m_subscriber;
     direct::PendingPackets m_pending;
-    direct::EgressPacer m_pacer;
+    direct::PacedLink m_link;
     adapters::EventLoop::Timer& m_pacerTimer;
     std::array<std::byte, 2048> m_packetBuffer;
     EventLog m_events;
     DirectoryChangeLogger m_changeLogger;
+    LinkCongestionLogger m_congestionLogger;
     ConnectProber m_prober;
     adapters::MetricsRegistry m_metrics;
     ProcessMonitor m_processMonitor;
--- a/src/ibisgw/runtime/DirectBalancerMetrics.cpp
+++ b/src/ibisgw/runtime/DirectBalancerMetrics.cpp
@@ -19,9 +19,9 @@
         "ibisgw_early_packets_expired_total", "Packets held for an unknown upstream or configuration in vain")
         = m_pending.expiredCount();
     m_metrics.counter("ibisgw_paced_copies_total", "Copies of packets that were not sent again")
-        = m_pacer.droppedRetransmissions();
+        = m_link.pacer().droppedRetransmissions();
     m_metrics.counter("ibisgw_paced_overflow_total", "Packets dropped because the queue to the link was full")
-        = m_pacer.droppedFull();
+        = m_link.pacer().droppedFull();
     m_metrics.counter("ibisgw_probes_total", "Connections opened to find out whether an upstream answers")
         = m_prober.probeCount();
     m_processMonitor.updateCounters(m_events, m_peers);
@@ -32,7 +32,12 @@
     m_metrics.gauge("ibisgw_zones_suspected", "Pairs of service and zone whose upstreams seem to have failed together")
         = static_cast<double>(m_forwarder.zoneOutages().suspectedZones());
     m_metrics.gauge("ibisgw_egress_queue_bytes", "Bytes that wait for the link")
-        = static_cast<double>(m_pacer.queuedBytes());
+        = static_cast<double>(m_link.pacer().queuedBytes());
+    m_metrics.gauge("ibisgw_link_congested", "1 while silence of upstreams may be due to this balancer's link")
+        = m_forwarder.congestion().isCongested(m_loop.now()) ? 1 : 0;
+    m_metrics.counter("ibisgw_evidence_discarded_total",
+        "Observations not held against upstreams because the fault is probably this balancer's own")
+        = m_forwarder.evidenceDiscarded();
     m_metrics.gauge("ibisgw_configuration_version", "Version in force") = static_cast<double>(m_forwarder.version());
     m_metrics.gauge("ibisgw_configuration_unconfirmed", "1 while the version in force may be outdated")
         = m_configurationMonitor.mayPlaceFlows() ? 0 : 1;
--- a/src/ibisgw/runtime/Event.cpp
+++ b/src/ibisgw/runtime/Event.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-constexpr std::size_t eventCount = 42;
+constexpr std::size_t eventCount = 44;
 
 constexpr core::NameTable<Event, eventCount> eventNames { {
     { Event::FlowPlaced, "flow_placed" },
@@ -28,6 +28,8 @@
     { Event::SilenceReported, "silence_reported" },
     { Event::ZoneSuspected, "zone_suspected" },
     { Event::ZoneRecovered, "zone_recovered" },
+    { Event::LinkCongested, "link_congested" },
+    { Event::LinkClear, "link_clear" },
     { Event::ReportRefused, "report_refused" },
     { Event::ReportUnconfirmed, "report_unconfirmed" },
     { Event::ConfigurationProposed, "configuration_proposed" },
--- a/src/ibisgw/runtime/Event.h
+++ b/src/ibisgw/runtime/Event.h
@@ -31,6 +31,8 @@
     SilenceReported,
     ZoneSuspected,
     ZoneRecovered,
+    LinkCongested,
+    LinkClear,
     ReportRefused,
     ReportUnconfirmed,
     // Configurations (balancers and controllers).
