--- a/src/ibisgw/direct/LinkAdmission.cpp
+++ b/src/ibisgw/direct/LinkAdmission.cpp
@@ -90,14 +90,14 @@
 // than their guaranteed share, up to their own limit.
 bool LinkAdmission::isWithinLimit(const RouteState& state, core::TimePoint now)
 {
+    for (auto& [address, it] : m_routes)
+        decay(it, now);
     const auto wait = expectedWait(state.egressClass);
     const auto lowest = std::min(lowestLimit(), state.limit);
     if (core::toSeconds(wait) <= state.priorityFactor * core::toSeconds(lowest))
         return true;
     if (wait > state.limit)
         return false;
-    for (auto& [address, it] : m_routes)
-        decay(it, now);
     return isBelowGuaranteedShare(state);
 }
 
