--- a/src/ibisgw/direct/FlowForwarder.cpp
+++ b/src/ibisgw/direct/FlowForwarder.cpp
@@ -22,6 +22,7 @@
     { ForwardReason::UpstreamUnresponsive, "upstream_unresponsive" },
     { ForwardReason::LateCopy, "late_copy" },
     { ForwardReason::ZoneEvacuated, "zone_evacuated" },
+    { ForwardReason::LinkFull, "link_full" },
 } };
 
 constexpr core::Duration expiryInterval = std::chrono::milliseconds(500);
@@ -54,8 +55,10 @@
     const InstanceSelector& selector, core::RandomSource& random)
     : m_options(std::move(options))
     , m_directory(directory)
-    , m_flows(m_options.limits, m_responses)
-    , m_placer(m_options.zone, directory, selector, random, m_flows, m_responses)
+    , m_admission(m_options.linkBytesPerSecond)
+    , m_silenceLimit(directory, m_responses)
+    , m_flows(m_options.limits, m_responses, m_congestion)
+    , m_placer(m_options.zone, directory, selector, random, m_flows, m_responses, m_congestion)
 {
 }
 
@@ -68,6 +71,7 @@
     for (const auto& it : m_configuration->routes)
         m_routes.emplace(it.address, &it);
     m_flows.setRoutes(m_configuration->routes);
+    m_admission.setRoutes(m_configuration->routes);
     return true;
 }
 
@@ -85,10 +89,8 @@
     const auto* route = found == m_routes.end() ? nullptr : found->second;
     auto decision = decide(segment, route, now);
     ++m_counts[static_cast<std::size_t>(decision.reason)];
-    if (segment.payloadBytes > 0) {
-        const bool isBulk = route && route->kind == RouteKind::Upload;
-        decision.egressClass = isBulk ? EgressClass::Bulk : EgressClass::Interactive;
-    }
+    if (segment.payloadBytes > 0)
+        decision.egressClass = route ? dataClassOf(route->kind) : EgressClass::Interactive;
     return decision;
 }
 
@@ -102,9 +104,19 @@
         return { ForwardAction::Reset, ForwardReason::ConfigurationUnconfirmed };
     if (!route)
         return { ForwardAction::Reset, ForwardReason::NoRoute };
+    if (isRejected(segment, *route, now))
+        return { ForwardAction::Reset, ForwardReason::LinkFull };
     return open(segment, *route, now);
 }
 
+// Copies of an opening packet are never rejected: an upstream may have accepted the flow already.
+bool FlowForwarder::isRejected(const FlowSegment& segment, const Route& route, core::TimePoint now)
+{
+    if (segment.acknowledged > 0 || m_flows.find(segment.flow) != m_flows.end())
+        return false;
+    return !m_admission.admits(route, now);
+}
+
 // A caller retransmits its opening packet when it has received no response. The upstream selected first is then full,
 // gone or unreachable, so the retransmission goes to another one. The flow belongs to the upstream whose response the
 // caller acknowledges.
@@ -117,7 +129,8 @@
         if (flow.isOpen && now - flow.openedAt < FlowTracker::maxUnopenedFlowAge)
             return { ForwardAction::Drop, ForwardReason::LateCopy };
         if (!flow.isOpen && segment.acknowledged > 0) {
-            m_flows.load(flow.instance).noteOpenUnanswered(now);
+            if (!m_congestion.isCongested(now))
+                m_flows.load(flow.instance).noteOpenUnanswered(now);
             m_responses.noteRetransmission(flow.instance, now);
             silent = flow.instance;
         }
@@ -135,6 +148,7 @@
     decision.openFlows = chosen.openFlows();
     auto& flow = m_flows.findOrAdd(segment.flow, *record, &route, now)->second;
     flow.isPlacedHere = true;
+    m_admission.noteOpened(segment.flow, route, now);
     m_flows.startWork(segment.flow, flow, now);
     m_flows.load(record->report.id).noteOpenSent(now);
     return decision;
@@ -155,6 +169,8 @@
 {
     auto decision = forwardTo(record, ForwardReason::OpenFlow);
     const auto observation = m_flows.observe(entry->second, segment, now);
+    if (!observation.isRetransmission)
+        m_admission.noteForwarded(segment.flow, segment.payloadBytes);
     decision.isRetransmission = observation.isRetransmission;
     decision.startsRequest = observation.startsRequest;
     decision.responseTime = observation.responseTime;
@@ -204,8 +220,19 @@
         && m_responses.isUnresponsive(record.report.id);
 }
 
+void FlowForwarder::noteProbe(upstream::InstanceId id, ProbeResult result, core::TimePoint now)
+{
+    if (result != ProbeResult::NoAnswer || !m_silenceLimit.isReachedFor(id)) {
+        m_responses.noteProbe(id, result, now);
+        return;
+    }
+    m_responses.discardProbe(id, now);
+    ++m_probesOverLimit;
+}
+
 void FlowForwarder::tick(core::TimePoint now)
 {
+    m_admission.expire(now);
     m_flows.endOverdueWork(now);
     applyOverdueMarks(now);
     if (now >= m_nextExpiry)
--- a/src/ibisgw/direct/FlowForwarder.h
+++ b/src/ibisgw/direct/FlowForwarder.h
@@ -4,8 +4,10 @@
 #include "ibisgw/direct/FlowPlacer.h"
 #include "ibisgw/direct/FlowSegment.h"
 #include "ibisgw/direct/FlowTracker.h"
+#include "ibisgw/direct/LinkAdmission.h"
 #include "ibisgw/direct/ResponseMonitor.h"
 #include "ibisgw/direct/RouteConfiguration.h"
+#include "ibisgw/direct/SilenceLimit.h"
 
 #include <memory>
 #include <optional>
@@ -35,8 +37,9 @@
     UpstreamUnresponsive,
     LateCopy, // retransmitted opening packet of a flow that is open already
     ZoneEvacuated, // all ready upstreams of the service are in evacuated zones
+    LinkFull, // the balancer's link can't carry another flow
 };
-constexpr std::size_t forwardReasonCount = 12;
+constexpr std::size_t forwardReasonCount = 13;
 
 std::string_view nameOf(ForwardReason);
 
@@ -70,6 +73,8 @@
 struct ForwarderOptions {
     core::ZoneName zone;
     FlowTrackerLimits limits;
+    // Rate of this VM's link; 0 for no limit.
+    std::uint64_t linkBytesPerSecond { 0 };
 };
 
 // Decides how each packet of a caller is forwarded, with direct server return. An open flow is forwarded by the token
@@ -81,6 +86,13 @@
 
     ForwardDecision handle(const FlowSegment&, core::TimePoint now);
     ResponseMonitor& responses() { return m_responses; }
+    // Must be told of the waits of packets for the link and of pauses of the process.
+    LinkCongestion& congestion() { return m_congestion; }
+    const LinkCongestion& congestion() const { return m_congestion; }
+    // Must be told of the bytes that wait for the link.
+    LinkAdmission& admission() { return m_admission; }
+    // Passes the result of a probe to responses(), unless too many upstreams of all zones are silent at once.
+    void noteProbe(upstream::InstanceId, ProbeResult, core::TimePoint now);
     // Returns false and ignores the configuration if its version isn't higher than the one in force.
     bool apply(std::shared_ptr<const RouteConfiguration>, core::TimePoint now);
     // New flows avoid the upstreams of these zones; open flows stay. Returns false and ignores the set if its revision
@@ -103,10 +115,13 @@
     std::size_t slowInstances(core::TimePoint now) const { return m_flows.slowInstances(now); }
     UnansweredRequestMonitor& unansweredRequests() { return m_flows.unanswered(); }
     ZoneOutageMonitor& zoneOutages() { return m_placer.zoneOutages(); }
+    // Observations that were not held against upstreams because the fault is probably this balancer's own.
+    std::uint64_t evidenceDiscarded() const { return m_congestion.discardedCount() + m_probesOverLimit; }
     std::uint64_t count(ForwardReason reason) const { return m_counts[static_cast<std::size_t>(reason)]; }
 
 private:
     ForwardDecision decide(const FlowSegment&, const Route*, core::TimePoint now);
+    bool isRejected(const FlowSegment&, const Route&, core::TimePoint now);
     ForwardDecision open(const FlowSegment&, const Route&, core::TimePoint now);
     ForwardDecision continueFlow(const FlowSegment&, const Route*, core::TimePoint now);
     ForwardDecision forwardOpen(
@@ -123,7 +138,10 @@
     std::shared_ptr<const RouteConfiguration> m_configuration;
     bool m_isPlacing { true };
     std::unordered_map<core::Endpoint, const Route*> m_routes;
-    ResponseMonitor m_responses;
+    LinkCongestion m_congestion;
+    LinkAdmission m_admission;
+    ResponseMonitor m_responses { m_congestion };
+    SilenceLimit m_silenceLimit;
     FlowTracker m_flows;
     FlowPlacer m_placer;
     core::TimePoint m_nextExpiry {};
@@ -132,6 +150,7 @@
     std::uint64_t m_lastLossCount { 0 };
     core::TimePoint m_nextLostFlowSearch {};
     core::TimePoint m_lostFlowSearchEnd {};
+    std::uint64_t m_probesOverLimit { 0 };
     std::uint64_t m_counts[forwardReasonCount] {};
 };
 
--- a/src/ibisgw/direct/FlowTracker.cpp
+++ b/src/ibisgw/direct/FlowTracker.cpp
@@ -28,9 +28,10 @@
 
 } // namespace
 
-FlowTracker::FlowTracker(FlowTrackerLimits limits, ResponseMonitor& responses)
+FlowTracker::FlowTracker(FlowTrackerLimits limits, ResponseMonitor& responses, LinkCongestion& congestion)
     : m_limits(limits)
     , m_responses(responses)
+    , m_congestion(congestion)
 {
 }
 
@@ -113,7 +114,7 @@
     if (flow.isAwaitingResponse && !flow.isResponseMissing)
         m_unanswered.noteAnswered(key.service, flow.instance);
     // A caller that acknowledges the response only with its next request shows when it sent that one.
-    if (flow.isAwaitingResponse && !observation.startsRequest)
+    if (flow.isAwaitingResponse && !observation.startsRequest && !m_congestion.discards(flow.workStartedAt))
         noteResponse(key, flow, now - flow.workStartedAt, now);
     flow.isAwaitingResponse = false;
     if (!flow.isWorking)
@@ -214,7 +215,8 @@
         return;
     }
     flow.isResponseMissing = true;
-    m_unanswered.noteUnanswered(key.service, flow.instance, now);
+    if (!m_congestion.discards(flow.workStartedAt))
+        m_unanswered.noteUnanswered(key.service, flow.instance, now);
 }
 
 void FlowTracker::expire(core::Duration idleTimeout, core::TimePoint now)
--- a/src/ibisgw/direct/FlowTracker.h
+++ b/src/ibisgw/direct/FlowTracker.h
@@ -77,7 +77,7 @@
     // A flow whose opening packet has received no response is removed after this time without a packet.
     static constexpr core::Duration maxUnopenedFlowAge = std::chrono::seconds(2);
 
-    FlowTracker(FlowTrackerLimits, ResponseMonitor&);
+    FlowTracker(FlowTrackerLimits, ResponseMonitor&, LinkCongestion&);
 
     Entry find(const core::FlowKey& key) { return m_flows.find(key); }
     Entry end() { return m_flows.end(); }
@@ -125,6 +125,7 @@
 
     FlowTrackerLimits m_limits;
     ResponseMonitor& m_responses;
+    LinkCongestion& m_congestion;
     UnansweredRequestMonitor m_unanswered;
     FlowMap m_flows;
     std::unordered_map<upstream::InstanceId, InstanceLoad> m_loads;
--- a/src/ibisgw/runtime/Event.h
+++ b/src/ibisgw/runtime/Event.h
@@ -32,6 +32,8 @@
     UpstreamFailing,
     ZoneSuspected,
     ZoneRecovered,
+    LinkCongested,
+    LinkClear,
     ReportRefused,
     ReportUnconfirmed,
     // Configurations (balancers and controllers).
