Test the way of an evacuation order from a controller to the placement

Cause: each part between a controller's update and the placement of a flow can lose an order, go back to an earlier one, or act where no order was given.

--- a/tests/support/ControlFleet.cpp
+++ b/tests/support/ControlFleet.cpp
@@ -19,6 +19,8 @@
 constexpr core::Duration acknowledgementTimeout = 1s;
 // The daemons start at random times within this span.
 constexpr core::Duration maxStartDelay = 300ms;
+// A follower learns of a commit with the next message of the leader.
+constexpr core::Duration maxCommitDelay = 200ms;
 // Capacity of a controller's socket buffers, as the time until it has processed their content. Further messages from
 // daemons are lost.
 constexpr core::Duration socketBufferTime = 2s;
@@ -61,6 +63,7 @@
     sync::DirectorySubscriber subscriber;
     adapters::SyncEncoder encoder;
     upstream::OverdueMonitor overdue;
+    upstream::ZoneEvacuations evacuations;
     core::TimePoint busyUntil {};
     core::Duration busyTime { 0 };
     Traffic toBalancers;
@@ -92,6 +95,7 @@
     core::NodeId node;
     upstream::InstanceDirectory directory;
     sync::DirectorySubscriber subscriber;
+    core::TimePoint pausedUntil {};
     Traffic sent;
 
     Balancer(ControlFleet& owner, std::size_t n, sync::SubscriberOptions options)
@@ -123,24 +127,15 @@
     , m_queue({ 1ms, 2ms, options.loss, 0.0 }, m_random)
     , m_resetAt(m_queue.now())
 {
-    sync::SubscriberOptions sharedOptions;
-    for (std::size_t n = 0; n < std::min<std::size_t>(3, options.controllers); ++n)
-        sharedOptions.seeds.push_back(controllerNode(n));
     for (std::size_t n = 0; n < options.controllers; ++n) {
-        auto subscription = sharedOptions;
-        subscription.self = controllerNode(n);
-        subscription.process = m_random.next();
+        auto subscription = subscriberOptions(controllerNode(n));
         subscription.isController = true;
         subscription.interval = 400ms;
         m_controllers.push_back(std::make_unique<Controller>(*this, n, subscription));
         startController(n);
     }
     for (std::size_t n = 0; n < options.balancers; ++n) {
-        auto subscription = sharedOptions;
-        subscription.self = balancerNode(n);
-        subscription.process = m_random.next();
-        subscription.zone = zoneName(n % options.zones);
-        m_balancers.push_back(std::make_unique<Balancer>(*this, n, subscription));
+        m_balancers.push_back(makeBalancer(n));
         startBalancer(n);
     }
     for (std::size_t n = 0; n < options.upstreams; ++n) {
@@ -163,6 +158,23 @@
     m_queue.runFor(duration);
 }
 
+sync::SubscriberOptions ControlFleet::subscriberOptions(core::NodeId self)
+{
+    sync::SubscriberOptions options;
+    for (std::size_t n = 0; n < std::min<std::size_t>(3, m_options.controllers); ++n)
+        options.seeds.push_back(controllerNode(n));
+    options.self = self;
+    options.process = m_random.next();
+    return options;
+}
+
+std::unique_ptr<ControlFleet::Balancer> ControlFleet::makeBalancer(std::size_t n)
+{
+    auto options = subscriberOptions(balancerNode(n));
+    options.zone = zoneName(n % m_options.zones);
+    return std::make_unique<Balancer>(*this, n, std::move(options));
+}
+
 void ControlFleet::startController(std::size_t n)
 {
     m_queue.after(core::Duration(m_random.below(static_cast<std::uint64_t>(maxStartDelay.count()))),
@@ -174,7 +186,8 @@
     const auto delay = core::Duration(m_random.below(static_cast<std::uint64_t>(maxStartDelay.count())));
     m_queue.after(delay, [this, n](core::TimePoint now) {
         auto& balancer = *m_balancers[n];
-        balancer.subscriber.tick(now, balancer);
+        if (now >= balancer.pausedUntil)
+            balancer.subscriber.tick(now, balancer);
         m_queue.after(balancerTickPeriod, [this, n](core::TimePoint) { startBalancer(n); });
     });
 }
@@ -207,6 +220,8 @@
     m_queue.send(from.value, to.value, [this, from, to, bytes = std::move(bytes)](core::TimePoint now) {
         const auto n = indexOf(to);
         if (!isController(to)) {
+            if (now < m_balancers[n]->pausedUntil)
+                return;
             const auto message = adapters::decodeSyncMessage(bytes);
             const auto& update = std::get<sync::DirectoryUpdate>(*message);
             m_itemsReceived += update.items.size();
@@ -277,6 +292,8 @@
 {
     const bool isCurrent = m_controllers[controller]->subscriber.hasCompleteDirectory() && reachesMajority(controller);
     sync::FeedStatus head { 1, {}, 1, zoneName(controller % m_options.zones), isCurrent };
+    head.evacuations = m_controllers[controller]->evacuations;
+    head.loggedEvacuationRevision = head.evacuations.revision;
     for (std::size_t n = 0; n < m_options.controllers; ++n)
         head.controllers.push_back(controllerNode(n));
     return head;
@@ -323,6 +340,31 @@
     report(upstream, controller);
 }
 
+void ControlFleet::commit(const upstream::ZoneEvacuations& evacuations)
+{
+    for (const auto& it : m_controllers) {
+        const auto delay = core::Duration(m_random.below(static_cast<std::uint64_t>(maxCommitDelay.count())));
+        m_queue.after(
+            delay, [&controller = *it, evacuations](core::TimePoint) { controller.evacuations = evacuations; });
+    }
+}
+
+void ControlFleet::pauseBalancer(std::size_t balancer, core::Duration duration)
+{
+    m_balancers[balancer]->pausedUntil = now() + duration;
+}
+
+void ControlFleet::restartBalancer(std::size_t balancer)
+{
+    m_balancers[balancer] = makeBalancer(balancer);
+}
+
+std::size_t ControlFleet::balancersWith(const upstream::ZoneEvacuations& evacuations) const
+{
+    return static_cast<std::size_t>(std::ranges::count_if(
+        m_balancers, [&](const auto& it) { return it->subscriber.evacuations() == evacuations; }));
+}
+
 std::size_t ControlFleet::subscribedController(std::size_t balancer) const
 {
     return indexOf(m_balancers[balancer]->subscriber.followedController());
--- a/tests/support/ControlFleet.h
+++ b/tests/support/ControlFleet.h
@@ -49,6 +49,15 @@
     // The upstream reports to the controller that it is draining.
     void drain(std::size_t upstream, std::size_t controller);
 
+    // All controllers learn within 200 ms that the set is committed.
+    void commit(const ibisgw::upstream::ZoneEvacuations&);
+    // Suspends the balancer for a while; messages that arrive meanwhile are lost.
+    void pauseBalancer(std::size_t balancer, ibisgw::core::Duration);
+    // Starts the process of the balancer again, with an empty state.
+    void restartBalancer(std::size_t balancer);
+    // Number of balancers that have received this set of evacuated zones.
+    std::size_t balancersWith(const ibisgw::upstream::ZoneEvacuations&) const;
+
     // Index of the controller that the balancer is subscribed to.
     std::size_t subscribedController(std::size_t balancer) const;
     // Whether the balancer's directory lists the upstream as draining.
@@ -81,6 +90,7 @@
     struct Upstream;
 
     void startController(std::size_t);
+    std::unique_ptr<Balancer> makeBalancer(std::size_t);
     void startBalancer(std::size_t);
     void scheduleReport(std::size_t upstream, ibisgw::core::Duration);
     void report(std::size_t upstream, std::size_t controller);
@@ -91,6 +101,7 @@
     void deliver(ibisgw::core::NodeId from, ibisgw::core::NodeId to, std::string bytes);
     // Whether the controller and the controllers that it can reach are a majority.
     bool reachesMajority(std::size_t controller) const;
+    ibisgw::sync::SubscriberOptions subscriberOptions(ibisgw::core::NodeId self);
     ibisgw::sync::FeedStatus headOf(std::size_t controller) const;
 
     ControlFleetOptions m_options;
--- a/tests/sync/ControlFleetTests.cpp
+++ b/tests/sync/ControlFleetTests.cpp
@@ -87,6 +87,34 @@
             CHECK(balancersWithDrain(fleet, options, n) == options.balancers);
     }
 
+    // Guards against balancers that open flows in a zone long after its evacuation was acknowledged, because the update
+    // with the order was lost, or they were paused or not running when it was sent.
+    TEST_CASE("all balancers hold a new set of evacuated zones within 5 s, although 10 % of the messages are lost")
+    {
+        const ibisgw::upstream::ZoneEvacuations ordered { 1, { "zone-1" } };
+        const ibisgw::upstream::ZoneEvacuations revoked { 2, {} };
+        for (std::uint64_t seed = 1; seed <= 8; ++seed) {
+            CAPTURE(seed);
+            auto options = smallFleet();
+            options.balancers = 30;
+            options.loss = 0.1;
+            options.seed = seed;
+            ControlFleet fleet(options);
+            fleet.runFor(5s);
+            fleet.pauseBalancer(3, 2s);
+            fleet.cutController(0);
+            fleet.commit(ordered);
+            fleet.runFor(1s);
+            fleet.restartBalancer(7);
+            fleet.runFor(4s);
+            CHECK(fleet.balancersWith(ordered) == options.balancers);
+            fleet.heal();
+            fleet.commit(revoked);
+            fleet.runFor(5s);
+            CHECK(fleet.balancersWith(revoked) == options.balancers);
+        }
+    }
+
     // Guards against a start in which each upstream causes dozens of messages at each controller: with 300 machines the
     // controllers were busy for seconds, and upstreams became overdue while their reports waited in the queue.
     TEST_CASE("a fleet starts while all its upstreams send their first reports")
