Say which zones the judgement of failed zones must see

Cause: the comment asked for all zones of a service, but evacuated ones can't serve in place of a failed zone and are left out since the zones can be evacuated.

Change: comment only.

--- a/src/ibisgw/direct/ZoneOutageMonitor.h
+++ b/src/ibisgw/direct/ZoneOutageMonitor.h
@@ -39,7 +39,8 @@
     // Number of silent upstreams from which on a zone is suspected. Fewer may have failed independently of each other.
     static constexpr std::size_t minSilentUpstreams = 3;
 
-    // Must be called with the observations of all zones of the service before isSuspected().
+    // Must be called before isSuspected(), with the observations of all zones of the service that may get new flows. An
+    // evacuated zone isn't one of them: it can't serve in place of a suspected one.
     void update(const core::ServiceName&, const ZoneObservations&, core::TimePoint now);
     bool isSuspected(const core::ServiceName&, const core::ZoneName&) const;
     // Whether the next flow may go to a suspected zone to find out whether it has recovered.
