Compare decisions with and without orders on packets that follow each other

Cause: the packets of the comparison were 10 s apart on average, because core::Duration counts microseconds. Retransmitted opening packets then came too late to be placed again, and data packets held tokens of other flows.

Change: the packets are 10 ms apart on average and belong to one of the last eight flows. The test checks that each kind of decision occurs at least 50 times.

--- a/tests/direct/ZoneEvacuationTests.cpp
+++ b/tests/direct/ZoneEvacuationTests.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <set>
+#include <tuple>
 
 using namespace support;
 
@@ -42,17 +43,19 @@
     core::PcgRandomSource random(7);
     std::vector<std::pair<FlowSegment, std::uint32_t>> flows;
     for (int n = 0; n < 2000; ++n) {
-        fixture.now += core::Duration(random.below(20'000'000));
+        fixture.now += random.below(20) * 1ms;
         const auto kind = random.below(20);
         if (kind == 0)
             fixture.setState(
                 1 + random.below(9), random.below(3) == 0 ? InstanceState::Draining : InstanceState::Ready);
-        const bool isNew = flows.empty() || kind < 8;
-        auto segment = isNew ? fixture.opening() : flows[random.below(flows.size())].first;
-        if (!isNew && kind < 10)
+        // Packets of one of the last flows, as older ones no longer count as unanswered.
+        const auto age = random.below(8);
+        const bool isNew = flows.size() <= age || kind < 8;
+        auto [segment, token] = isNew ? std::pair { fixture.opening(), 0U } : flows[flows.size() - 1 - age];
+        if (!isNew && kind < 12)
             segment.acknowledged = 1;
         else if (!isNew)
-            segment = ForwarderFixture::dataOf(segment, flows[random.below(flows.size())].second);
+            segment = ForwarderFixture::dataOf(segment, token);
         const auto it = fixture.handle(segment);
         fixture.forwarder.tick(fixture.now);
         if (isNew)
@@ -176,6 +179,9 @@
     {
         EvacuationFixture untouched;
         const auto expected = decisionsOn(untouched);
+        for (const auto it :
+            { ForwardReason::Placed, ForwardReason::PlacedAgain, ForwardReason::OpenFlow, ForwardReason::LateCopy })
+            CHECK(untouched.forwarder.count(it) >= 50);
         EvacuationFixture revoked;
         revoked.forwarder.setEvacuations({ 1, { "a" } });
         revoked.forwarder.setEvacuations({ 2, {} });
