Document: member evacuated_zones

Operators need to take an availability zone out of service for new flows. The document gets an optional list of names of its zones. An unknown, repeated or malformed name is refused with its path and a remedy. The member is written only when a zone is evacuated, so documents without it have the same text and hash as before. A submission of one organization can neither add a zone nor, by leaving the member out, restore one.

--- a/src/ibisgw/adapters/detail/DocumentScope.cpp
+++ b/src/ibisgw/adapters/detail/DocumentScope.cpp
@@ -58,6 +58,11 @@
             forbiddenChanges.push_back({ itemPath("/services", n),
                 "the token may change only services of organization '" + organization + "'; leave this one out" });
     }
+    for (std::size_t n = 0; n < submitted.evacuatedZones.size(); ++n) {
+        if (!base.isEvacuated(submitted.evacuatedZones[n]))
+            forbiddenChanges.push_back({ itemPath("/evacuated_zones", n),
+                "only a token for the whole system may evacuate a zone; leave it out" });
+    }
     return forbiddenChanges;
 }
 
@@ -111,6 +116,7 @@
 {
     Document restricted;
     restricted.zones = document.zones;
+    restricted.evacuatedZones = document.evacuatedZones;
     for (const auto& it : document.organizations) {
         if (it.name == organization)
             restricted.organizations.push_back(it);
@@ -128,6 +134,7 @@
     change.forbiddenChanges = findForbiddenChanges(base, submitted, organization);
     change.document.organizations = base.organizations;
     change.document.zones = base.zones;
+    change.document.evacuatedZones = base.evacuatedZones;
     const auto origins = combineServices(base, submitted, organization, change.document.services);
     auto reading = configuration::readDocument(configuration::writeDocument(change.document));
     for (auto& it : reading.problems)
--- a/src/ibisgw/configuration/Document.cpp
+++ b/src/ibisgw/configuration/Document.cpp
@@ -19,4 +19,14 @@
     return nullptr;
 }
 
+bool Document::hasZone(const core::ZoneName& zone) const
+{
+    return std::ranges::find(zones, zone, &Zone::name) != zones.end();
+}
+
+bool Document::isEvacuated(const core::ZoneName& zone) const
+{
+    return std::ranges::find(evacuatedZones, zone) != evacuatedZones.end();
+}
+
 } // namespace ibisgw::configuration
--- a/src/ibisgw/configuration/Document.h
+++ b/src/ibisgw/configuration/Document.h
@@ -83,9 +83,13 @@
     std::vector<Organization> organizations;
     std::vector<Zone> zones;
     std::vector<Service> services;
+    // Zones whose upstreams get no new flows until an operator deletes the zone from this list.
+    std::vector<core::ZoneName> evacuatedZones;
 
     // Null when no service has the address.
     const Service* findService(const core::Endpoint& address) const;
+    bool hasZone(const core::ZoneName&) const;
+    bool isEvacuated(const core::ZoneName&) const;
 };
 
 } // namespace ibisgw::configuration
--- a/src/ibisgw/configuration/DocumentReader.cpp
+++ b/src/ibisgw/configuration/DocumentReader.cpp
@@ -67,6 +67,7 @@
     });
     reader.readObjects("services", Presence::Required,
         [&](ObjectReader& itemReader) { readService(itemReader, document.services.emplace_back()); });
+    reader.readNames("evacuated_zones", document.evacuatedZones, Presence::Optional);
     reader.finish();
     detail::checkReferences(document, reading.problems);
     if (reading.problems.empty())
--- a/src/ibisgw/configuration/DocumentWriter.cpp
+++ b/src/ibisgw/configuration/DocumentWriter.cpp
@@ -59,8 +59,13 @@
     auto services = json::array();
     for (const auto& it : document.services)
         services.push_back(writeService(it));
-    return { { "organizations", std::move(organizations) }, { "zones", std::move(zones) },
+    json written { { "organizations", std::move(organizations) }, { "zones", std::move(zones) },
         { "services", std::move(services) } };
+    // Written only when needed: earlier releases refuse a document with this member, and the hash of a document
+    // without it must stay the same.
+    if (!document.evacuatedZones.empty())
+        written["evacuated_zones"] = document.evacuatedZones;
+    return written;
 }
 
 std::string canonicalText(const Document& document)
--- a/src/ibisgw/configuration/detail/ReferenceCheck.cpp
+++ b/src/ibisgw/configuration/detail/ReferenceCheck.cpp
@@ -62,6 +62,16 @@
     }
 }
 
+void checkEvacuatedZones(const Document& document, const std::set<std::string>& zones, std::vector<Problem>& problems)
+{
+    for (std::size_t n = 0; n < document.evacuatedZones.size(); ++n) {
+        const auto& zone = document.evacuatedZones[n];
+        if (!zone.empty() && !zones.contains(zone))
+            problems.push_back({ itemPath("/evacuated_zones", n),
+                "'" + zone + "' is not listed in /zones; add it there, correct the name or remove it here" });
+    }
+}
+
 } // namespace
 
 void checkReferences(const Document& document, std::vector<Problem>& problems)
@@ -84,6 +94,7 @@
     }
     checkKindIds(document, problems);
     checkAddresses(document, problems);
+    checkEvacuatedZones(document, zones, problems);
 }
 
 } // namespace ibisgw::configuration::detail
--- a/tests/configuration/DocumentReaderTests.cpp
+++ b/tests/configuration/DocumentReaderTests.cpp
@@ -82,6 +82,40 @@
         }
     }
 
+    TEST_CASE("the list of evacuated zones is optional")
+    {
+        auto document = validDocument();
+        SUBCASE("a document without evacuated zones is written without the member")
+        {
+            // Guards against a changed hash of a stored document, and against a member that daemons of an earlier
+            // release refuse although no zone is evacuated.
+            const auto text = configuration::canonicalText(*configuration::readDocument(document).document);
+            CHECK(text.find("evacuated_zones") == std::string::npos);
+            document["evacuated_zones"] = json::array();
+            CHECK(configuration::canonicalText(*configuration::readDocument(document).document) == text);
+        }
+        SUBCASE("evacuated zones are read and written back")
+        {
+            document["evacuated_zones"] = { "biel", "bern" };
+            const auto reading = configuration::readDocument(document);
+            REQUIRE(reading.document);
+            CHECK(reading.document->isEvacuated("bern"));
+            CHECK_FALSE(reading.document->isEvacuated("thun"));
+            CHECK(configuration::writeDocument(*reading.document)["evacuated_zones"] == document["evacuated_zones"]);
+        }
+        SUBCASE("unknown, repeated and malformed entries are reported")
+        {
+            // Guards against a misspelled zone, which would stay in service although its evacuation was accepted.
+            document["evacuated_zones"] = { "biel", "brn", "biel", 7 };
+            CHECK(problemPaths(document) == "/evacuated_zones/1 /evacuated_zones/2 /evacuated_zones/3");
+            const auto problems = configuration::readDocument(document).problems;
+            CHECK(support::mentions(problems, "correct the name"));
+            CHECK(support::mentions(problems, "remove one of them"));
+            document["evacuated_zones"] = "biel";
+            CHECK(problemPaths(document) == "/evacuated_zones");
+        }
+    }
+
     TEST_CASE("all faults are reported at once, so that an operator corrects a document in one pass")
     {
         auto document = validDocument();
