Balancer: place no new flows in evacuated zones

Upstreams of an evacuated zone take no new work, like those that an operator drains. They stay in the default set, and the balancers of the zone stay homes, so an order changes neither defaults nor homes of open flows. A caller that repeats an open that no upstream has confirmed gets an upstream of another zone. An entry of an earlier flow is replaced when an open arrives later than any copy can. A service with upstreams in evacuated zones only refuses opens as not_run, also those that wait.

--- a/src/ibisgw/balancer/Balancer.cpp
+++ b/src/ibisgw/balancer/Balancer.cpp
@@ -17,6 +17,9 @@
 constexpr double maxRecordShare = 0.04;
 // Callers don't open a new flow from the same port before this time has passed since the end of the last one.
 constexpr core::Duration portReuseDelay = std::chrono::seconds(1);
+// No copy of an open arrives later than this after the copy before it: callers repeat an open for about this long at
+// most, and a packet stays in the network for a far shorter time.
+constexpr core::Duration maxOpenDelay = std::chrono::seconds(5);
 
 bool isFromUpstream(PacketType type)
 {
@@ -61,6 +64,7 @@
             drained.insert(core::UpstreamId::fromEndpoint(it));
     }
     m_upstreams.setDrained(std::move(drained));
+    m_upstreams.setEvacuatedZones({ m_document->evacuatedZones.begin(), m_document->evacuatedZones.end() });
     for (const auto& it : m_document->services)
         placementOf(it).update(now);
 }
@@ -173,11 +177,8 @@
     auto* entry = m_flows.find(packet.flow, now, flow::FlowTable::Touch::No);
     if (!entry)
         return std::nullopt;
-    // Without an open record, this may be a late copy of the open of a flow in use, whose caller has received `opened`
-    // and sent requests. After portReuseDelay without a packet it may be the open of a new flow, which
-    // must not go to an ejected upstream.
-    const bool mayBeNew = !m_admission.hasOpenRecord(packet.flow) && entry->idleTime(now) > portReuseDelay;
-    if (!serves(entry->upstream(), service) || (mayBeNew && isEjected(entry->upstream(), service, now))) {
+    const bool mustReplace = !m_admission.hasOpenRecord(packet.flow) && mustReplaceEntry(*entry, service, now);
+    if (!serves(entry->upstream(), service) || mustReplace) {
         dropFlow(packet.flow, now);
         return std::nullopt;
     }
@@ -185,6 +186,18 @@
     return entry->upstream();
 }
 
+bool Balancer::mustReplaceEntry(
+    const flow::FlowEntry& entry, const configuration::Service& service, core::TimePoint now)
+{
+    // This may be a late copy of the open of a flow in use, whose caller has received `opened` and sent requests. After
+    // portReuseDelay without a packet it may be the open of a new flow, which must not go to an ejected upstream. An
+    // evacuation must not move a flow in use, so there the entry is replaced only when no copy can be that late.
+    const auto idleTime = entry.idleTime(now);
+    if (idleTime > maxOpenDelay && m_upstreams.isEvacuated(entry.upstream()))
+        return true;
+    return idleTime > portReuseDelay && isEjected(entry.upstream(), service, now);
+}
+
 void Balancer::placeOpen(
     const Packet& packet, const configuration::Service& service, core::TimePoint now, BalancerOutput& output)
 {
--- a/src/ibisgw/balancer/Balancer.h
+++ b/src/ibisgw/balancer/Balancer.h
@@ -108,6 +108,7 @@
     void restoreFlow(
         const packet::Packet& open, core::UpstreamId, const configuration::Service&, core::TimePoint now) override;
     bool isEjected(core::UpstreamId, const configuration::Service&, core::TimePoint now) override;
+    bool isEvacuated(const core::ServiceName&) const override;
     void dropFlow(const core::FlowKey&, core::TimePoint now) override;
     void releaseFlow(const core::FlowKey&, core::TimePoint now) override;
 
@@ -166,6 +167,9 @@
     // Refuses a request or resets a stream whose upstream could not be determined.
     void rejectUnresolved(const packet::Packet&, BalancerOutput&);
     bool serves(core::UpstreamId, const configuration::Service&) const;
+    // True when an open without an open record can only be the open of a new flow on a reused port, which must not go
+    // to the entry's upstream because that is ejected or its zone is evacuated.
+    bool mustReplaceEntry(const flow::FlowEntry&, const configuration::Service&, core::TimePoint now);
     // True when the upstream belongs to the service and may keep its flows, which ends with the service's drain limit.
     bool mayKeepFlows(core::UpstreamId, const configuration::Service&, core::TimePoint now) const;
 
--- a/src/ibisgw/balancer/BalancerFlows.cpp
+++ b/src/ibisgw/balancer/BalancerFlows.cpp
@@ -162,6 +162,12 @@
     return placementOf(service).outliers().isEjected(upstream, now);
 }
 
+bool Balancer::isEvacuated(const core::ServiceName& service) const
+{
+    const auto it = m_placements.find(service);
+    return it != m_placements.end() && it->second->isEvacuated();
+}
+
 void Balancer::releaseFlow(const core::FlowKey& flow, core::TimePoint now)
 {
     auto* entry = m_flows.find(flow, now, flow::FlowTable::Touch::No);
--- a/src/ibisgw/balancer/FlowPlacer.h
+++ b/src/ibisgw/balancer/FlowPlacer.h
@@ -27,6 +27,8 @@
         = 0;
     // True when outlier detection has ejected the upstream because it doesn't answer: it gets no new work.
     virtual bool isEjected(core::UpstreamId, const configuration::Service&, core::TimePoint now) = 0;
+    // True when an evacuation leaves the service without an upstream for new flows.
+    virtual bool isEvacuated(const core::ServiceName&) const = 0;
     // Removes the flow from the flow table, with its count and its flow record.
     virtual void dropFlow(const core::FlowKey&, core::TimePoint now) = 0;
     // Stops counting a flow of short requests as in flight at its upstream. Streams stay counted.
--- a/src/ibisgw/balancer/OpenAdmission.cpp
+++ b/src/ibisgw/balancer/OpenAdmission.cpp
@@ -74,11 +74,13 @@
     if (record->state == OpenState::Queued || record->state == OpenState::Ended)
         return true;
     // A caller that repeats its open has not received `opened` when it sends the copy, so it has sent no request to the
-    // upstream that is gone. Only a copy may therefore trigger a retry: without one, the flow may have been in use
-    // until the upstream went away.
+    // upstream that is gone, ejected or evacuated. Only a copy may therefore trigger a retry: without one, the flow may
+    // have been in use until the upstream went away.
     const auto upstream = record->upstreams.back();
     const bool mayRetry = record->state == OpenState::Forwarded;
-    if (mayRetry && (isGone(upstream) || m_context.placer.isEjected(upstream, service, now))) {
+    const bool isUnfit = isGone(upstream) || m_context.upstreams.isEvacuated(upstream)
+        || m_context.placer.isEjected(upstream, service, now);
+    if (mayRetry && isUnfit) {
         if (retry(*record, service, now, output))
             return true;
         if (isGone(upstream)) {
@@ -110,8 +112,9 @@
     const auto* kind = service.findKind(packet.kind);
     const bool isRefusedInPartition
         = m_isPartitioned && kind && kind->onPartition == configuration::PartitionBehaviour::Refuse;
+    const bool isRefused = isRefusedInPartition || m_context.placer.isEvacuated(service.name);
     const request::Deadline deadline(packet.deadlineMs, now);
-    auto* record = isRefusedInPartition ? nullptr : m_opens.insert(packet.flow);
+    auto* record = isRefused ? nullptr : m_opens.insert(packet.flow);
     if (!record) {
         refuse(packet, RefusalKind::NotRun, output);
         return false;
@@ -364,6 +367,21 @@
     }
 }
 
+void OpenAdmission::refuseQueuedOfEvacuatedServices(BalancerOutput& output)
+{
+    std::vector<core::FlowKey> refused;
+    m_opens.forEach([&](const core::FlowKey& flow, const OpenRecord& record) {
+        if (record.state == OpenState::Queued && m_context.placer.isEvacuated(record.service))
+            refused.push_back(flow);
+    });
+    for (const auto& it : refused) {
+        const auto& record = *m_opens.find(it);
+        refuse(record.open, RefusalKind::NotRun, output);
+        eraseWaiting(it, record);
+        m_opens.erase(it);
+    }
+}
+
 void OpenAdmission::tick(core::TimePoint now, BalancerOutput& output)
 {
     if (now < m_nextMaintenanceAt)
@@ -371,6 +389,7 @@
     m_nextMaintenanceAt = now + maintenancePeriod;
     m_requests.removeExpired(now);
     refuseRequestsOfGoneUpstreams(output);
+    refuseQueuedOfEvacuatedServices(output);
     m_opens.removeExpired(now, [&](const core::FlowKey& flow, OpenRecord& record) {
         if (record.state == OpenState::Queued) {
             refuse(record.open, RefusalKind::NotRun, output);
--- a/src/ibisgw/balancer/OpenAdmission.h
+++ b/src/ibisgw/balancer/OpenAdmission.h
@@ -78,6 +78,7 @@
     // Sends the request to any running upstream. Used only when a test switches off requestsStayAtUpstream.
     void resendRequest(packet::Packet, BalancerOutput&);
     void refuseRequestsOfGoneUpstreams(BalancerOutput&);
+    void refuseQueuedOfEvacuatedServices(BalancerOutput&);
 
     AdmissionContext m_context;
     bool m_isPartitioned { false };
--- a/src/ibisgw/balancer/ServicePlacement.cpp
+++ b/src/ibisgw/balancer/ServicePlacement.cpp
@@ -31,6 +31,7 @@
         m_appliedChangeCount = m_upstreams.changeCount();
         rebuildDefaults(now);
         m_eligible = m_upstreams.eligible(m_service);
+        m_isEvacuated = m_upstreams.isServiceEvacuated(m_service);
     }
     m_defaults.dropOldVersions(now);
     m_outliers.update(m_eligible, now);
--- a/src/ibisgw/balancer/ServicePlacement.h
+++ b/src/ibisgw/balancer/ServicePlacement.h
@@ -17,7 +17,9 @@
     = std::function<std::unique_ptr<upstream::UpstreamSelector>(const upstream::LoadEstimate&, core::RandomSource&)>;
 
 // Selects the upstreams of the new flows of one service: streams by default placement with bounded loads, requests by a
-// load-based selector. Upstreams that are ejected, or in a zone that is cut off, get no new flows.
+// load-based selector. Upstreams that are ejected, or in a zone that is evacuated or cut off, get no new flows. Those
+// of an evacuated zone stay in the default set, so that an evacuation changes neither the defaults nor the homes of
+// flows.
 class ServicePlacement {
 public:
     ServicePlacement(core::ServiceName, const upstream::UpstreamRegistry&, const SelectorFactory&, core::RandomSource&);
@@ -36,6 +38,9 @@
     // when it gets none.
     double newWorkShare(core::UpstreamId, core::TimePoint now) const;
 
+    // True when an evacuation leaves the service without an upstream for new flows.
+    bool isEvacuated() const { return m_isEvacuated; }
+
     flow::DefaultPlacement& defaults() { return m_defaults; }
     upstream::LoadEstimate& load() { return m_load; }
     upstream::OutlierDetector& outliers() { return m_outliers; }
@@ -55,6 +60,7 @@
     std::unique_ptr<upstream::UpstreamSelector> m_selector;
     std::vector<core::UpstreamId> m_eligible;
     std::set<core::UpstreamId> m_presentUpstreams;
+    bool m_isEvacuated { false };
     std::uint64_t m_appliedChangeCount { 0 };
 };
 
--- a/src/ibisgw/upstream/UpstreamRegistry.cpp
+++ b/src/ibisgw/upstream/UpstreamRegistry.cpp
@@ -60,7 +60,18 @@
     m_drained = std::move(drained);
 }
 
+void UpstreamRegistry::setEvacuatedZones(std::set<core::ZoneName> zones)
+{
+    m_changeCount += zones != m_evacuatedZones;
+    m_evacuatedZones = std::move(zones);
+}
+
 bool UpstreamRegistry::takesNewWork(const Record& record) const
+{
+    return wouldTakeNewWork(record) && !m_evacuatedZones.contains(record.announcement.zone);
+}
+
+bool UpstreamRegistry::wouldTakeNewWork(const Record& record) const
 {
     const auto& announcement = record.announcement;
     const bool isOpen = announcement.state == UpstreamState::Ready || announcement.state == UpstreamState::Warming;
@@ -132,6 +143,20 @@
     return upstreams;
 }
 
+bool UpstreamRegistry::isEvacuated(core::UpstreamId upstream) const
+{
+    const auto* record = find(upstream);
+    return record && m_evacuatedZones.contains(record->announcement.zone);
+}
+
+bool UpstreamRegistry::isServiceEvacuated(const core::ServiceName& service) const
+{
+    if (m_evacuatedZones.empty() || !eligible(service).empty())
+        return false;
+    return std::ranges::any_of(m_records,
+        [&](const auto& it) { return it.second.announcement.service == service && wouldTakeNewWork(it.second); });
+}
+
 double UpstreamRegistry::newWorkShare(core::UpstreamId upstream, core::TimePoint now) const
 {
     const auto* record = find(upstream);
--- a/src/ibisgw/upstream/UpstreamRegistry.h
+++ b/src/ibisgw/upstream/UpstreamRegistry.h
@@ -42,11 +42,17 @@
     bool apply(const Announcement&, core::TimePoint now);
     // Sets the upstreams that operators drain. These get no new work, whatever state they announce.
     void setDrained(std::set<core::UpstreamId>);
+    // Sets the zones that operators evacuate. Their upstreams get no new work, whatever state they announce.
+    void setEvacuatedZones(std::set<core::ZoneName>);
     // Removes upstreams whose lease has expired, except those of a zone that this balancer is partitioned from.
     void removeExpired(core::TimePoint now);
     const Record* find(core::UpstreamId) const;
     // Returns the upstreams of the service that may get new work.
     std::vector<core::UpstreamId> eligible(const core::ServiceName&) const;
+    // Whether operators evacuate the zone of the upstream.
+    bool isEvacuated(core::UpstreamId) const;
+    // Whether the service has no upstream that may get new work, but would have one without the evacuations.
+    bool isServiceEvacuated(const core::ServiceName&) const;
     // Returns the upstream's share of new work in [0, 1]: 0 if it gets none, below 1 while it warms up.
     double newWorkShare(core::UpstreamId, core::TimePoint now) const;
     // How long the upstream has been draining; zero when it is not.
@@ -54,7 +60,7 @@
     // Whether announcements from the zone have stopped while those from other zones still arrive.
     bool isZoneCutOff(const core::ZoneName&, core::TimePoint now) const;
     const std::map<core::UpstreamId, Record>& records() const { return m_records; }
-    // Number of changes of the set of upstreams, of their slots or of their state.
+    // Number of changes of the set of upstreams, of their slots or of their state, including orders of operators.
     std::uint64_t changeCount() const { return m_changeCount; }
 
 private:
@@ -67,11 +73,14 @@
     bool isZoneSilent(const core::ZoneName&, core::TimePoint now) const;
     bool hasRecentAnnouncements(core::TimePoint now) const;
     bool takesNewWork(const Record&) const;
+    // Like takesNewWork(), but without regard to evacuations.
+    bool wouldTakeNewWork(const Record&) const;
     void initializeAdmission(Record&, const Record* held, core::TimePoint now);
 
     std::map<core::UpstreamId, Record> m_records;
     std::map<core::UpstreamId, Flaps> m_flaps;
     std::set<core::UpstreamId> m_drained;
+    std::set<core::ZoneName> m_evacuatedZones;
     std::map<core::ZoneName, core::TimePoint> m_lastAnnouncementAt;
     // Upstreams whose announcements arrive soon after the first one are warm already: they ran before this balancer.
     core::TimePoint m_firstAnnouncementAt;
--- a/tests/balancer/FaultScheduleTests.cpp
+++ b/tests/balancer/FaultScheduleTests.cpp
@@ -6,13 +6,14 @@
 
 namespace {
 
-support::FaultTotals runSeeds(std::uint64_t count, const balancer::SafetyRules& rules)
+support::FaultTotals runSeeds(std::uint64_t count, const balancer::SafetyRules& rules, unsigned zoneOrders = 0)
 {
     support::FaultTotals totals;
     for (std::uint64_t seed = 1; seed <= count; ++seed) {
         support::FaultScheduleOptions options;
         options.seed = seed;
         options.rules = rules;
+        options.zoneOrders = zoneOrders;
         totals.add(support::runFaultSchedule(options));
     }
     return totals;
@@ -46,6 +47,19 @@
         CHECK(totals.crossedAnswers == 0);
     }
 
+    // Guards against new flows in an evacuated zone, and against evacuations that break the safety rules when they
+    // overlap with the faults.
+    TEST_CASE("fault schedules with evacuations and restores violate no rule")
+    {
+        const auto totals = runSeeds(60, {}, 5);
+        CHECK(totals.lateOpens == 0);
+        CHECK(totals.duplicateExecutions == 0);
+        CHECK(totals.falseNotRun == 0);
+        CHECK(totals.misroutedPackets == 0);
+        CHECK(totals.crossedAnswers == 0);
+        CHECK(totals.answered > totals.requests / 2);
+    }
+
     // Guards against checks that can't fail: each subcase switches one safety rule off and expects a violation.
     TEST_CASE("fault schedules detect a missing safety rule")
     {
--- a/tests/support/BalancerGroup.cpp
+++ b/tests/support/BalancerGroup.cpp
@@ -404,6 +404,19 @@
     return m_options.zones[slot.index % m_options.zones.size()];
 }
 
+void BalancerGroup::applyDocument(std::shared_ptr<const configuration::Document> document, core::Duration maxDelay)
+{
+    m_document = std::move(document);
+    for (auto& it : m_slots) {
+        const auto delay = core::Duration(m_random.below(static_cast<std::uint64_t>(maxDelay.count()) + 1));
+        m_queue.after(delay, [this, index = it->index, applied = m_document](core::TimePoint now) {
+            // A balancer that was restarted in the meantime has the newest document already.
+            if (auto* receiver = balancer(index); receiver && applied == m_document)
+                receiver->applyDocument(applied, now);
+        });
+    }
+}
+
 void BalancerGroup::createMember(Slot& slot)
 {
     balancer::BalancerOptions options { slot.node, zoneOf(slot), m_options.flowCapacity };
--- a/tests/support/BalancerGroup.h
+++ b/tests/support/BalancerGroup.h
@@ -59,6 +59,9 @@
     void cutZones();
     void healZones();
 
+    // Brings a document into force at each balancer after a random delay of up to `maxDelay`.
+    void applyDocument(std::shared_ptr<const ibisgw::configuration::Document>, ibisgw::core::Duration maxDelay);
+
     unsigned balancerCount() const { return static_cast<unsigned>(m_slots.size()); }
     // Null while the balancer is not running.
     ibisgw::balancer::Balancer* balancer(unsigned index);
--- a/tests/support/FaultSchedule.cpp
+++ b/tests/support/FaultSchedule.cpp
@@ -2,6 +2,8 @@
 
 #include "ibisgw/core/PcgRandomSource.h"
 
+#include <map>
+
 namespace support {
 
 using namespace ibisgw;
@@ -11,17 +13,25 @@
 
 constexpr core::Endpoint serviceAddresses[] { { 0xc0000201, 443 }, { 0xc0000202, 443 } };
 constexpr const char* serviceNames[] { "slotdesk", "regatta-archive" };
+const std::vector<core::ZoneName> zoneNames { "a", "b", "c" };
 constexpr core::KindId bookingKind = 2;
+constexpr std::uint32_t bookingDeadlineMs = 2000;
+// Time until a revision is in force at all balancers.
+constexpr core::Duration revisionDelay = 1s;
+// An open that was placed before the evacuation may reach its upstream until the caller's deadline, and then travels.
+constexpr core::Duration lastCopyDelay = std::chrono::milliseconds(bookingDeadlineMs) + 500ms;
 constexpr NetworkConditions conditions { 1ms, 40ms, 0.01, 0.02 };
 // Machine number of all callers in BalancerGroup.
 constexpr MessageQueue::Machine callersMachine = 1;
 
-std::shared_ptr<const configuration::Document> makeDocument()
+std::shared_ptr<const configuration::Document> makeDocument(std::vector<core::ZoneName> evacuatedZones = {})
 {
-    configuration::Document document { { { "peachtree" } }, { { "a", "r" } }, {} };
+    configuration::Document document { { { "peachtree" } }, {}, {}, std::move(evacuatedZones) };
+    for (const auto& it : zoneNames)
+        document.zones.push_back({ it, "r" });
     for (std::size_t n = 0; n < std::size(serviceNames); ++n) {
         configuration::RequestKind booking { bookingKind, "booking" };
-        booking.deadlineMs = 2000;
+        booking.deadlineMs = bookingDeadlineMs;
         configuration::Service service { serviceNames[n], "peachtree", { serviceAddresses[n] } };
         service.kinds = { booking };
         document.services.push_back(service);
@@ -45,6 +55,8 @@
                     serviceAddresses[service] };
                 upstream.meanServiceTime = 60ms;
                 upstream.openRefusalShare = 0.05;
+                if (options.zoneOrders > 0)
+                    upstream.zone = zoneNames[n % zoneNames.size()];
                 m_group.addUpstream(upstream);
             }
         }
@@ -60,7 +72,11 @@
             m_queue.at(start + core::Duration(m_random.below(length)), [this](auto) { m_callers.startFlow(); });
         for (unsigned n = 0; n < m_options.faults; ++n)
             m_queue.at(start + core::Duration(m_random.below(length)), [this](auto) { injectFault(); });
+        for (unsigned n = 0; n < m_options.zoneOrders; ++n)
+            m_queue.at(start + core::Duration(m_random.below(length)), [this](auto) { orderZone(); });
         m_queue.runFor(m_options.duration + m_options.settleTime);
+        for (const auto& [zone, since] : m_evacuatedSince)
+            countLateOpens(zone, since);
         return totals();
     }
 
@@ -70,6 +86,8 @@
         BalancerGroupOptions group;
         group.balancers = options.balancers;
         group.rules = options.rules;
+        if (options.zoneOrders > 0)
+            group.zones = zoneNames;
         return group;
     }
 
@@ -114,6 +132,30 @@
         }
     }
 
+    // Evacuates a random zone, or restores it if it is evacuated.
+    void orderZone()
+    {
+        const auto& zone = zoneNames[m_random.below(zoneNames.size())];
+        if (const auto it = m_evacuatedSince.find(zone); it != m_evacuatedSince.end()) {
+            countLateOpens(zone, it->second);
+            m_evacuatedSince.erase(it);
+        } else {
+            m_evacuatedSince[zone] = m_queue.now();
+        }
+        std::vector<core::ZoneName> evacuated;
+        for (const auto& [name, since] : m_evacuatedSince)
+            evacuated.push_back(name);
+        m_group.applyDocument(makeDocument(std::move(evacuated)), revisionDelay);
+    }
+
+    void countLateOpens(const core::ZoneName& zone, core::TimePoint since)
+    {
+        for (const auto& it : m_group.upstreams()) {
+            const bool isLate = it->lastOpenAt() && *it->lastOpenAt() > since + revisionDelay + lastCopyDelay;
+            m_lateOpens += it->options().zone == zone && isLate;
+        }
+    }
+
     void restartBalancer(unsigned index, bool planned)
     {
         if (!m_group.balancer(index))
@@ -164,7 +206,7 @@
         const auto& executions = m_group.executions();
         return { executions.duplicateExecutions(), callers.falseNotRun, executions.misroutedPackets(),
             callers.crossedAnswers, callers.requests, callers.answered, callers.notRun, callers.outcomeUnknown,
-            executions.total() };
+            executions.total(), m_lateOpens };
     }
 
     FaultScheduleOptions m_options;
@@ -172,13 +214,17 @@
     MessageQueue m_queue;
     BalancerGroup m_group;
     FaultCallers m_callers;
+    // Evacuated zones with the time of the order.
+    std::map<core::ZoneName, core::TimePoint> m_evacuatedSince;
+    std::uint64_t m_lateOpens { 0 };
 };
 
 } // namespace
 
 bool FaultTotals::isClean() const
 {
-    return duplicateExecutions == 0 && falseNotRun == 0 && misroutedPackets == 0 && crossedAnswers == 0;
+    return duplicateExecutions == 0 && falseNotRun == 0 && misroutedPackets == 0 && crossedAnswers == 0
+        && lateOpens == 0;
 }
 
 void FaultTotals::add(const FaultTotals& other)
@@ -192,6 +238,7 @@
     notRun += other.notRun;
     outcomeUnknown += other.outcomeUnknown;
     executions += other.executions;
+    lateOpens += other.lateOpens;
 }
 
 FaultTotals runFaultSchedule(const FaultScheduleOptions& options)
--- a/tests/support/FaultSchedule.h
+++ b/tests/support/FaultSchedule.h
@@ -14,11 +14,13 @@
     ibisgw::core::Duration settleTime { std::chrono::seconds(4) };
     // Number of faults, at random times within `duration`.
     unsigned faults { 12 };
+    // Number of orders that evacuate a zone or restore it, at random times within `duration`. With 0 there is one zone.
+    unsigned zoneOrders { 0 };
     ibisgw::balancer::SafetyRules rules;
 };
 
-// Totals over one or more schedules, counted by the upstreams and callers. The first four count violations of the
-// delivery guarantees and must be zero.
+// Totals over one or more schedules, counted by the upstreams and callers. The first four and the last count
+// violations of the guarantees and must be zero.
 struct FaultTotals {
     std::uint64_t duplicateExecutions { 0 };
     std::uint64_t falseNotRun { 0 };
@@ -29,6 +31,8 @@
     std::uint64_t notRun { 0 };
     std::uint64_t outcomeUnknown { 0 };
     std::uint64_t executions { 0 };
+    // Upstreams that opened a flow although the evacuation of their zone had been in force for longer than the bound.
+    std::uint64_t lateOpens { 0 };
 
     bool isClean() const;
     void add(const FaultTotals&);
