Order evacuations of zones by command line, API and console

ibisgw zone evacuate, restore and list, POST /api/v1/zones/ZONE/evacuate and /restore, GET /api/v1/zones, and a field of the console's form. Only tokens with scope system may give orders. A daemon may hold an older revision than the newest one, and a restore that changes nothing in it would be confirmed while the zone stays evacuated. The order therefore starts from the newest revision, read from the leader (ReadNewest, a linearizable read). The identifier of the submission follows from the order and its base, so a repeat after a lost answer is accepted once. The metric ibisgw_evacuated_zones counts the evacuated zones of the document in force.

--- a/src/ibisgw/adapters/AdminApi.cpp
+++ b/src/ibisgw/adapters/AdminApi.cpp
@@ -3,6 +3,7 @@
 #include "ibisgw/adapters/detail/ApiCall.h"
 #include "ibisgw/adapters/detail/ConfigurationRoutes.h"
 #include "ibisgw/adapters/detail/OperationRoutes.h"
+#include "ibisgw/adapters/detail/ZoneRoutes.h"
 #include "ibisgw/console/ConsoleFiles.h"
 
 namespace ibisgw::adapters {
@@ -86,6 +87,8 @@
         detail::showUpstreams(call);
     else if (name == "flows")
         detail::showFlows(call);
+    else if (name == "zones")
+        detail::showZones(call);
     else
         return false;
     return true;
@@ -101,6 +104,10 @@
         detail::drainUpstream(call, path[1]);
     else if (path.size() == 3 && path[0] == "balancers" && path[2] == "drain")
         detail::drainBalancer(call, path[1]);
+    else if (path.size() == 3 && path[0] == "zones" && path[2] == "evacuate")
+        detail::orderEvacuation(call, path[1], detail::ZoneOrder::Evacuate);
+    else if (path.size() == 3 && path[0] == "zones" && path[2] == "restore")
+        detail::orderEvacuation(call, path[1], detail::ZoneOrder::Restore);
     else
         return false;
     return true;
--- a/src/ibisgw/adapters/ApiBackend.h
+++ b/src/ibisgw/adapters/ApiBackend.h
@@ -30,6 +30,8 @@
     virtual void findSubmission(const std::string& identifier, Completion<SubmissionAnswer>) = 0;
 
     virtual void documentInForce(Completion<configuration::AcceptedRevision>) = 0;
+    // Newest accepted revision of the whole system, read from the leader. Revision 0 before the first one.
+    virtual void newestDocument(Completion<configuration::AcceptedRevision>) = 0;
     // ErrorKind::NotFound if the revision does not exist or has been compacted away.
     virtual void documentAt(core::Revision, Completion<configuration::AcceptedRevision>) = 0;
     // At most `limit` entries, the newest first.
--- a/src/ibisgw/adapters/ControlRpc.cpp
+++ b/src/ibisgw/adapters/ControlRpc.cpp
@@ -142,7 +142,7 @@
         for (const auto& it : flows)
             request.flows.push_back(handOverFromJson(it));
         request.call = static_cast<ControlCall>(call);
-        const bool isKnown = call <= static_cast<std::uint64_t>(ControlCall::HandOver);
+        const bool isKnown = call <= static_cast<std::uint64_t>(ControlCall::ReadNewest);
         return isKnown ? std::optional(request) : std::nullopt;
     });
 }
--- a/src/ibisgw/adapters/ControlRpc.h
+++ b/src/ibisgw/adapters/ControlRpc.h
@@ -22,6 +22,7 @@
     DrainBalancer, // starts a graceful shutdown of the receiving daemon
     FindSpans, // returns the spans of one trace from the trace file of the receiving daemon
     HandOver, // transfers flows to the receiving daemon, which becomes their home
+    ReadNewest, // returns the newest accepted revision with its document; only the leader answers (linearizable read)
 };
 
 // Request of a daemon to a controller or to another daemon, sent on the stream channel. A call reads only the fields
@@ -48,7 +49,7 @@
     std::uint64_t number { 0 };
     // Result of Submit and FindOutcome.
     configuration::SubmissionOutcome outcome;
-    // Result of FindRevision and ListRevisions.
+    // Result of FindRevision, ListRevisions and ReadNewest.
     std::vector<configuration::AcceptedRevision> revisions;
     // Result of FindSpans.
     std::vector<Span> spans;
--- a/src/ibisgw/console/FormScript.cpp
+++ b/src/ibisgw/console/FormScript.cpp
@@ -30,6 +30,7 @@
   ["drain_limit_ms", "Drain limit in ms", "number"],
 ];
 const zoneFields = [["name", "Name", "text"], ["region", "Region", "text"]];
+const evacuatedZonesField = ["evacuated_zones", "Evacuated zones, separated by spaces (no new flows)", "list"];
 const organizationFields = [["name", "Name", "text"]];
 
 const newEntries = {
@@ -67,7 +68,7 @@
 
 function makeField(object, path, [name, label, type]) {
   const id = "field" + path.replaceAll("/", "-") + "-" + name;
-  const input = makeInput(type, object[name]);
+  const input = makeInput(type, object[name] ?? (type === "list" ? [] : ""));
   input.id = id;
   input.dataset.path = path + "/" + name;
   input.setAttribute("aria-describedby", id + "-error");
@@ -120,6 +121,7 @@
     makeList(currentDocument, "", "organizations", "organization", organizationFields),
     makeElement("h3", { textContent: "Availability zones" }),
     makeList(currentDocument, "", "zones", "zone", zoneFields),
+    makeField(currentDocument, "", evacuatedZonesField),
     makeElement("h3", { textContent: "Services" }),
     makeList(currentDocument, "", "services", "service", serviceFields, kinds));
   showJson();
--- a/src/ibisgw_cli/Commands.cpp
+++ b/src/ibisgw_cli/Commands.cpp
@@ -5,6 +5,7 @@
 #include "ibisgw_cli/Invocation.h"
 #include "ibisgw_cli/OperationCommands.h"
 #include "ibisgw_cli/StateCommands.h"
+#include "ibisgw_cli/ZoneCommands.h"
 
 #include <algorithm>
 #include <cxxopts.hpp>
@@ -52,6 +53,12 @@
             "ibisgw drain upstream 10.1.2.3:8080", runDrainUpstream },
         { "drain balancer", "NAME", 1, 1, "Shut a balancer down gracefully", "ibisgw drain balancer balancer-3",
             runDrainBalancer },
+        { "zone evacuate", "ZONE", 1, 1, "Place no new flows in an availability zone; open flows continue",
+            "ibisgw zone evacuate bern", runZoneEvacuate },
+        { "zone restore", "ZONE", 1, 1, "Place new flows in an evacuated zone again", "ibisgw zone restore bern",
+            runZoneRestore },
+        { "zone list", "", 0, 0, "List the availability zones and which are evacuated", "ibisgw zone list --json",
+            runZoneList },
         { "trace", "ID", 1, 1, "Show the spans of one trace", "ibisgw trace 4bf92f3577b34da6a3ce929d0e0e4736",
             runTrace },
         { "explain", "ID FILE...", 2, 1000,
@@ -73,6 +80,7 @@
     add("token-file", "File with the token; only its owner may have access",
         cxxopts::value<std::string>()->default_value(""), "FILE");
     add("output", "table or json", cxxopts::value<std::string>()->default_value("table"), "FORM");
+    add("json", "The same as --output json");
     add("base", "Revision that the document was made from", cxxopts::value<std::uint64_t>(), "N");
     add("submission", "Identifier of the submission; give the same one to repeat a submission safely",
         cxxopts::value<std::string>()->default_value(""), "ID");
@@ -101,6 +109,7 @@
         << defaultApi
         << "\n  --token-file FILE  file with the token; only its owner may have access\n"
            "  --output FORM      table or json\n"
+           "  --json             the same as --output json\n"
            "  --help             show help, also for one command\n";
     printExitStatuses(out);
 }
@@ -152,7 +161,7 @@
             << "; see ibisgw --help\n";
         return ExitStatus::InvalidInput;
     }
-    const auto output = parsed["output"].as<std::string>();
+    const auto output = parsed.count("json") ? "json" : parsed["output"].as<std::string>();
     if (output != "table" && output != "json") {
         err << "--output must be table or json\n";
         return ExitStatus::InvalidInput;
--- a/src/ibisgwd/ControllerRole.cpp
+++ b/src/ibisgwd/ControllerRole.cpp
@@ -61,6 +61,7 @@
     m_service.tick(m_loop.now(), *this);
     publishCommitted();
     answerWaitingSenders();
+    answerWaitingReaders();
 }
 
 void ControllerRole::handleConsensus(core::NodeId sender, std::span<const std::byte> body)
@@ -70,6 +71,7 @@
         m_service.handleMessage(sender, *message, m_loop.now(), *this);
     publishCommitted();
     answerWaitingSenders();
+    answerWaitingReaders();
 }
 
 void ControllerRole::handleRequest(core::NodeId sender, const ControlRequest& request)
@@ -90,6 +92,9 @@
     case ControlCall::ListRevisions:
         answer.revisions = newestRevisions(request.limit);
         break;
+    case ControlCall::ReadNewest:
+        readNewest(sender, request);
+        return;
     case ControlCall::DrainBalancer:
     case ControlCall::FindSpans:
     case ControlCall::HandOver:
@@ -130,6 +135,47 @@
     });
 }
 
+void ControllerRole::readNewest(core::NodeId sender, const ControlRequest& request)
+{
+    const auto now = m_loop.now();
+    const auto ticket = m_service.beginRead(now, *this);
+    if (!ticket || m_waitingReaders.size() >= maxWaitingSenders) {
+        redirectReader(sender, request.number);
+        return;
+    }
+    m_waitingReaders.push_back({ sender, request.number, *ticket, now });
+    // In a group with a single controller the read is already confirmed.
+    answerWaitingReaders();
+}
+
+void ControllerRole::redirectReader(core::NodeId sender, std::uint64_t number)
+{
+    ControlReply answer;
+    answer.number = number;
+    answer.outcome.kind = OutcomeKind::NotLeader;
+    reply(sender, answer);
+}
+
+void ControllerRole::answerWaitingReaders()
+{
+    const auto now = m_loop.now();
+    std::erase_if(m_waitingReaders, [&](const WaitingReader& waiting) {
+        const auto state = m_service.readState(waiting.ticket);
+        const bool isPending = state == configuration::ReadState::Pending;
+        if (isPending && now - waiting.receivedAt < decisionTimeout)
+            return false;
+        if (state != configuration::ReadState::Ready) {
+            redirectReader(waiting.sender, waiting.number);
+            return true;
+        }
+        ControlReply answer;
+        answer.number = waiting.number;
+        answer.revisions.push_back(m_service.newestCommitted());
+        reply(waiting.sender, answer);
+        return true;
+    });
+}
+
 void ControllerRole::publishCommitted()
 {
     const auto& newest = m_service.newestCommitted();
--- a/src/ibisgwd/ControllerRole.h
+++ b/src/ibisgwd/ControllerRole.h
@@ -44,12 +44,24 @@
         ibisgw::core::TimePoint receivedAt;
     };
 
+    // Sender of a linearizable read that is not confirmed yet.
+    struct WaitingReader {
+        ibisgw::core::NodeId sender;
+        std::uint64_t number { 0 };
+        ibisgw::configuration::ReadTicket ticket;
+        ibisgw::core::TimePoint receivedAt;
+    };
+
     ControllerRole(const ibisgw::settings::DaemonSettings&, std::unique_ptr<ibisgw::adapters::FileLogStore>,
         ibisgw::core::RandomSource&, ibisgw::adapters::EventLoop&, PeerNetwork&, RevisionHandler);
 
     void send(ibisgw::core::NodeId, const ibisgw::configuration::RaftMessage&) override;
     void submit(ibisgw::core::NodeId sender, const ibisgw::adapters::ControlRequest&);
     void answerWaitingSenders();
+    void readNewest(ibisgw::core::NodeId sender, const ibisgw::adapters::ControlRequest&);
+    // Replies to a reader that has to ask the present leader.
+    void redirectReader(ibisgw::core::NodeId sender, std::uint64_t number);
+    void answerWaitingReaders();
     void publishCommitted();
     void reply(ibisgw::core::NodeId, ibisgw::adapters::ControlReply);
     std::vector<ibisgw::configuration::AcceptedRevision> newestRevisions(std::size_t limit) const;
@@ -60,6 +72,7 @@
     ibisgw::configuration::ConfigurationService m_service;
     RevisionHandler m_revisionHandler;
     std::vector<WaitingSender> m_waiting;
+    std::vector<WaitingReader> m_waitingReaders;
     ibisgw::core::Revision m_publishedRevision { 0 };
 };
 
--- a/src/ibisgwd/Daemon.cpp
+++ b/src/ibisgwd/Daemon.cpp
@@ -98,7 +98,7 @@
           [this](auto sender, auto channel, auto body) { receive(sender, channel, body); })
     , m_membership(makeMembershipSettings(m_settings, m_network.self()), m_random, *this)
     , m_client(m_network, toNodes(m_settings.controllers))
-    , m_backend({ m_loop, m_network, m_membership, m_client, m_balancer, m_controller })
+    , m_backend({ m_loop, m_network, m_membership, m_client, m_balancer, m_controller, m_document })
 {
 }
 
@@ -273,9 +273,9 @@
             { { "revision", revision.revision } });
         return;
     }
+    m_document = std::make_shared<const configuration::Document>(std::move(*reading.document));
     if (m_balancer)
-        m_balancer->balancer().applyDocument(
-            std::make_shared<const configuration::Document>(std::move(*reading.document)), m_loop.now());
+        m_balancer->balancer().applyDocument(m_document, m_loop.now());
     adapters::log(LogLevel::Info, "revision in force", { { "revision", revision.revision } });
 }
 
--- a/src/ibisgwd/Daemon.h
+++ b/src/ibisgwd/Daemon.h
@@ -54,6 +54,8 @@
     std::unique_ptr<BalancerRole> m_balancer;
     std::unique_ptr<HandOverSender> m_handOvers;
     std::unique_ptr<ControllerRole> m_controller;
+    // Document in force; null before the first one.
+    std::shared_ptr<const ibisgw::configuration::Document> m_document;
     DaemonBackend m_backend;
     std::unique_ptr<ibisgw::adapters::AdminApi> m_api;
     std::vector<ibisgw::flow::RingMember> m_ring;
--- a/src/ibisgwd/DaemonBackend.cpp
+++ b/src/ibisgwd/DaemonBackend.cpp
@@ -117,6 +117,23 @@
     completion(m_parts.membership.revisionInForce());
 }
 
+void DaemonBackend::newestDocument(Completion<configuration::AcceptedRevision> completion)
+{
+    ControlRequest request;
+    request.call = ControlCall::ReadNewest;
+    m_parts.client.callControllers(std::move(request), ControlClient::Attempts::Several, m_parts.loop.now(),
+        [completion = std::move(completion)](auto result) {
+            auto* reply = std::get_if<ControlReply>(&result);
+            if (!reply)
+                completion(std::get<core::Error>(result));
+            else if (reply->revisions.empty())
+                completion(core::Error { core::ErrorKind::Unavailable,
+                    "the leader sent no revision; upgrade all controllers and try again" });
+            else
+                completion(std::move(reply->revisions.front()));
+        });
+}
+
 void DaemonBackend::documentAt(core::Revision revision, Completion<configuration::AcceptedRevision> completion)
 {
     ControlRequest request;
--- a/src/ibisgwd/DaemonBackend.h
+++ b/src/ibisgwd/DaemonBackend.h
@@ -2,6 +2,7 @@
 
 #include "ibisgw/adapters/ApiBackend.h"
 #include "ibisgw/adapters/ControlRpc.h"
+#include "ibisgw/configuration/Document.h"
 #include "ibisgw/core/Time.h"
 
 #include <memory>
@@ -29,6 +30,8 @@
     ControlClient& client;
     const std::unique_ptr<BalancerRole>& balancer;
     const std::unique_ptr<ControllerRole>& controller;
+    // Document in force; null before the first one.
+    const std::shared_ptr<const ibisgw::configuration::Document>& document;
 };
 
 // Serves the administration API from the state of this daemon, and requests everything else from the controllers or
@@ -43,6 +46,7 @@
     void findSubmission(
         const std::string& identifier, ibisgw::adapters::Completion<ibisgw::adapters::SubmissionAnswer>) override;
     void documentInForce(ibisgw::adapters::Completion<ibisgw::configuration::AcceptedRevision>) override;
+    void newestDocument(ibisgw::adapters::Completion<ibisgw::configuration::AcceptedRevision>) override;
     void documentAt(
         ibisgw::core::Revision, ibisgw::adapters::Completion<ibisgw::configuration::AcceptedRevision>) override;
     void history(std::size_t limit, ibisgw::adapters::Completion<std::vector<ibisgw::adapters::HistoryEntry>>) override;
--- a/src/ibisgwd/DaemonMetrics.cpp
+++ b/src/ibisgwd/DaemonMetrics.cpp
@@ -69,6 +69,8 @@
     registry.counter("ibisgw_stream_bytes_sent_total", "Bytes sent on streams") = parts.network.streamBytesSent();
     registry.gauge("ibisgw_revision_in_force", "Revision of the document in force")
         = static_cast<double>(parts.membership.revisionInForce().revision);
+    registry.gauge("ibisgw_evacuated_zones", "Zones without new flows by the document in force")
+        = parts.document ? static_cast<double>(parts.document->evacuatedZones.size()) : 0;
     registry.gauge("ibisgw_members", "Other daemons that can be reached")
         = static_cast<double>(parts.membership.members().reachableCount());
     registry.gauge("ibisgw_isolated", "1 while contact with all other daemons is lost")
--- a/tests/adapters/AdminApiTests.cpp
+++ b/tests/adapters/AdminApiTests.cpp
@@ -336,6 +336,32 @@
             CHECK(fixture.submit(given, peachtreeToken).status == 403);
             CHECK(fixture.backend.submissions.empty());
         }
+        SUBCASE("an organization neither evacuates nor restores a zone with a submission")
+        {
+            // Guards against a submission of one organization that changes the zones in service for all others.
+            auto evacuating = document;
+            evacuating["evacuated_zones"] = { "bern" };
+            const auto answer = fixture.submit(evacuating, peachtreeToken);
+            CHECK(answer.status == 403);
+            CHECK(pathsIn(answer) == "/document/evacuated_zones/0");
+            fixture.backend.accept(evacuating.dump(), "second");
+            auto own = fixture.get("/api/v1/document", peachtreeToken).json()["document"];
+            CHECK(own["evacuated_zones"] == json { "bern" });
+            own.erase("evacuated_zones");
+            CHECK(fixture.submit(own, peachtreeToken, 2).status == 200);
+            CHECK(json::parse(fixture.backend.submissions.at(0).text)["evacuated_zones"] == json { "bern" });
+        }
+        SUBCASE("an organization lists the zones but orders no evacuation")
+        {
+            CHECK(fixture.get("/api/v1/zones", peachtreeToken).json()["zones"].size() == 1);
+            for (const auto* it : { "/api/v1/zones/bern/evacuate", "/api/v1/zones/bern/restore" }) {
+                CHECK(fixture.post(it, "{}", peachtreeToken).status == 403);
+                CHECK(fixture.post(it, "{}", "").status == 401);
+            }
+            CHECK(fixture.backend.submissions.empty());
+            CHECK(fixture.post("/api/v1/zones/bern/evacuate", "{}", systemToken).status == 200);
+            CHECK(fixture.backend.submissions.at(0).author == "root");
+        }
         SUBCASE("an organization drains only its own upstreams, and no balancer")
         {
             CHECK(fixture.post("/api/v1/upstreams/10.0.0.1:80/drain", "{}", peachtreeToken).status == 404);
@@ -346,6 +372,39 @@
         }
     }
 
+    TEST_CASE("an order for a zone starts from the newest accepted revision, not from the one in force here")
+    {
+        Fixture fixture;
+        const auto evacuate = [&] { return fixture.post("/api/v1/zones/bern/evacuate", "{}"); };
+        const auto restore = [&] { return fixture.post("/api/v1/zones/bern/restore", "{}"); };
+        REQUIRE(evacuate().json()["revision"] == 2);
+        fixture.backend.revisionsNotInForce = 1;
+        SUBCASE("a restore ends an evacuation that this daemon has not received")
+        {
+            // Guards against a restore that is confirmed while the zone stays evacuated.
+            CHECK(fixture.get("/api/v1/zones").json()["zones"][0]["evacuated"] == false);
+            const auto answer = restore().json();
+            CHECK(answer["evacuated"] == false);
+            CHECK(answer["revision"] == 3);
+        }
+        SUBCASE("a change of another operator that this daemon has not received is kept")
+        {
+            // Guards against lost updates.
+            auto changed = fixture.get("/api/v1/revisions/2").json()["document"];
+            changed["services"][0]["cross_zone"] = false;
+            REQUIRE(fixture.submit(changed, "", 2).status == 200);
+            CHECK(restore().json()["revision"] == 4);
+            const auto newest = fixture.get("/api/v1/revisions/4").json()["document"];
+            CHECK(newest["services"][0]["cross_zone"] == false);
+            CHECK_FALSE(newest.contains("evacuated_zones"));
+        }
+        SUBCASE("without an accepted document there is nothing to change")
+        {
+            fixture.backend.revisions.clear();
+            CHECK(evacuate().status == 503);
+        }
+    }
+
     TEST_CASE("the API serves the console and the difference that the console shows")
     {
         Fixture fixture(true);
--- a/tests/cli/CommandsTests.cpp
+++ b/tests/cli/CommandsTests.cpp
@@ -189,6 +189,58 @@
         CHECK(server.run({ "trace", "xyz" }).status == ExitStatus::InvalidInput);
     }
 
+    TEST_CASE("zone evacuate and zone restore change the document once and may be repeated")
+    {
+        ApiServer server;
+        const auto evacuate = [&] { return server.run({ "zone", "evacuate", "bern" }); };
+        SUBCASE("evacuate, list and restore")
+        {
+            CHECK(evacuate().out == "zone bern is evacuated by revision 2\n");
+            const auto table = server.run({ "zone", "list" });
+            CHECK(table.out
+                == "revision 2 is in force on this daemon\nname  region         evacuated\nbern  ch-mittelland  "
+                   "true\n");
+            const auto listed = nlohmann::json::parse(server.run({ "zone", "list", "--json" }).out);
+            CHECK(listed["revision"] == 2);
+            CHECK(listed["zones"][0]["evacuated"] == true);
+            CHECK(server.run({ "zone", "restore", "bern" }).out == "zone bern is in service by revision 3\n");
+            CHECK(server.run({ "zone", "list" }).out.find("false") != std::string::npos);
+        }
+        SUBCASE("a repeat changes nothing and succeeds")
+        {
+            // Guards against a revision for each repeat, which would be a conflict for other operators.
+            evacuate();
+            CHECK(evacuate().out == "zone bern is evacuated by revision 2\n");
+            CHECK(server.backend.submissions.size() == 1);
+        }
+        SUBCASE("after a lost answer the repeat is the same submission")
+        {
+            // Guards against a change that is accepted twice.
+            server.backend.holdsSubmissions = true;
+            const auto run = evacuate();
+            CHECK(run.status == ExitStatus::UnknownOutcome);
+            server.backend.holdsSubmissions = false;
+            CHECK(evacuate().status == ExitStatus::Ok);
+            CHECK(server.backend.submissions.at(0).identifier == server.backend.submissions.at(1).identifier);
+        }
+        SUBCASE("the exit statuses are those of a submission")
+        {
+            using adapters::SubmissionOutcome;
+            server.backend.nextAnswer = { SubmissionOutcome::Conflict, 2, {} };
+            const auto conflict = evacuate();
+            CHECK(conflict.status == ExitStatus::Conflict);
+            CHECK(conflict.err.find("repeat the order") != std::string::npos);
+            server.backend.nextAnswer = { SubmissionOutcome::Unknown, 0, {} };
+            CHECK(evacuate().status == ExitStatus::UnknownOutcome);
+            server.backend.nextAnswer = { SubmissionOutcome::Rejected, 0, {} };
+            CHECK(evacuate().status == ExitStatus::InvalidInput);
+            const auto unknown = server.run({ "zone", "evacuate", "brn" });
+            CHECK(unknown.status == ExitStatus::Failed);
+            CHECK(unknown.err.find("ibisgw zone list") != std::string::npos);
+            CHECK(server.run({ "zone", "evacuate" }).status == ExitStatus::InvalidInput);
+        }
+    }
+
     TEST_CASE("each command has help with an example, and errors in usage name an option or --help")
     {
         const auto overview = runCommand({ "--help" });
@@ -197,7 +249,8 @@
         for (const std::vector<std::string>& it :
             { std::vector<std::string> { "config", "check" }, { "config", "submit" }, { "config", "outcome" },
                 { "config", "show" }, { "config", "history" }, { "config", "diff" }, { "status" }, { "upstreams" },
-                { "flows" }, { "drain", "upstream" }, { "drain", "balancer" }, { "trace" } }) {
+                { "flows" }, { "drain", "upstream" }, { "drain", "balancer" }, { "zone", "evacuate" },
+                { "zone", "restore" }, { "zone", "list" }, { "trace" } }) {
             auto arguments = it;
             arguments.emplace_back("--help");
             CHECK(runCommand(arguments).out.find("Example:\n  ibisgw " + it[0]) != std::string::npos);
--- a/tests/processes/test_system.py
+++ b/tests/processes/test_system.py
@@ -189,6 +189,35 @@
         self.assertNotIn(drained, flows)
         self.assertEqual(sum(flows.values()), 40)
 
+    def flows_placed(self):
+        lines = [line for it in BALANCERS for line in self.system.metrics(it).splitlines()]
+        return sum(int(it.split()[1]) for it in lines if it.startswith("ibisgw_flows_placed_total "))
+
+    # Guards against a zone that gets new flows after its evacuation, and against open streams that the orders break.
+    def test_operator_evacuates_and_restores_a_zone(self):
+        for n in range(4):
+            self.system.start_upstream(f"slotdesk-{n}", "slotdesk", ZONES[n % 2])
+        wait_for(lambda: all(self.system.upstream_count(it) == 4 for it in BALANCERS), "the upstreams")
+        upstreams = self.system.api("balancer-0", "/api/v1/upstreams")["upstreams"]
+        evacuated = {it["address"] for it in upstreams if it["zone"] == ZONES[0]}
+        self.system.start_callers("open", "slotdesk", "--streams", 40, "--duration-ms", 8000)
+        wait_for(lambda: self.flows_placed() == 40, "the streams")
+        for revision, command in ((2, "evacuate"), (3, "restore")):
+            for daemon in ("balancer-0", "controller-2", "balancer-1"):
+                status, output = self.system.cli(daemon, "zone", command, ZONES[0], "--json")
+                self.assertEqual((status, json.loads(output)["revision"]), (0, revision), output)
+            self.wait_in_force(revision, BALANCERS)
+            for daemon in BALANCERS + CONTROLLERS[:1]:
+                count = 1 if command == "evacuate" else 0
+                self.assertIn(f"ibisgw_evacuated_zones {count}", self.system.metrics(daemon).splitlines())
+            self.system.start_callers(command, "slotdesk", "--streams", 40, "--duration-ms", 500)
+            flows = self.system.report(command)["flows_by_upstream"]
+            self.assertEqual(sum(flows.values()), 40)
+            self.assertEqual(bool(evacuated & set(flows)), command == "restore", flows)
+        report = self.system.report("open")
+        self.assertEqual(report["broken_streams"], 0, report["break_reasons"])
+        self.assertEqual(self.system.cli("balancer-0", "zone", "evacuate", "nowhere")[0], 1)
+
 
 def read_known_red(path):
     """Returns the names of the tests in KNOWN-RED.txt that CI skips."""
--- a/tests/support/FakeApiBackend.cpp
+++ b/tests/support/FakeApiBackend.cpp
@@ -1,6 +1,7 @@
 #include "support/FakeApiBackend.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace support {
 
@@ -20,6 +21,10 @@
         heldSubmissions.push_back(std::move(complete));
         return;
     }
+    if (nextAnswer) {
+        complete(*std::exchange(nextAnswer, std::nullopt));
+        return;
+    }
     if (submission.base != revisions.size()) {
         complete(SubmissionAnswer { SubmissionOutcome::Conflict, revisions.size(), {} });
         return;
@@ -38,6 +43,12 @@
 }
 
 void FakeApiBackend::documentInForce(Completion<configuration::AcceptedRevision> complete)
+{
+    const auto count = revisions.size() - std::min(revisions.size(), revisionsNotInForce);
+    complete(count == 0 ? configuration::AcceptedRevision {} : revisions[count - 1]);
+}
+
+void FakeApiBackend::newestDocument(Completion<configuration::AcceptedRevision> complete)
 {
     complete(revisions.empty() ? configuration::AcceptedRevision {} : revisions.back());
 }
--- a/tests/support/FakeApiBackend.h
+++ b/tests/support/FakeApiBackend.h
@@ -2,6 +2,7 @@
 
 #include "ibisgw/adapters/ApiBackend.h"
 
+#include <optional>
 #include <vector>
 
 namespace support {
@@ -20,6 +21,10 @@
     std::vector<std::string> drained;
     std::string metricsText { "ibisgw_flows_open 3\n" };
     bool holdsSubmissions { false };
+    // Number of newest revisions that are accepted but not in force at this daemon yet.
+    std::size_t revisionsNotInForce { 0 };
+    // Answer to the next submission instead of the usual one.
+    std::optional<ibisgw::adapters::SubmissionAnswer> nextAnswer;
 
     // Appends a revision with this document, as if the submission had been accepted.
     void accept(const std::string& document, const std::string& submission);
@@ -28,6 +33,7 @@
         ibisgw::adapters::Completion<ibisgw::adapters::SubmissionAnswer>) override;
     void findSubmission(const std::string&, ibisgw::adapters::Completion<ibisgw::adapters::SubmissionAnswer>) override;
     void documentInForce(ibisgw::adapters::Completion<ibisgw::configuration::AcceptedRevision>) override;
+    void newestDocument(ibisgw::adapters::Completion<ibisgw::configuration::AcceptedRevision>) override;
     void documentAt(
         ibisgw::core::Revision, ibisgw::adapters::Completion<ibisgw::configuration::AcceptedRevision>) override;
     void history(std::size_t limit, ibisgw::adapters::Completion<std::vector<ibisgw::adapters::HistoryEntry>>) override;
