Read, check and write the limit of hedged requests in the operators' document

The service member hedging.max_share (0 to 0.2, default 0) sets the limit. It is written only above 0, because earlier versions refuse unknown members, so that other documents keep their text and hash.

--- a/src/ibisgw/configuration/Document.h
+++ b/src/ibisgw/configuration/Document.h
@@ -51,6 +51,12 @@
     PartitionBehaviour onPartition { PartitionBehaviour::Serve };
 };
 
+// Extra attempts of late idempotent requests at a second upstream.
+struct Hedging {
+    // Highest share of extra requests among the requests of the service; 0 switches hedging off.
+    double maxShare { 0 };
+};
+
 // A service that balancers offer to callers, with the addresses under which it is reached.
 struct Service {
     core::ServiceName name;
@@ -65,6 +71,8 @@
     // list.
     std::vector<core::Endpoint> drainedUpstreams;
     std::vector<RequestKind> kinds;
+    // Extra attempts of late idempotent requests.
+    Hedging hedging;
 
     const RequestKind* findKind(core::KindId) const;
 };
--- a/src/ibisgw/configuration/DocumentReader.cpp
+++ b/src/ibisgw/configuration/DocumentReader.cpp
@@ -17,6 +17,8 @@
 constexpr std::uint64_t maxKindId = 65'535;
 constexpr std::uint64_t maxRetryLimit = 16;
 constexpr std::uint64_t maxConcurrency = 1'000'000;
+// More extra work than this would need upstreams of its own.
+constexpr double maxHedgingShare = 0.2;
 
 void readKind(ObjectReader& reader, RequestKind& kind)
 {
@@ -48,6 +50,9 @@
     reader.readObjects("kinds", Presence::Required,
         [&](ObjectReader& kindReader) { readKind(kindReader, service.kinds.emplace_back()); });
     requireEntry("kinds", service.kinds.empty());
+    reader.readObject("hedging", Presence::Optional, [&](ObjectReader& hedgingReader) {
+        hedgingReader.readNumber("max_share", service.hedging.maxShare, 0, maxHedgingShare);
+    });
 }
 
 } // namespace
--- a/src/ibisgw/configuration/DocumentWriter.cpp
+++ b/src/ibisgw/configuration/DocumentWriter.cpp
@@ -34,7 +34,7 @@
     auto kinds = json::array();
     for (const auto& it : service.kinds)
         kinds.push_back(writeKind(it));
-    return {
+    json written {
         { "name", service.name },
         { "organization", service.organization },
         { "addresses", std::move(addresses) },
@@ -44,6 +44,10 @@
         { "drained_upstreams", std::move(drainedUpstreams) },
         { "kinds", std::move(kinds) },
     };
+    // Earlier versions refuse documents with this member, so it is written only if it is used.
+    if (service.hedging.maxShare > 0)
+        written["hedging"] = { { "max_share", service.hedging.maxShare } };
+    return written;
 }
 
 } // namespace
--- a/tests/configuration/DocumentReaderTests.cpp
+++ b/tests/configuration/DocumentReaderTests.cpp
@@ -82,6 +82,48 @@
         }
     }
 
+    // Guards against a limit of hedged requests that is lost, or that operators mistype without notice.
+    TEST_CASE("the limit of hedged requests is read, checked and written")
+    {
+        auto document = validDocument();
+        auto& service = document["services"][0];
+        SUBCASE("a valid limit is kept")
+        {
+            service["hedging"] = { { "max_share", 0.05 } };
+            const auto reading = configuration::readDocument(document);
+            REQUIRE(reading.document);
+            CHECK(reading.document->services[0].hedging.maxShare == 0.05);
+            CHECK(reading.document->services[1].hedging.maxShare == 0);
+            const auto written = configuration::writeDocument(*reading.document);
+            CHECK(written["services"][0]["hedging"]["max_share"] == 0.05);
+        }
+        SUBCASE("a document without it has the same text as before, because earlier versions refuse the member")
+        {
+            for (const bool isZero : { false, true }) {
+                if (isZero)
+                    service["hedging"] = { { "max_share", 0 } };
+                const auto reading = configuration::readDocument(document);
+                REQUIRE(reading.document);
+                CHECK(configuration::canonicalText(*reading.document).find("hedging") == std::string::npos);
+            }
+        }
+        SUBCASE("any other value is refused with its path and the valid values")
+        {
+            for (const json& it : { json(-0.01), json(0.21), json("0.05"), json(nullptr) }) {
+                service["hedging"] = { { "max_share", it } };
+                const auto reading = configuration::readDocument(document);
+                REQUIRE(reading.problems.size() == 1);
+                CHECK(reading.problems[0].path == "/services/0/hedging/max_share");
+                if (it.is_number())
+                    CHECK(reading.problems[0].message == "must be between 0.0 and 0.2");
+            }
+            service["hedging"] = { { "share", 0.05 } };
+            CHECK(problemPaths(document) == "/services/0/hedging/share");
+            service["hedging"] = 0.05;
+            CHECK_FALSE(configuration::readDocument(document).document);
+        }
+    }
+
     TEST_CASE("all faults are reported at once, so that an operator corrects a document in one pass")
     {
         auto document = validDocument();
