Send a copy of a late idempotent request to a second upstream

RequestHedging runs at the home of a flow: other balancers report requests, answers, cancellations and refusals of covered kinds to it. The copy goes over a flow whose caller is the balancer's own control endpoint, so that opened, refusal and reset of the second upstream can't change the caller's flow, whichever balancer receives them. The first answer goes to the caller with the upstream and the token of its flow; the other attempt is cancelled and its late answer is dropped. A refusal becomes outcome_unknown when a copy may have run. Nothing changes for services without hedging.

--- a/src/ibisgw/balancer/Balancer.cpp
+++ b/src/ibisgw/balancer/Balancer.cpp
@@ -37,6 +37,8 @@
     , m_relay(m_homes, { m_options.relaysPerSecond, m_options.relaysPerSecond }, m_counters)
     , m_previousHomeQueries(m_homes, m_relay)
     , m_admission({ m_options.rules, m_homes, m_upstreams, m_relay, m_counters, *this })
+    , m_hedging(
+          { m_homes, m_upstreams, m_tokens, m_relay, m_counters, *this, m_admission }, m_options.firstRecordSequence)
 {
     if (!m_options.makeSelector) {
         m_options.makeSelector = [](const auto& load, auto& source) {
@@ -79,11 +81,13 @@
     m_homes.setMembers(std::move(members), now);
     m_previousHomeQueries.homesChanged();
     m_admission.homesChanged();
+    m_hedging.homesChanged();
 }
 
 void Balancer::setPartitioned(bool partitioned, core::TimePoint)
 {
     m_admission.setPartitioned(partitioned);
+    m_hedging.setPartitioned(partitioned);
 }
 
 void Balancer::handleAnnouncement(const upstream::Announcement& announcement, core::TimePoint now)
@@ -98,12 +102,33 @@
 {
     if (m_previousHomeQueries.handleRejection(packet))
         return;
+    if (RequestHedging::isReport(packet)) {
+        handleReport(packet, now, output);
+        return;
+    }
     if (isFromUpstream(packet.type))
         handleUpstreamPacket(packet, now, output);
     else
         dispatchCallerPacket(packet, now, output);
 }
 
+void Balancer::handleReport(const Packet& packet, core::TimePoint now, BalancerOutput& output)
+{
+    const auto* service = m_document ? m_document->findService(packet.flow.service) : nullptr;
+    if (!service || m_hedging.handleReport(packet, *service, now, output))
+        return;
+    if (packet.upstream.isValid() && serves(packet.upstream, *service)) {
+        handleUpstreamPacket(packet, now, output);
+        return;
+    }
+    // The balancer that forwarded the request has found that the upstream is gone.
+    auto refusal = packet;
+    if (m_hedging.handleReply(refusal, *service, now, output))
+        return;
+    refusal.relayHops = 0;
+    output.sendToCaller(refusal);
+}
+
 void Balancer::handleCallerPacket(const Packet& packet, core::TimePoint now, BalancerOutput& output)
 {
     // Packets of upstreams are not accepted from callers. Fields that only balancers set are cleared below.
@@ -134,8 +159,10 @@
         closeFlow(packet, *service, now, output);
         return;
     }
-    if (packet.type == PacketType::Cancel)
+    if (packet.type == PacketType::Cancel) {
         m_admission.handleCancel(packet, now);
+        m_hedging.handleCancel(packet, *service, now, output);
+    }
     if (const auto upstream = resolveFlow(packet, *service, now)) {
         forwardKnown(packet, *upstream, *service, now, output);
         return;
@@ -223,6 +250,8 @@
         return;
     }
     placementOf(*service).outliers().noteAnswer(packet.upstream, now);
+    if (m_hedging.handleSecondUpstream(packet, now, output))
+        return;
     dropStaleEntry(packet, now);
     const bool isOpened = packet.type == PacketType::Opened;
     const bool isQuery = isOpened && PreviousHomeQueries::isQuery(packet);
@@ -249,8 +278,10 @@
         // The home is notified, because it counts the flow and publishes its record.
         auto close = packet;
         close.type = PacketType::Close;
-        if (!m_relay.relayToHome(close, now, output))
+        if (!m_relay.relayToHome(close, now, output)) {
             m_admission.endFlow(packet.flow, now);
+            m_hedging.endFlow(packet.flow, output);
+        }
         dropFlow(packet.flow, now);
         placeAdmitted(now, output);
     } else {
@@ -261,6 +292,8 @@
         noteAnswer(packet, entry, service, now);
     }
     auto forwarded = packet;
+    if (m_hedging.handleReply(forwarded, service, now, output))
+        return;
     forwarded.token = m_tokens.issue(packet.flow, packet.upstream);
     ++m_counters.packetsToCallers;
     output.sendToCaller(forwarded);
@@ -289,7 +322,13 @@
         if (service && serves(it.packet.upstream, *service))
             forwardToCaller(it.packet, *service, now, output);
     }
+    if (m_knownUpstreamChanges != m_upstreams.changeCount()) {
+        m_knownUpstreamChanges = m_upstreams.changeCount();
+        m_hedging.upstreamsChanged(now);
+    }
     m_admission.tick(now, output);
+    m_hedging.tick(now, output);
+    startDueAttempts(now, output);
     placeAdmitted(now, output);
     std::size_t streams = 0;
     for (auto& [service, placement] : m_placements)
@@ -299,6 +338,12 @@
     m_records.setLimit(static_cast<std::size_t>(recordLimit));
 }
 
+void Balancer::startDueAttempts(core::TimePoint now, BalancerOutput& output)
+{
+    if (m_document)
+        m_hedging.startDueAttempts(*m_document, now, output);
+}
+
 void Balancer::forward(const Packet& packet, core::UpstreamId upstream, BalancerOutput& output)
 {
     auto forwarded = packet;
--- a/src/ibisgw/balancer/Balancer.h
+++ b/src/ibisgw/balancer/Balancer.h
@@ -5,6 +5,7 @@
 #include "ibisgw/balancer/FlowHomes.h"
 #include "ibisgw/balancer/OpenAdmission.h"
 #include "ibisgw/balancer/PreviousHomeQueries.h"
+#include "ibisgw/balancer/RequestHedging.h"
 #include "ibisgw/balancer/ServicePlacement.h"
 #include "ibisgw/configuration/Document.h"
 #include "ibisgw/core/RandomSource.h"
@@ -100,6 +101,7 @@
     // nor a record of the flow.
     std::optional<FlowLocation> locate(const core::FlowKey&, core::TimePoint now);
     const OpenAdmission& admission() const { return m_admission; }
+    const RequestHedging& hedging() const { return m_hedging; }
 
 private:
     core::UpstreamId upstreamOf(const core::FlowKey&, core::TimePoint now) override;
@@ -110,7 +112,15 @@
     bool isEjected(core::UpstreamId, const configuration::Service&, core::TimePoint now) override;
     void dropFlow(const core::FlowKey&, core::TimePoint now) override;
     void releaseFlow(const core::FlowKey&, core::TimePoint now) override;
+    core::UpstreamId selectSecond(
+        const core::FlowKey&, const configuration::Service&, core::UpstreamId first, core::TimePoint now) override;
+    void noteSecondStarted(core::UpstreamId, const configuration::Service&, core::TimePoint now) override;
+    void noteSecondFinished(core::UpstreamId, const core::ServiceName&) override;
+    bool holdsRefusal(packet::Packet& refusal, core::TimePoint now, BalancerOutput&) override;
 
+    // Handles what another balancer reports about a request that may have an extra attempt.
+    void handleReport(const packet::Packet&, core::TimePoint now, BalancerOutput&);
+    void startDueAttempts(core::TimePoint now, BalancerOutput&);
     void dispatchCallerPacket(const packet::Packet&, core::TimePoint now, BalancerOutput&);
     void handleOpen(const packet::Packet&, const configuration::Service&, core::TimePoint now, BalancerOutput&);
     // Upstream in the flow table for a repeated open. Empty when there is no entry, or when the entry is stale: it then
@@ -183,6 +193,9 @@
     PeerRelay m_relay;
     PreviousHomeQueries m_previousHomeQueries;
     OpenAdmission m_admission;
+    RequestHedging m_hedging;
+    // Changes of the upstream registry that m_hedging knows.
+    std::uint64_t m_knownUpstreamChanges { 0 };
 };
 
 } // namespace ibisgw::balancer
--- a/src/ibisgw/balancer/BalancerCounters.h
+++ b/src/ibisgw/balancer/BalancerCounters.h
@@ -14,6 +14,11 @@
     std::uint64_t opensRetried { 0 };
     // Opens refused because the admission queue was full or the expected wait was too long for their deadline.
     std::uint64_t opensShed { 0 };
+    // Extra attempts of hedged requests that were started, those whose answer went to the caller, and late requests
+    // that the limit of the service left without one.
+    std::uint64_t hedgesAttempted { 0 };
+    std::uint64_t hedgesWon { 0 };
+    std::uint64_t hedgesRefusedByLimit { 0 };
     std::uint64_t packetsToUpstreams { 0 };
     std::uint64_t packetsToCallers { 0 };
     std::uint64_t packetsRelayed { 0 };
--- a/src/ibisgw/balancer/BalancerFlows.cpp
+++ b/src/ibisgw/balancer/BalancerFlows.cpp
@@ -169,6 +169,32 @@
         setCounted(*entry, false);
 }
 
+core::UpstreamId Balancer::selectSecond(
+    const core::FlowKey& flow, const configuration::Service& service, core::UpstreamId first, core::TimePoint now)
+{
+    auto& placement = placementOf(service);
+    placement.update(now);
+    return placement.placeRequest(flow.hash(), { first }, now);
+}
+
+void Balancer::noteSecondStarted(core::UpstreamId upstream, const configuration::Service& service, core::TimePoint now)
+{
+    placementOf(service).load().noteStarted(upstream);
+    placementOf(service).outliers().noteForwarded(upstream, now);
+}
+
+void Balancer::noteSecondFinished(core::UpstreamId upstream, const core::ServiceName& service)
+{
+    if (const auto it = m_placements.find(service); it != m_placements.end())
+        it->second->load().noteFinished(upstream);
+}
+
+bool Balancer::holdsRefusal(Packet& refusal, core::TimePoint now, BalancerOutput& output)
+{
+    const auto* service = m_document ? m_document->findService(refusal.flow.service) : nullptr;
+    return service && m_hedging.handleReply(refusal, *service, now, output);
+}
+
 bool Balancer::hasRoomForBalance(ServicePlacement& placement) const
 {
     const auto flows = placement.defaults().flowCount() * m_homes.ring().homeCount();
@@ -184,6 +210,7 @@
     if (packet.upstream.isValid() && knownUpstream.isValid() && knownUpstream != packet.upstream)
         return;
     const bool wasQueued = m_admission.endFlow(packet.flow, now);
+    m_hedging.endFlow(packet.flow, output);
     if (knownUpstream.isValid())
         forward(packet, knownUpstream, output);
     // The home is notified, because it counts the flow and publishes its record.
@@ -213,6 +240,8 @@
             entry->set(FlowEntry::Unanswered, true);
     }
     forward(packet, upstream, output);
+    m_hedging.noteForwarded(packet, upstream, service, now, output);
+    startDueAttempts(now, output);
 }
 
 void Balancer::noteAnswer(
--- a/src/ibisgw/balancer/FlowPlacer.h
+++ b/src/ibisgw/balancer/FlowPlacer.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "ibisgw/balancer/BalancerOutput.h"
 #include "ibisgw/configuration/Document.h"
 #include "ibisgw/core/Time.h"
 #include "ibisgw/packet/Packet.h"
@@ -8,8 +9,8 @@
 
 namespace ibisgw::balancer {
 
-// Interface through which OpenAdmission places flows and changes them. The balancer implements it, so that the flow
-// table and the flow counts change in one class only.
+// Interface through which OpenAdmission and RequestHedging place flows and change them. The balancer implements it, so
+// that the flow table and the flow counts change in one class only.
 class FlowPlacer {
 public:
     virtual ~FlowPlacer();
@@ -31,6 +32,16 @@
     virtual void dropFlow(const core::FlowKey&, core::TimePoint now) = 0;
     // Stops counting a flow of short requests as in flight at its upstream. Streams stay counted.
     virtual void releaseFlow(const core::FlowKey&, core::TimePoint now) = 0;
+    // Least loaded upstream for an extra attempt of a request, other than the first one; invalid when there is none.
+    virtual core::UpstreamId selectSecond(
+        const core::FlowKey&, const configuration::Service&, core::UpstreamId first, core::TimePoint now)
+        = 0;
+    // Counts an extra attempt as in flight at its upstream, and ends that.
+    virtual void noteSecondStarted(core::UpstreamId, const configuration::Service&, core::TimePoint now) = 0;
+    virtual void noteSecondFinished(core::UpstreamId, const core::ServiceName&) = 0;
+    // True when the refusal of a request whose upstream is gone isn't to be sent, because an extra attempt of the
+    // request is in progress or its home decides.
+    virtual bool holdsRefusal(packet::Packet& refusal, core::TimePoint now, BalancerOutput&) = 0;
 };
 
 } // namespace ibisgw::balancer
--- a/src/ibisgw/balancer/OpenAdmission.cpp
+++ b/src/ibisgw/balancer/OpenAdmission.cpp
@@ -323,7 +323,7 @@
     return !record || record->announcement.state == upstream::UpstreamState::Stopped;
 }
 
-void OpenAdmission::refuseRequestsOfGoneUpstreams(BalancerOutput& output)
+void OpenAdmission::refuseRequestsOfGoneUpstreams(core::TimePoint now, BalancerOutput& output)
 {
     for (auto it = m_incarnations.begin(); it != m_incarnations.end();) {
         const auto [id, incarnation] = *it;
@@ -339,10 +339,11 @@
             packet.flow = request.flow;
             packet.request = request.request;
             packet.kind = entry.kind;
-            if (m_context.rules.requestsStayAtUpstream)
-                refuse(packet, m_context.rules.requestRefusal(), output);
-            else
+            auto refusal = makeRefusal(packet, m_context.rules.requestRefusal());
+            if (!m_context.rules.requestsStayAtUpstream)
                 resendRequest(packet, output);
+            else if (!m_context.placer.holdsRefusal(refusal, now, output))
+                refuse(packet, refusal.refusal, output);
         });
     }
     for (const auto& [id, record] : m_context.upstreams.records()) {
@@ -370,7 +371,7 @@
         return;
     m_nextMaintenanceAt = now + maintenancePeriod;
     m_requests.removeExpired(now);
-    refuseRequestsOfGoneUpstreams(output);
+    refuseRequestsOfGoneUpstreams(now, output);
     m_opens.removeExpired(now, [&](const core::FlowKey& flow, OpenRecord& record) {
         if (record.state == OpenState::Queued) {
             refuse(record.open, RefusalKind::NotRun, output);
--- a/src/ibisgw/balancer/OpenAdmission.h
+++ b/src/ibisgw/balancer/OpenAdmission.h
@@ -61,6 +61,7 @@
     // Removes and returns the next queued open for which there is capacity. Its payload is valid until the next call.
     std::optional<packet::Packet> takeAdmitted(core::TimePoint now, BalancerOutput&);
     void tick(core::TimePoint now, BalancerOutput&);
+    request::ServiceLoad& loadOf(const core::ServiceName& service) { return m_services[service]; }
 
     std::size_t requestsInFlight() const { return m_requests.size(); }
     std::size_t openCount() const { return m_opens.size(); }
@@ -77,7 +78,7 @@
     bool isGone(core::UpstreamId) const;
     // Sends the request to any running upstream. Used only when a test switches off requestsStayAtUpstream.
     void resendRequest(packet::Packet, BalancerOutput&);
-    void refuseRequestsOfGoneUpstreams(BalancerOutput&);
+    void refuseRequestsOfGoneUpstreams(core::TimePoint now, BalancerOutput&);
 
     AdmissionContext m_context;
     bool m_isPartitioned { false };
--- a/src/ibisgw/balancer/SafetyRules.h
+++ b/src/ibisgw/balancer/SafetyRules.h
@@ -22,7 +22,7 @@
     bool dropCrossedAnswers { true };
     // When the balancer itself refuses a request on an established flow, the refusal is `outcome_unknown`.
     bool requestsRefusedAsUnknown { true };
-    // A request is never sent to a second upstream.
+    // A request is never sent to a second upstream, except for the copy of a hedged request (RequestHedging).
     bool requestsStayAtUpstream { true };
 
     packet::RefusalKind requestRefusal() const
--- a/src/ibisgw/request/ServiceLoad.cpp
+++ b/src/ibisgw/request/ServiceLoad.cpp
@@ -1,5 +1,7 @@
 #include "ibisgw/request/ServiceLoad.h"
 
+#include <algorithm>
+
 namespace ibisgw::request {
 
 bool ServiceLoad::hasRoom(const KindLoad& load) const
@@ -63,6 +65,14 @@
     return &load;
 }
 
+bool ServiceLoad::isNearLimit() const
+{
+    constexpr double loadWithExtraAttempts = 1.2;
+    if (m_limiter.inProgress() * loadWithExtraAttempts >= m_limiter.limit())
+        return true;
+    return std::ranges::any_of(m_kinds, [](const auto& it) { return !it.second.waiting.empty(); });
+}
+
 void ServiceLoad::release(core::KindId kind, core::TimePoint now)
 {
     if (auto* load = recordEnd(kind, now); load && load->occupiesSlot)
--- a/src/ibisgw/request/ServiceLoad.h
+++ b/src/ibisgw/request/ServiceLoad.h
@@ -34,6 +34,9 @@
     // Ends a started flow that took the given share of its deadline.
     void complete(core::KindId, double shareOfDeadline, core::TimePoint now);
     bool occupiesSlot(core::KindId) const;
+    // True when extra work could delay the opens of the service: a sixth of the adaptive limit or less is free, which
+    // is the part that the highest limit of extra attempts (0.2) would take, or opens are waiting.
+    bool isNearLimit() const;
     RetryBudget& retries() { return m_retries; }
     const ConcurrencyLimiter& limiter() const { return m_limiter; }
 
