Run fault schedules with hedged requests

Deaths and restarts of balancers and upstreams, cuts, loss and duplication, with all requests idempotent and a share of 0.2.

--- a/tests/balancer/FaultScheduleTests.cpp
+++ b/tests/balancer/FaultScheduleTests.cpp
@@ -3,6 +3,7 @@
 #include <doctest/doctest.h>
 
 using namespace ibisgw;
+using namespace std::chrono_literals;
 
 namespace {
 
@@ -46,6 +47,34 @@
         CHECK(totals.crossedAnswers == 0);
     }
 
+    // Guards against extra attempts that break a flow, run twice or reach the caller as packets of another upstream.
+    // The faults start when the balancers know the latencies and no change of homes is recent.
+    TEST_CASE("fault schedules with hedged requests violate no safety rule")
+    {
+        support::FaultTotals totals;
+        for (std::uint64_t seed = 1; seed <= 30; ++seed) {
+            support::FaultScheduleOptions options;
+            options.seed = seed;
+            options.hedgingShare = 0.2;
+            options.flowsPerSecond = 40;
+            options.duration = 40s;
+            options.faultsFrom = 18s;
+            options.faults = 20;
+            totals.add(support::runFaultSchedule(options));
+        }
+        MESSAGE(totals.extraAttempts << " extra attempts of " << totals.requests << " requests, answered "
+                                     << totals.answered << ", refused " << totals.notRun << " and "
+                                     << totals.outcomeUnknown);
+        CHECK(totals.isClean());
+        CHECK(totals.duplicateExecutions == 0);
+        CHECK(totals.falseNotRun == 0);
+        CHECK(totals.misroutedPackets == 0);
+        CHECK(totals.crossedAnswers == 0);
+        CHECK(totals.wrongExtraAttempts == 0);
+        CHECK(totals.extraAttempts > 1000);
+        CHECK(static_cast<double>(totals.extraAttempts) <= 0.2 * static_cast<double>(totals.requests));
+    }
+
     // Guards against checks that can't fail: each subcase switches one safety rule off and expects a violation.
     TEST_CASE("fault schedules detect a missing safety rule")
     {
--- a/tests/support/BalancerGroup.cpp
+++ b/tests/support/BalancerGroup.cpp
@@ -62,6 +62,12 @@
         }
     }
 
+    void noteHedged(const balancer::HedgedRequest& it) override
+    {
+        ++group.m_extraAttempts[{ it.flow, it.request }];
+        group.m_wrongExtraAttempts += it.first == it.second ? 1 : 0;
+    }
+
     BalancerGroup& group;
     core::NodeId self;
 };
--- a/tests/support/BalancerGroup.h
+++ b/tests/support/BalancerGroup.h
@@ -3,6 +3,7 @@
 #include "support/FakeUpstream.h"
 #include "support/GroupMember.h"
 
+#include <map>
 #include <memory>
 #include <vector>
 
@@ -63,6 +64,10 @@
     // Null while the balancer is not running.
     ibisgw::balancer::Balancer* balancer(unsigned index);
     std::vector<std::unique_ptr<FakeUpstream>>& upstreams() { return m_upstreams; }
+    // Extra attempts by request, counted over all balancers and restarts.
+    const std::map<ExecutionLog::RequestKey, unsigned>& extraAttempts() const { return m_extraAttempts; }
+    // Extra attempts at the upstream of the flow itself.
+    unsigned wrongExtraAttempts() const { return m_wrongExtraAttempts; }
     ExecutionLog& executions() { return m_executions; }
     // Largest number of bytes of flow records that any balancer sent and received in one second.
     std::uint64_t worstFlowRecordBytesPerSecond() const { return m_maxRecordBytesPerSecond; }
@@ -113,6 +118,8 @@
     MessageQueue& m_queue;
     ibisgw::core::RandomSource& m_random;
     ExecutionLog m_executions;
+    std::map<ExecutionLog::RequestKey, unsigned> m_extraAttempts;
+    unsigned m_wrongExtraAttempts { 0 };
     std::vector<std::unique_ptr<Slot>> m_slots;
     std::vector<std::unique_ptr<FakeUpstream>> m_upstreams;
     CallerHandler m_callerHandler;
--- a/tests/support/FaultSchedule.cpp
+++ b/tests/support/FaultSchedule.cpp
@@ -16,14 +16,16 @@
 // Machine number of all callers in BalancerGroup.
 constexpr MessageQueue::Machine callersMachine = 1;
 
-std::shared_ptr<const configuration::Document> makeDocument()
+std::shared_ptr<const configuration::Document> makeDocument(double hedgingShare)
 {
     configuration::Document document { { { "peachtree" } }, { { "a", "r" } }, {} };
     for (std::size_t n = 0; n < std::size(serviceNames); ++n) {
         configuration::RequestKind booking { bookingKind, "booking" };
         booking.deadlineMs = 2000;
+        booking.idempotent = hedgingShare > 0;
         configuration::Service service { serviceNames[n], "peachtree", { serviceAddresses[n] } };
         service.kinds = { booking };
+        service.hedging.maxShare = hedgingShare;
         document.services.push_back(service);
     }
     return std::make_shared<const configuration::Document>(document);
@@ -35,7 +37,7 @@
         : m_options(options)
         , m_random(options.seed)
         , m_queue(conditions, m_random)
-        , m_group(groupOptions(options), makeDocument(), m_queue, m_random)
+        , m_group(groupOptions(options), makeDocument(options.hedgingShare), m_queue, m_random)
         , m_callers(callerOptions(), m_group, m_random)
     {
         std::uint32_t address = 0x0a010001;
@@ -55,11 +57,13 @@
         m_queue.runFor(1500ms);
         const auto start = m_queue.now();
         const auto length = static_cast<std::uint64_t>(m_options.duration.count());
+        const auto faultLength = length - static_cast<std::uint64_t>(m_options.faultsFrom.count());
         const auto flows = static_cast<std::uint64_t>(core::toSeconds(m_options.duration)) * m_options.flowsPerSecond;
         for (std::uint64_t n = 0; n < flows; ++n)
             m_queue.at(start + core::Duration(m_random.below(length)), [this](auto) { m_callers.startFlow(); });
         for (unsigned n = 0; n < m_options.faults; ++n)
-            m_queue.at(start + core::Duration(m_random.below(length)), [this](auto) { injectFault(); });
+            m_queue.at(start + m_options.faultsFrom + core::Duration(m_random.below(faultLength)),
+                [this](auto) { injectFault(); });
         m_queue.runFor(m_options.duration + m_options.settleTime);
         return totals();
     }
@@ -158,13 +162,26 @@
         return core::NodeId::fromEndpoint({ 0x0a000001 + balancer, 7000 }).value;
     }
 
+    std::uint64_t extraAttempts() const
+    {
+        std::uint64_t count = 0;
+        for (const auto& [request, attempts] : m_group.extraAttempts())
+            count += attempts;
+        return count;
+    }
+
+    std::uint64_t wrongExtraAttempts() const
+    {
+        return m_group.wrongExtraAttempts() + extraAttempts() - m_group.extraAttempts().size();
+    }
+
     FaultTotals totals()
     {
         const auto callers = m_callers.totals();
         const auto& executions = m_group.executions();
         return { executions.duplicateExecutions(), callers.falseNotRun, executions.misroutedPackets(),
             callers.crossedAnswers, callers.requests, callers.answered, callers.notRun, callers.outcomeUnknown,
-            executions.total() };
+            executions.total(), extraAttempts(), wrongExtraAttempts() };
     }
 
     FaultScheduleOptions m_options;
@@ -178,7 +195,8 @@
 
 bool FaultTotals::isClean() const
 {
-    return duplicateExecutions == 0 && falseNotRun == 0 && misroutedPackets == 0 && crossedAnswers == 0;
+    return duplicateExecutions == 0 && falseNotRun == 0 && misroutedPackets == 0 && crossedAnswers == 0
+        && wrongExtraAttempts == 0;
 }
 
 void FaultTotals::add(const FaultTotals& other)
@@ -192,6 +210,8 @@
     notRun += other.notRun;
     outcomeUnknown += other.outcomeUnknown;
     executions += other.executions;
+    extraAttempts += other.extraAttempts;
+    wrongExtraAttempts += other.wrongExtraAttempts;
 }
 
 FaultTotals runFaultSchedule(const FaultScheduleOptions& options)
--- a/tests/support/FaultSchedule.h
+++ b/tests/support/FaultSchedule.h
@@ -14,11 +14,15 @@
     ibisgw::core::Duration settleTime { std::chrono::seconds(4) };
     // Number of faults, at random times within `duration`.
     unsigned faults { 12 };
+    // Faults start after this part of `duration`.
+    ibisgw::core::Duration faultsFrom { 0 };
+    // Above 0, all requests are idempotent and late ones get an extra attempt, up to this share.
+    double hedgingShare { 0 };
     ibisgw::balancer::SafetyRules rules;
 };
 
-// Totals over one or more schedules, counted by the upstreams and callers. The first four count violations of the
-// delivery guarantees and must be zero.
+// Totals over one or more schedules, counted by the upstreams and callers. The first four and the last one count
+// violations of the delivery guarantees and must be zero.
 struct FaultTotals {
     std::uint64_t duplicateExecutions { 0 };
     std::uint64_t falseNotRun { 0 };
@@ -29,6 +33,10 @@
     std::uint64_t notRun { 0 };
     std::uint64_t outcomeUnknown { 0 };
     std::uint64_t executions { 0 };
+    // Extra attempts of hedged requests, and those that violate their rules, which must be zero: second ones of a
+    // request, and those at the upstream of its flow.
+    std::uint64_t extraAttempts { 0 };
+    std::uint64_t wrongExtraAttempts { 0 };
 
     bool isClean() const;
     void add(const FaultTotals&);
