Count and log the extra attempts of late requests

Metric ibisgw_hedged_requests_total with the results attempted, won and refused_by_limit. More tests: reports between balancers, refusals after an extra attempt, changes of homes.

--- a/src/ibisgw/balancer/RequestHedging.cpp
+++ b/src/ibisgw/balancer/RequestHedging.cpp
@@ -144,7 +144,9 @@
     Packet& packet, const configuration::Service& service, core::TimePoint now, BalancerOutput& output)
 {
     const bool isReply = packet.type == PacketType::Answer || packet.type == PacketType::Refusal;
-    if (!isReply || !covers(service, packet))
+    // While hedging is being switched off, attempts are still in progress.
+    const bool isTracked = m_requests.contains({ packet.flow, packet.request });
+    if (!isReply || (!isTracked && !covers(service, packet)))
         return false;
     if (m_context.homes.isHome(packet.flow))
         return handleReplyAtHome(packet, now, output);
--- a/src/ibisgw_cli/ExplainCommand.cpp
+++ b/src/ibisgw_cli/ExplainCommand.cpp
@@ -131,6 +131,7 @@
     ids.insert(textField(line.fields, "flow"));
     ids.insert(textField(line.fields, "request"));
     upstreams.insert(textField(line.fields, "upstream"));
+    upstreams.insert(textField(line.fields, "second_upstream"));
     ids.erase("");
     upstreams.erase("");
 }
--- a/src/ibisgwd/BalancerRole.cpp
+++ b/src/ibisgwd/BalancerRole.cpp
@@ -149,6 +149,11 @@
         m_network.sendDatagram(peer, adapters::Channel::Relay, m_packetBuffer);
 }
 
+void BalancerRole::noteHedged(const balancer::HedgedRequest& hedged)
+{
+    m_hedgeLog.add(hedged, m_loop.now());
+}
+
 bool BalancerRole::encode(const packet::Packet& packet)
 {
     // Avoids a copy of the packet if its flow is not sampled.
--- a/src/ibisgwd/BalancerRole.h
+++ b/src/ibisgwd/BalancerRole.h
@@ -4,6 +4,7 @@
 #include "ibisgw/adapters/UdpSocket.h"
 #include "ibisgw/balancer/Balancer.h"
 #include "ibisgw/settings/DaemonSettings.h"
+#include "ibisgwd/HedgeLog.h"
 #include "ibisgwd/HopTracer.h"
 
 #include <functional>
@@ -56,6 +57,7 @@
     void sendToUpstream(ibisgw::core::UpstreamId, const ibisgw::packet::Packet&) override;
     void sendToCaller(const ibisgw::packet::Packet&) override;
     void sendToPeer(ibisgw::core::NodeId, const ibisgw::packet::Packet&) override;
+    void noteHedged(const ibisgw::balancer::HedgedRequest&) override;
 
     void receiveFromCallers(std::span<const std::byte>);
     void receiveFromUpstreams(std::span<const std::byte>);
@@ -71,6 +73,7 @@
     Sockets m_sockets;
     ibisgw::balancer::Balancer m_balancer;
     HopTracer m_tracer;
+    HedgeLog m_hedgeLog;
     ibisgw::adapters::Datagram m_packetBuffer;
     ibisgw::core::TimePoint m_lastPacketAt;
     std::uint64_t m_malformedDatagrams { 0 };
--- a/src/ibisgwd/DaemonMetrics.cpp
+++ b/src/ibisgwd/DaemonMetrics.cpp
@@ -37,6 +37,14 @@
         counters.droppedInvalidToken);
     count("ibisgw_dropped_relays_total", "Relays beyond the cap", counters.droppedRelays);
     count("ibisgw_malformed_datagrams_total", "Datagrams that could not be read", role.malformedDatagrams());
+    const auto countHedged = [&](const char* result, std::uint64_t value) {
+        registry.counter(
+            "ibisgw_hedged_requests_total", "Extra attempts of late requests by result", { { "result", result } })
+            = value;
+    };
+    countHedged("attempted", counters.hedgesAttempted);
+    countHedged("won", counters.hedgesWon);
+    countHedged("refused_by_limit", counters.hedgesRefusedByLimit);
     registry.gauge("ibisgw_flows", "Flows in the flow table") = static_cast<double>(role.balancer().flowCount());
     registry.gauge("ibisgw_upstreams", "Upstreams that hold a lease")
         = static_cast<double>(role.balancer().upstreams().records().size());
--- a/tests/balancer/RequestHedgingTests.cpp
+++ b/tests/balancer/RequestHedgingTests.cpp
@@ -295,6 +295,73 @@
         }
     }
 
+    // Guards against a `not_run` of a request whose copy has run at the second upstream.
+    TEST_CASE("only a refusal of a request that had no extra attempt says that it has not run")
+    {
+        Fixture fixture;
+        SUBCASE("without an extra attempt the refusal is forwarded unchanged")
+        {
+            fixture.first = fixture.openAndRequest(lateCaller);
+            fixture.receive(PacketType::Refusal, fixture.first, lateCaller, 1, RefusalKind::NotRun);
+            CHECK(fixture.output.toCallers.back().refusal == RefusalKind::NotRun);
+            SUBCASE("and none starts later")
+            {
+                fixture.now += 100ms;
+                fixture.balancer.tick(fixture.now, fixture.output);
+                CHECK(fixture.balancer.counters().hedgesAttempted == 0);
+            }
+        }
+        SUBCASE("after a failed extra attempt the outcome is unknown")
+        {
+            fixture.startCopy();
+            fixture.answerCopy(PacketType::Reset);
+            fixture.receive(PacketType::Refusal, fixture.first, lateCaller, 1, RefusalKind::NotRun);
+            CHECK(fixture.output.toCallers.back().refusal == RefusalKind::OutcomeUnknown);
+        }
+    }
+
+    // Guards against requests that the home doesn't know, and against extra attempts of answered ones: the fabric
+    // delivers most packets of a flow to other balancers.
+    TEST_CASE("other balancers report requests and their ends to the home of the flow")
+    {
+        Fixture fixture;
+        auto& balancer = fixture.balancer;
+        SUBCASE("the home starts an extra attempt of a reported request")
+        {
+            fixture.send(fixture.packetOf(PacketType::Open, lateCaller));
+            auto request = fixture.packetOf(PacketType::Request, lateCaller, 1);
+            request.upstream = fixture.output.toUpstreams.back().first;
+            request.relayHops = 8;
+            balancer.handleRelayedPacket(request, fixture.now, fixture.output);
+            CHECK(fixture.output.toUpstreams.back().second.type == PacketType::Open);
+            SUBCASE("if it isn't reported as answered")
+            {
+                request.type = PacketType::Cancel;
+                balancer.handleRelayedPacket(request, fixture.now, fixture.output);
+            }
+            const auto expected = request.type == PacketType::Request ? 1U : 0U;
+            fixture.now += 100ms;
+            balancer.tick(fixture.now, fixture.output);
+            CHECK(balancer.counters().hedgesAttempted == expected);
+        }
+        SUBCASE("a balancer that isn't the home reports")
+        {
+            constexpr core::NodeId peer { 0x0a0000021b58 };
+            const auto first = fixture.openAndRequest(lateCaller);
+            balancer.setPeers({ { { 0x0a0000011b58 }, "a", true }, { peer, "a" } }, fixture.now);
+            fixture.output.clear();
+            fixture.send(fixture.packetOf(PacketType::Request, lateCaller, 2));
+            fixture.receive(PacketType::Answer, first, lateCaller, 2);
+            fixture.receive(PacketType::Refusal, first, lateCaller, 3, RefusalKind::NotRun);
+            REQUIRE(fixture.output.toPeers.size() == 3);
+            CHECK(fixture.output.toPeers[0].second.type == PacketType::Request);
+            CHECK(fixture.output.toPeers[0].second.upstream == first);
+            CHECK(fixture.output.toPeers[1].second.type == PacketType::Cancel);
+            CHECK(fixture.output.toPeers[2].second.type == PacketType::Refusal);
+            CHECK(fixture.output.toCallers.size() == 1);
+        }
+    }
+
     // Guards against extra attempts where they aren't allowed.
     TEST_CASE("there is no extra attempt")
     {
@@ -340,9 +407,15 @@
         {
             Fixture fixture;
             const flow::RingMember self { { 0x0a0000011b58 }, "a" };
+            fixture.send(fixture.packetOf(PacketType::Open, lateCaller));
+            fixture.receive(PacketType::Opened, fixture.output.toUpstreams.back().first, lateCaller);
             fixture.balancer.setPeers({ self, { { 2 }, "a" } }, fixture.now);
             fixture.balancer.setPeers({ self }, fixture.now);
-            CHECK(attemptsOf(fixture) == 0);
+            fixture.send(fixture.packetOf(PacketType::Request, lateCaller, 1));
+            fixture.now += 100ms;
+            fixture.balancer.tick(fixture.now, fixture.output);
+            CHECK(fixture.hasSent(PacketType::Request, fixture.output.toUpstreams.back().first));
+            CHECK(fixture.balancer.counters().hedgesAttempted == 0);
         }
     }
 
--- a/tests/cli/ExplainCommandTests.cpp
+++ b/tests/cli/ExplainCommandTests.cpp
@@ -63,6 +63,20 @@
             CHECK(forwarded < placed);
             CHECK(result.out.find("r8") == std::string::npos);
         }
+        SUBCASE("the extra attempt of a request is named, with the lines about its second upstream")
+        {
+            // Guards against an answer of another upstream than the flow's that operators can't explain.
+            const support::TemporaryFile hedged(
+                R"({"flow":"f5","message":"request_hedged","process":"one","request":"f5#1","second_upstream":"u7",)"
+                R"("steady":7.5,"time":997.5,"upstream":"u6"})"
+                "\n"
+                R"({"message":"upstream_gone","process":"one","steady":7.6,"time":997.6,"upstream":"u7"})"
+                "\n");
+            const auto result = runCommand({ "explain", "f5", hedged.path(), first.path() });
+            CHECK(result.status == ExitStatus::Ok);
+            CHECK(result.out.find(R"("second_upstream":"u7")") != std::string::npos);
+            CHECK(result.out.find("upstream_gone") != std::string::npos);
+        }
         SUBCASE("lines stay in order when a VM restarts with another value of the steady clock")
         {
             // Guards against lines after a restart that are dated hours too late, as happened in a simulated day with a
