--- a/src/ibisgw/balancer/RequestHedging.cpp
+++ b/src/ibisgw/balancer/RequestHedging.cpp
@@ -22,7 +22,7 @@
 
 // Limits of the stored copies. 16,384 requests are the requests of 10 s at 1,600 a second.
 constexpr std::size_t maxRequests = 16'384;
-constexpr std::size_t maxStoredBytes = 4 * 1024 * 1024;
+constexpr std::size_t maxStoredBytes = std::size_t { 4 } * 1024 * 1024;
 // Requests with a longer deadline have no extra attempt. A restarted balancer makes none before this time has passed
 // (HedgeBudget::window), so that it never repeats one of the process before it.
 constexpr std::uint32_t maxDeadlineMs = 10'000;
@@ -101,6 +101,10 @@
     const Key key { packet.flow, packet.request };
     if (m_requests.contains(key) || !mayTrack(packet, now))
         return;
+    // The balancer that forwarded the request may have taken another upstream for that of the flow. The answer of the
+    // extra attempt would then carry its name and its token.
+    if (m_context.placer.upstreamOf(packet.flow, now) != first)
+        return;
     auto& it = m_requests[key];
     it.service = service.name;
     it.request = packet;
--- a/tests/balancer/RequestHedgingTests.cpp
+++ b/tests/balancer/RequestHedgingTests.cpp
@@ -332,17 +332,25 @@
             auto request = fixture.packetOf(PacketType::Request, lateCaller, 1);
             request.upstream = fixture.output.toUpstreams.back().first;
             request.relayHops = 8;
+            bool isExpected = true;
+            SUBCASE("but not if the other balancer took another upstream for that of the flow")
+            {
+                // Its answer would carry that upstream's name and token (seed 49 of 200 fault schedules).
+                const auto isOther = [&](core::UpstreamId it) { return it != request.upstream; };
+                request.upstream = *std::ranges::find_if(fixture.upstreams, isOther);
+                isExpected = false;
+            }
             balancer.handleRelayedPacket(request, fixture.now, fixture.output);
             CHECK(fixture.output.toUpstreams.back().second.type == PacketType::Open);
-            SUBCASE("if it isn't reported as answered")
+            SUBCASE("but not if it is reported as answered")
             {
                 request.type = PacketType::Cancel;
                 balancer.handleRelayedPacket(request, fixture.now, fixture.output);
+                isExpected = false;
             }
-            const auto expected = request.type == PacketType::Request ? 1U : 0U;
             fixture.now += 100ms;
             balancer.tick(fixture.now, fixture.output);
-            CHECK(balancer.counters().hedgesAttempted == expected);
+            CHECK(balancer.counters().hedgesAttempted == (isExpected ? 1 : 0));
         }
         SUBCASE("a balancer that isn't the home reports")
         {
--- a/tests/support/HedgeReplay.cpp
+++ b/tests/support/HedgeReplay.cpp
@@ -160,14 +160,14 @@
         if (isHanging(index))
             return;
         if (upstream.busySlots < slotsPerUpstream)
-            run(index, std::move(job));
+            run(index, job);
         else if (upstream.waiting.size() < queueLimit)
             upstream.waiting.push_back(std::move(job));
         else
             m_queue.after(hop, [this, it = job.request](auto) { handleRefusal(it); });
     }
 
-    void run(unsigned index, Job job)
+    void run(unsigned index, const Job& job)
     {
         ++m_upstreams[index].busySlots;
         if (job.request->isMeasured) {
@@ -188,9 +188,9 @@
             upstream.waiting.pop_front();
         if (upstream.waiting.empty())
             return;
-        auto next = std::move(upstream.waiting.front());
+        const auto next = std::move(upstream.waiting.front());
         upstream.waiting.pop_front();
-        run(index, std::move(next));
+        run(index, next);
     }
 
     void handleAnswer(const Job& job)
