--- a/tests/support/FaultSchedule.cpp
+++ b/tests/support/FaultSchedule.cpp
@@ -24,7 +24,8 @@
 // Machine number of all callers in BalancerGroup.
 constexpr MessageQueue::Machine callersMachine = 1;
 
-std::shared_ptr<const configuration::Document> makeDocument(std::vector<core::ZoneName> evacuatedZones = {})
+std::shared_ptr<const configuration::Document> makeDocument(
+    double hedgingShare, std::vector<core::ZoneName> evacuatedZones = {})
 {
     configuration::Document document { { { "peachtree" } }, {}, {}, std::move(evacuatedZones) };
     for (const auto& it : zoneNames)
@@ -32,8 +33,10 @@
     for (std::size_t n = 0; n < std::size(serviceNames); ++n) {
         configuration::RequestKind booking { bookingKind, "booking" };
         booking.deadlineMs = bookingDeadlineMs;
+        booking.idempotent = hedgingShare > 0;
         configuration::Service service { serviceNames[n], "peachtree", { serviceAddresses[n] } };
         service.kinds = { booking };
+        service.hedging.maxShare = hedgingShare;
         document.services.push_back(service);
     }
     return std::make_shared<const configuration::Document>(document);
@@ -45,7 +48,7 @@
         : m_options(options)
         , m_random(options.seed)
         , m_queue(conditions, m_random)
-        , m_group(groupOptions(options), makeDocument(), m_queue, m_random)
+        , m_group(groupOptions(options), makeDocument(options.hedgingShare), m_queue, m_random)
         , m_callers(callerOptions(), m_group, m_random)
     {
         std::uint32_t address = 0x0a010001;
@@ -67,11 +70,13 @@
         m_queue.runFor(1500ms);
         const auto start = m_queue.now();
         const auto length = static_cast<std::uint64_t>(m_options.duration.count());
+        const auto faultLength = length - static_cast<std::uint64_t>(m_options.faultsFrom.count());
         const auto flows = static_cast<std::uint64_t>(core::toSeconds(m_options.duration)) * m_options.flowsPerSecond;
         for (std::uint64_t n = 0; n < flows; ++n)
             m_queue.at(start + core::Duration(m_random.below(length)), [this](auto) { m_callers.startFlow(); });
         for (unsigned n = 0; n < m_options.faults; ++n)
-            m_queue.at(start + core::Duration(m_random.below(length)), [this](auto) { injectFault(); });
+            m_queue.at(start + m_options.faultsFrom + core::Duration(m_random.below(faultLength)),
+                [this](auto) { injectFault(); });
         for (unsigned n = 0; n < m_options.zoneOrders; ++n)
             m_queue.at(start + core::Duration(m_random.below(length)), [this](auto) { orderZone(); });
         m_queue.runFor(m_options.duration + m_options.settleTime);
@@ -145,7 +150,7 @@
         std::vector<core::ZoneName> evacuated;
         for (const auto& [name, since] : m_evacuatedSince)
             evacuated.push_back(name);
-        m_group.applyDocument(makeDocument(std::move(evacuated)), revisionDelay);
+        m_group.applyDocument(makeDocument(m_options.hedgingShare, std::move(evacuated)), revisionDelay);
     }
 
     void countLateOpens(const core::ZoneName& zone, core::TimePoint since)
@@ -200,13 +205,26 @@
         return core::NodeId::fromEndpoint({ 0x0a000001 + balancer, 7000 }).value;
     }
 
+    std::uint64_t extraAttempts() const
+    {
+        std::uint64_t count = 0;
+        for (const auto& [request, attempts] : m_group.extraAttempts())
+            count += attempts;
+        return count;
+    }
+
+    std::uint64_t wrongExtraAttempts() const
+    {
+        return m_group.wrongExtraAttempts() + extraAttempts() - m_group.extraAttempts().size();
+    }
+
     FaultTotals totals()
     {
         const auto callers = m_callers.totals();
         const auto& executions = m_group.executions();
         return { executions.duplicateExecutions(), callers.falseNotRun, executions.misroutedPackets(),
             callers.crossedAnswers, callers.requests, callers.answered, callers.notRun, callers.outcomeUnknown,
-            executions.total(), m_lateOpens };
+            executions.total(), m_lateOpens, extraAttempts(), wrongExtraAttempts() };
     }
 
     FaultScheduleOptions m_options;
@@ -224,7 +242,7 @@
 bool FaultTotals::isClean() const
 {
     return duplicateExecutions == 0 && falseNotRun == 0 && misroutedPackets == 0 && crossedAnswers == 0
-        && lateOpens == 0;
+        && lateOpens == 0 && wrongExtraAttempts == 0;
 }
 
 void FaultTotals::add(const FaultTotals& other)
@@ -239,6 +257,8 @@
     outcomeUnknown += other.outcomeUnknown;
     executions += other.executions;
     lateOpens += other.lateOpens;
+    extraAttempts += other.extraAttempts;
+    wrongExtraAttempts += other.wrongExtraAttempts;
 }
 
 FaultTotals runFaultSchedule(const FaultScheduleOptions& options)
--- a/tests/support/FaultSchedule.h
+++ b/tests/support/FaultSchedule.h
@@ -16,11 +16,15 @@
     unsigned faults { 12 };
     // Number of orders that evacuate a zone or restore it, at random times within `duration`. With 0 there is one zone.
     unsigned zoneOrders { 0 };
+    // Faults start after this part of `duration`.
+    ibisgw::core::Duration faultsFrom { 0 };
+    // Above 0, all requests are idempotent and late ones get an extra attempt, up to this share.
+    double hedgingShare { 0 };
     ibisgw::balancer::SafetyRules rules;
 };
 
-// Totals over one or more schedules, counted by the upstreams and callers. The first four and the last count
-// violations of the guarantees and must be zero.
+// Totals over one or more schedules, counted by the upstreams and callers. The first four, lateOpens and
+// wrongExtraAttempts count violations of the guarantees and must be zero.
 struct FaultTotals {
     std::uint64_t duplicateExecutions { 0 };
     std::uint64_t falseNotRun { 0 };
@@ -33,6 +37,10 @@
     std::uint64_t executions { 0 };
     // Upstreams that opened a flow although the evacuation of their zone had been in force for longer than the bound.
     std::uint64_t lateOpens { 0 };
+    // Extra attempts of hedged requests, and those that violate their rules, which must be zero: second ones of a
+    // request, and those at the upstream of its flow.
+    std::uint64_t extraAttempts { 0 };
+    std::uint64_t wrongExtraAttempts { 0 };
 
     bool isClean() const;
     void add(const FaultTotals&);
