--- a/src/ibisgw/balancer/Balancer.cpp
+++ b/src/ibisgw/balancer/Balancer.cpp
@@ -117,15 +117,20 @@
     const auto* service = m_document ? m_document->findService(packet.flow.service) : nullptr;
     if (!service || m_hedging.handleReport(packet, *service, now, output))
         return;
-    if (packet.upstream.isValid() && serves(packet.upstream, *service)) {
-        handleUpstreamPacket(packet, now, output);
+    // A refusal of the upstream, or of the balancer that has found that the upstream is gone. It doesn't enter the flow
+    // into the flow table: a new home would then take a previous upstream for that of the flow.
+    const auto upstream = upstreamOf(packet.flow, now);
+    if (packet.upstream.isValid() && upstream.isValid() && upstream != packet.upstream) {
+        ++m_counters.droppedCrossedAnswers;
         return;
     }
-    // The balancer that forwarded the request has found that the upstream is gone.
     auto refusal = packet;
     if (m_hedging.handleReply(refusal, *service, now, output))
         return;
     refusal.relayHops = 0;
+    if (packet.upstream.isValid())
+        refusal.token = m_tokens.issue(packet.flow, packet.upstream);
+    ++m_counters.packetsToCallers;
     output.sendToCaller(refusal);
 }
 
--- a/src/ibisgw/balancer/OpenAdmission.cpp
+++ b/src/ibisgw/balancer/OpenAdmission.cpp
@@ -58,6 +58,12 @@
     return record && !record->upstreams.empty() ? record->upstreams.back() : core::UpstreamId {};
 }
 
+core::UpstreamId OpenAdmission::establishedUpstreamOf(const core::FlowKey& flow) const
+{
+    const auto* record = m_opens.find(flow);
+    return record && record->state == OpenState::Established ? record->upstreams.back() : core::UpstreamId {};
+}
+
 void OpenAdmission::handleCancel(const Packet& packet, core::TimePoint now)
 {
     m_requests.erase({ packet.flow, packet.request });
--- a/src/ibisgw/balancer/OpenAdmission.h
+++ b/src/ibisgw/balancer/OpenAdmission.h
@@ -43,6 +43,8 @@
     bool hasOpenRecord(const core::FlowKey& flow) const { return m_opens.find(flow) != nullptr; }
     // Upstream to which the open was last sent; invalid when there is none.
     core::UpstreamId upstreamOf(const core::FlowKey&) const;
+    // Upstream whose `opened` this balancer has forwarded to the caller; invalid without a record of that.
+    core::UpstreamId establishedUpstreamOf(const core::FlowKey&) const;
     void handleCancel(const packet::Packet&, core::TimePoint now);
     // Records a request that is forwarded to an upstream as in flight. Ignores other packets.
     void recordForwarded(const packet::Packet&, core::UpstreamId, core::TimePoint now);
--- a/src/ibisgw/balancer/RequestHedging.cpp
+++ b/src/ibisgw/balancer/RequestHedging.cpp
@@ -101,9 +101,7 @@
     const Key key { packet.flow, packet.request };
     if (m_requests.contains(key) || !mayTrack(packet, now))
         return;
-    // The balancer that forwarded the request may have taken another upstream for that of the flow. The answer of the
-    // extra attempt would then carry its name and its token.
-    if (m_context.placer.upstreamOf(packet.flow, now) != first)
+    if (!isCallersUpstream(packet, first, now))
         return;
     auto& it = m_requests[key];
     it.service = service.name;
@@ -120,6 +118,16 @@
     hedging.due.emplace_back(now, key);
 }
 
+bool RequestHedging::isCallersUpstream(const Packet& packet, core::UpstreamId upstream, core::TimePoint now) const
+{
+    // The balancer that forwarded the request may have taken another upstream for that of the flow, and so may this
+    // one. The answer of the extra attempt would then carry its name and its token.
+    if (m_context.placer.upstreamOf(packet.flow, now) != upstream)
+        return false;
+    const bool hasToken = packet.token.upstream == upstream && m_context.tokens.verify(packet.flow, packet.token);
+    return hasToken || m_context.admission.establishedUpstreamOf(packet.flow) == upstream;
+}
+
 void RequestHedging::report(const Packet& packet, std::uint8_t hops, core::TimePoint now, BalancerOutput& output)
 {
     const auto home = m_context.homes.homeOf(packet.flow);
@@ -304,8 +312,9 @@
 {
     const auto owner = core::NodeId::fromEndpoint(packet.flow.caller);
     if (owner != m_context.homes.self()) {
+        // A balancer that has stopped needs no answer.
         if (!m_context.homes.ring().isRunning(owner))
-            return false;
+            return m_context.homes.ring().wasRunning(owner);
         auto relayed = packet;
         if (++relayed.relayHops == 1)
             m_context.relay.send(relayed, owner, now, output);
--- a/src/ibisgw/balancer/RequestHedging.h
+++ b/src/ibisgw/balancer/RequestHedging.h
@@ -103,6 +103,9 @@
     };
 
     bool mayTrack(const packet::Packet&, core::TimePoint now) const;
+    // True when the caller has accepted the `opened` of this upstream, by its token or because this balancer has
+    // forwarded it.
+    bool isCallersUpstream(const packet::Packet&, core::UpstreamId, core::TimePoint now) const;
     void track(const packet::Packet&, core::UpstreamId, const configuration::Service&, core::TimePoint now);
     TrackedRequest* find(const Key&);
     void report(const packet::Packet&, std::uint8_t hops, core::TimePoint now, BalancerOutput&);
--- a/src/ibisgw/flow/HomeRing.cpp
+++ b/src/ibisgw/flow/HomeRing.cpp
@@ -108,6 +108,13 @@
     return std::ranges::any_of(m_members, [&](const auto& it) { return it.node == node; });
 }
 
+bool HomeRing::wasRunning(core::NodeId node) const
+{
+    return std::ranges::any_of(m_retainedRings, [&](const RetainedRing& ring) {
+        return std::ranges::any_of(ring.members, [&](const RingMember& it) { return it.node == node; });
+    });
+}
+
 std::size_t HomeRing::homeCount() const
 {
     return static_cast<std::size_t>(std::ranges::count(m_members, false, &RingMember::isLeaving));
--- a/src/ibisgw/flow/HomeRing.h
+++ b/src/ibisgw/flow/HomeRing.h
@@ -50,6 +50,8 @@
     std::size_t homeCount() const;
     // True for members of the ring, including leaving ones.
     bool isRunning(core::NodeId) const;
+    // True for members of a retained ring.
+    bool wasRunning(core::NodeId) const;
 
 private:
     // Limits the queries about one packet.
--- a/tests/balancer/RequestHedgingTests.cpp
+++ b/tests/balancer/RequestHedgingTests.cpp
@@ -332,21 +332,39 @@
             auto request = fixture.packetOf(PacketType::Request, lateCaller, 1);
             request.upstream = fixture.output.toUpstreams.back().first;
             request.relayHops = 8;
-            bool isExpected = true;
-            SUBCASE("but not if the other balancer took another upstream for that of the flow")
+            bool isExpected = false;
+            bool isAnswered = false;
+            SUBCASE("of a flow whose `opened` it has forwarded")
+            {
+                fixture.receive(PacketType::Opened, request.upstream, lateCaller);
+                SUBCASE("if the other balancer took the same upstream")
+                {
+                    isExpected = true;
+                }
+                SUBCASE("but not if it took another one, whose name and token the answer would carry")
+                {
+                    const auto isOther = [&](core::UpstreamId it) { return it != request.upstream; };
+                    request.upstream = *std::ranges::find_if(fixture.upstreams, isOther);
+                }
+                SUBCASE("but not if it is reported as answered")
+                {
+                    isAnswered = true;
+                }
+            }
+            SUBCASE("of a flow whose caller has the upstream's token")
+            {
+                request.token = flow::FlowTokenCodec({}, std::nullopt).issue(request.flow, request.upstream);
+                isExpected = true;
+            }
+            SUBCASE("but not of a flow that the caller may have opened at another upstream")
             {
-                // Its answer would carry that upstream's name and token (seed 49 of 200 fault schedules).
-                const auto isOther = [&](core::UpstreamId it) { return it != request.upstream; };
-                request.upstream = *std::ranges::find_if(fixture.upstreams, isOther);
                 isExpected = false;
             }
             balancer.handleRelayedPacket(request, fixture.now, fixture.output);
             CHECK(fixture.output.toUpstreams.back().second.type == PacketType::Open);
-            SUBCASE("but not if it is reported as answered")
-            {
+            if (isAnswered) {
                 request.type = PacketType::Cancel;
                 balancer.handleRelayedPacket(request, fixture.now, fixture.output);
-                isExpected = false;
             }
             fixture.now += 100ms;
             balancer.tick(fixture.now, fixture.output);
@@ -442,5 +460,12 @@
         CHECK(fixture.output.toPeers.front().first == peer);
         CHECK(fixture.output.toCallers.empty());
         CHECK(fixture.balancer.flowCount() == flows);
+        SUBCASE("and to no one when it has stopped")
+        {
+            fixture.balancer.setPeers({ { { 0x0a0000011b58 }, "a" } }, fixture.now);
+            fixture.receive(opened, fixture.upstreams[0]);
+            CHECK(fixture.output.toPeers.size() == 1);
+            CHECK(fixture.output.toCallers.empty());
+        }
     }
 }
