Judge no silence while the link loses packets on their way in

Their queue to the link was short; probes failed because the link also lost packets that came in. A link at which packets come in at 80 % of its rate now counts as congested; upstreams whose callers retransmit count towards the limit of silent ones; and for 5 s after a congestion open flows are not reset for silence alone, only after a refused probe. The monitor of zones no longer begins and ends the suspicion of all zones with each placement.

--- a/src/ibisgw/direct/EgressPacer.h
+++ b/src/ibisgw/direct/EgressPacer.h
@@ -59,6 +59,8 @@
 
     bool isEmpty() const { return m_queuedBytes == 0; }
     std::size_t queuedBytes() const { return m_queuedBytes; }
+    // Bytes that a datagram of this size takes on the link.
+    static std::size_t costOf(std::size_t bytes);
     // Bytes that the queued packets of the class take on the link.
     std::size_t queuedCost(EgressClass) const;
     // How long the oldest queued packet of the class has waited; 0 if there is none.
@@ -67,7 +69,6 @@
     std::uint64_t droppedFull() const { return m_droppedFull; }
 
 private:
-    static std::size_t costOf(std::size_t bytes);
     void refill(core::TimePoint now);
     std::deque<EgressPacket>& nextQueue(core::TimePoint now);
     bool isBulkStarved(core::TimePoint now) const;
--- a/src/ibisgw/direct/FlowForwarder.cpp
+++ b/src/ibisgw/direct/FlowForwarder.cpp
@@ -174,7 +174,7 @@
     decision.isRetransmission = observation.isRetransmission;
     decision.startsRequest = observation.startsRequest;
     decision.responseTime = observation.responseTime;
-    if (isLost(record, segment)) {
+    if (isLost(record, segment, now)) {
         decision.action = ForwardAction::Reset;
         decision.reason = ForwardReason::UpstreamUnresponsive;
     }
@@ -212,12 +212,20 @@
     return decision;
 }
 
-// Whether data would go to an upstream that responds neither to callers nor to probes. A draining upstream never counts
-// as lost, because it may close its listener, and so stop responding to probes, before its flows end.
-bool FlowForwarder::isLost(const InstanceRecord& record, const FlowSegment& segment) const
+// Whether data would go to an upstream that responds neither to callers nor to probes.
+bool FlowForwarder::isLost(const InstanceRecord& record, const FlowSegment& segment, core::TimePoint now) const
 {
-    return segment.payloadBytes > 0 && !segment.isReset && record.report.state == InstanceState::Ready
-        && m_responses.isUnresponsive(record.report.id);
+    return segment.payloadBytes > 0 && !segment.isReset && isLost(record, now);
+}
+
+// A draining upstream never counts as lost, because it may close its listener, and so stop responding to probes, before
+// its flows end. One that is only silent doesn't soon after a congestion of this balancer's link.
+bool FlowForwarder::isLost(const InstanceRecord& record, core::TimePoint now) const
+{
+    const auto id = record.report.id;
+    if (record.report.state != InstanceState::Ready || !m_responses.isUnresponsive(id))
+        return false;
+    return !m_responses.isSilent(id) || !m_congestion.isRecovering(now);
 }
 
 void FlowForwarder::noteProbe(upstream::InstanceId id, ProbeResult result, core::TimePoint now)
@@ -279,7 +287,7 @@
 bool FlowForwarder::isLost(const TrackedFlow& flow, core::TimePoint now) const
 {
     if (const auto* record = m_directory.findByToken(flow.token))
-        return record->report.state == InstanceState::Ready && m_responses.isUnresponsive(record->report.id);
+        return isLost(*record, now);
     return m_directory.isRetired(flow.token) && !m_directory.mayStillRun(flow.token, now);
 }
 
--- a/src/ibisgw/direct/FlowForwarder.h
+++ b/src/ibisgw/direct/FlowForwarder.h
@@ -127,7 +127,8 @@
     ForwardDecision forwardOpen(
         FlowTracker::Entry, const upstream::InstanceRecord&, const FlowSegment&, core::TimePoint now);
     ForwardDecision resolveToken(const FlowSegment&, const Route*, core::TimePoint now);
-    bool isLost(const upstream::InstanceRecord&, const FlowSegment&) const;
+    bool isLost(const upstream::InstanceRecord&, const FlowSegment&, core::TimePoint now) const;
+    bool isLost(const upstream::InstanceRecord&, core::TimePoint now) const;
 
     void applyOverdueMarks(core::TimePoint now);
     void expire(core::TimePoint now);
--- a/src/ibisgw/direct/LinkCongestion.cpp
+++ b/src/ibisgw/direct/LinkCongestion.cpp
@@ -6,10 +6,11 @@
 
 namespace {
 
-constexpr core::NameTable<CongestionCause, 3> causeNames { {
+constexpr core::NameTable<CongestionCause, 4> causeNames { {
     { CongestionCause::Wait, "wait" },
     { CongestionCause::Drop, "drop" },
     { CongestionCause::Stall, "stall" },
+    { CongestionCause::Receive, "receive" },
 } };
 
 // Wait from which on a packet shows congestion, by its class. Opening packets: half of the 50 ms after which one
@@ -29,6 +30,9 @@
 // after 200 ms at most.
 constexpr core::Duration holdTime = std::chrono::milliseconds(200);
 
+// Callers retransmit at intervals of up to 1.6 s and try a request three times.
+constexpr core::Duration recoveryTime = std::chrono::seconds(5);
+
 } // namespace
 
 std::string_view nameOf(CongestionCause cause)
@@ -56,6 +60,11 @@
     m_clearAt = now + holdTime;
 }
 
+bool LinkCongestion::isRecovering(core::TimePoint now) const
+{
+    return m_clearAt != core::TimePoint {} && now - m_clearAt < recoveryTime;
+}
+
 bool LinkCongestion::discards(core::TimePoint since)
 {
     if (since >= m_clearAt)
--- a/src/ibisgw/direct/LinkCongestion.h
+++ b/src/ibisgw/direct/LinkCongestion.h
@@ -16,6 +16,7 @@
     Wait, // a packet waited too long for the link
     Drop, // the queue to the link was full
     Stall, // the process didn't run
+    Receive, // packets come in at nearly the rate of the link, so that others are lost before they arrive
 };
 
 std::string_view nameOf(CongestionCause);
@@ -29,11 +30,16 @@
     void noteWait(EgressClass, core::Duration wait, core::TimePoint now);
     // A packet was dropped because the queue was full.
     void noteDrop(core::TimePoint now) { note(CongestionCause::Drop, now); }
+    // Packets came in at nearly the rate of the link.
+    void noteFullReceiveRate(core::TimePoint now) { note(CongestionCause::Receive, now); }
     // Must be called at each tick and for each packet; a long gap between two calls shows that the process didn't run.
     void noteActivity(core::TimePoint now);
 
     // Whether the link is congested or was so a moment ago.
     bool isCongested(core::TimePoint now) const { return now < m_clearAt; }
+    // Whether so little time has passed since a congestion that callers may still press. Too early to reset open flows
+    // of an upstream for its silence: the link may lose packets that are not seen here.
+    bool isRecovering(core::TimePoint now) const;
     CongestionCause cause() const { return m_cause; }
     // End of the newest congestion: silence counts as evidence from then on only.
     core::TimePoint clearAt() const { return m_clearAt; }
--- a/src/ibisgw/direct/PacedLink.cpp
+++ b/src/ibisgw/direct/PacedLink.cpp
@@ -2,8 +2,18 @@
 
 namespace ibisgw::direct {
 
+namespace {
+
+// A link at this share of its rate loses packets that come in bursts.
+constexpr double fullReceiveShare = 0.8;
+// Longer than the burst of one upload, 16 full packets, takes on a link of 2 Mbit/s.
+constexpr core::Duration receiveWindow = std::chrono::milliseconds(200);
+
+} // namespace
+
 PacedLink::PacedLink(PacerOptions options, LinkCongestion& congestion, LinkAdmission& admission)
-    : m_pacer(options)
+    : m_bytesPerSecond(options.bytesPerSecond)
+    , m_pacer(options)
     , m_congestion(congestion)
     , m_admission(admission)
 {
@@ -36,6 +46,20 @@
         now);
 }
 
+void PacedLink::noteReceived(std::size_t bytes, core::TimePoint now)
+{
+    if (m_bytesPerSecond == 0)
+        return;
+    if (now - m_receiveWindowStart >= receiveWindow) {
+        m_receiveWindowStart = now;
+        m_receivedBytes = 0;
+    }
+    m_receivedBytes += EgressPacer::costOf(bytes);
+    const double limit = fullReceiveShare * static_cast<double>(m_bytesPerSecond) * core::toSeconds(receiveWindow);
+    if (static_cast<double>(m_receivedBytes) > limit)
+        m_congestion.noteFullReceiveRate(now);
+}
+
 void PacedLink::tick(core::TimePoint now)
 {
     m_congestion.noteActivity(now);
--- a/src/ibisgw/direct/ResponseMonitor.cpp
+++ b/src/ibisgw/direct/ResponseMonitor.cpp
@@ -134,7 +134,9 @@
 bool ResponseMonitor::isSilent(upstream::InstanceId id) const
 {
     const auto found = m_states.find(id);
-    return found != m_states.end() && found->second.isUnresponsive && !found->second.isRefused;
+    if (found == m_states.end() || found->second.isRefused)
+        return false;
+    return found->second.isUnresponsive || found->second.retransmissions > 0;
 }
 
 } // namespace ibisgw::direct
--- a/src/ibisgw/direct/ResponseMonitor.h
+++ b/src/ibisgw/direct/ResponseMonitor.h
@@ -43,7 +43,8 @@
     // Returns the upstreams to probe now. The caller must pass the result of each probe to noteProbe().
     std::vector<upstream::InstanceId> takeProbes(core::TimePoint now);
     bool isUnresponsive(upstream::InstanceId) const;
-    // Whether the upstream is unresponsive and its VM hasn't refused the last probe.
+    // Whether the upstream is unresponsive and its VM hasn't refused the last probe, or its callers have retransmitted
+    // packets since its last progress.
     bool isSilent(upstream::InstanceId) const;
     // Number of times that an upstream has become unresponsive.
     std::uint64_t lossCount() const { return m_lossCount; }
--- a/src/ibisgw/direct/ZoneOutageMonitor.cpp
+++ b/src/ibisgw/direct/ZoneOutageMonitor.cpp
@@ -20,20 +20,34 @@
 
 void ZoneOutageMonitor::update(const core::ServiceName& service, const ZoneObservations& zones, core::TimePoint now)
 {
+    std::erase_if(
+        m_outages, [&](const auto& it) { return it.first.first == service && !zones.contains(it.first.second); });
+    std::vector<core::ZoneName> silent;
+    std::size_t suspected = 0;
     for (const auto& [zone, observation] : zones) {
         const auto found = m_outages.find({ service, zone });
         if (found != m_outages.end() && hasRecovered(found->second, observation))
             end(found->first);
-        else if (found == m_outages.end() && observation.silentUpstreams >= minSilentUpstreams)
-            begin({ service, zone }, observation, now);
+        else if (found != m_outages.end())
+            ++suspected;
+        else if (observation.silentUpstreams >= minSilentUpstreams)
+            silent.push_back(zone);
+    }
+    const bool wouldSuspectAll = suspected + silent.size() == zones.size();
+    for (const auto& zone : silent) {
+        if (!wouldSuspectAll)
+            begin({ service, zone }, zones.at(zone), now);
+    }
+    if (wouldSuspectAll)
+        endAll(service, zones);
+}
+
+void ZoneOutageMonitor::endAll(const core::ServiceName& service, const ZoneObservations& zones)
+{
+    for (const auto& [zone, observation] : zones) {
+        if (isSuspected(service, zone))
+            end({ service, zone });
     }
-    std::erase_if(
-        m_outages, [&](const auto& it) { return it.first.first == service && !zones.contains(it.first.second); });
-    const auto isKnownSuspected = [&](const auto& it) { return isSuspected(service, it.first); };
-    if (zones.empty() || !std::ranges::all_of(zones, isKnownSuspected))
-        return;
-    for (const auto& [zone, observation] : zones)
-        end({ service, zone });
 }
 
 void ZoneOutageMonitor::begin(const Key& key, const ZoneObservation& zone, core::TimePoint now)
--- a/src/ibisgw/direct/ZoneOutageMonitor.h
+++ b/src/ibisgw/direct/ZoneOutageMonitor.h
@@ -64,6 +64,7 @@
     static bool hasRecovered(const Outage&, const ZoneObservation&);
     void begin(const Key&, const ZoneObservation&, core::TimePoint now);
     void end(const Key&);
+    void endAll(const core::ServiceName&, const ZoneObservations&);
 
     std::map<Key, Outage> m_outages;
     std::vector<ZoneOutageChange> m_changes;
--- a/src/ibisgw/runtime/DirectBalancer.cpp
+++ b/src/ibisgw/runtime/DirectBalancer.cpp
@@ -114,6 +114,7 @@
 {
     const auto now = m_loop.now();
     m_shutdownTimer.recordWork(now);
+    m_link.noteReceived(packet.size(), now);
     recordActivity(now);
     handlePacket(packet, now, now);
 }
--- a/tests/balancer/FaultScheduleTests.cpp
+++ b/tests/balancer/FaultScheduleTests.cpp
@@ -3,6 +3,7 @@
 #include <doctest/doctest.h>
 
 using namespace ibisgw;
+using namespace std::chrono_literals;
 
 namespace {
 
