--- a/src/ibisgw/configuration/RegisterState.cpp
+++ b/src/ibisgw/configuration/RegisterState.cpp
@@ -95,7 +95,7 @@
 // evacuations, and the version and the text.
 std::string RegisterState::takeSnapshot() const
 {
-    const auto text = m_version == 0 ? std::string() : encodeState(m_version, m_text);
+    auto text = m_version == 0 ? std::string() : encodeState(m_version, m_text);
     if (m_evacuations.revision == 0)
         return text;
     const auto evacuations = encodeEvacuations(m_evacuations);
--- a/src/ibisgw/runtime/EvacuationCalls.cpp
+++ b/src/ibisgw/runtime/EvacuationCalls.cpp
@@ -9,7 +9,6 @@
 
 namespace {
 
-using configuration::EvacuationAction;
 using configuration::EvacuationOrder;
 using configuration::OrderStatus;
 
