Share the limit of marked upstreams, and spare idle work of the new monitors

UnresponsiveMarker and FailureMarker had the same limit, a third of a service, each with its own loop; upstream/MarkLimit serves both, and FailureMarker no longer stores the service of an upstream. UnansweredRequestMonitor cleared its table at 4096 addresses; it holds the addresses of routes only now, as FlowTracker does, since callers may put any into packets. The controller built the list of its followers 50 times a second for marks that are sent twice a second at most. On a full link each opening packet went three times over all routes, idle ones included; it goes over those asked for. The waits that show congestion have names.

--- a/src/ibisgw/direct/FlowTracker.cpp
+++ b/src/ibisgw/direct/FlowTracker.cpp
@@ -53,6 +53,7 @@
     for (const auto& it : routes)
         responseTimes[it.address] = m_responseTimes[it.address];
     m_responseTimes = std::move(responseTimes);
+    m_unanswered.setRoutes(routes);
 }
 
 FlowTracker::Entry FlowTracker::findOrAdd(
--- a/src/ibisgw/direct/LinkAdmission.cpp
+++ b/src/ibisgw/direct/LinkAdmission.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <set>
+#include <utility>
 
 namespace ibisgw::direct {
 
@@ -61,6 +62,11 @@
         state.egressClass = dataClassOf(it.kind);
     }
     m_routes = std::move(states);
+    m_askedRoutes.clear();
+    for (auto& [address, it] : m_routes) {
+        if (it.isAsked)
+            m_askedRoutes.push_back(&it);
+    }
 }
 
 void LinkAdmission::setQueued(const QueuedBytes& queued, core::TimePoint now)
@@ -79,6 +85,8 @@
     auto& state = found->second;
     decay(state, now);
     const double cost = headerBytes + state.bytesPerFlow;
+    if (!std::exchange(state.isAsked, true))
+        m_askedRoutes.push_back(&state);
     state.offeredBytes += cost;
     if (now - m_lastQueuedAt <= busyTime && !isWithinLimit(state, now))
         return false;
@@ -90,8 +98,8 @@
 // than their guaranteed share, up to their own limit.
 bool LinkAdmission::isWithinLimit(const RouteState& state, core::TimePoint now)
 {
-    for (auto& [address, it] : m_routes)
-        decay(it, now);
+    for (auto* it : m_askedRoutes)
+        decay(*it, now);
     const auto wait = expectedWait(state.egressClass);
     const auto lowest = std::min(lowestLimit(), state.limit);
     if (core::toSeconds(wait) <= state.priorityFactor * core::toSeconds(lowest))
@@ -104,9 +112,9 @@
 core::Duration LinkAdmission::lowestLimit() const
 {
     auto lowest = core::Duration::max();
-    for (const auto& [address, it] : m_routes) {
-        if (it.offeredBytes >= headerBytes)
-            lowest = std::min(lowest, it.limit);
+    for (const auto* it : m_askedRoutes) {
+        if (it->offeredBytes >= headerBytes)
+            lowest = std::min(lowest, it->limit);
     }
     return lowest;
 }
@@ -115,9 +123,9 @@
 {
     double offered = 0;
     double admitted = 0;
-    for (const auto& [address, it] : m_routes) {
-        offered += it.offeredBytes;
-        admitted += it.admittedBytes;
+    for (const auto* it : m_askedRoutes) {
+        offered += it->offeredBytes;
+        admitted += it->admittedBytes;
     }
     return state.admittedBytes * offered < guaranteedShare * state.offeredBytes * admitted;
 }
--- a/src/ibisgw/direct/LinkAdmission.h
+++ b/src/ibisgw/direct/LinkAdmission.h
@@ -50,6 +50,8 @@
         EgressClass egressClass { EgressClass::Interactive };
         // Share of the limit that applies to the route's priority.
         double priorityFactor { 1 };
+        // Callers have asked for the route; see m_askedRoutes.
+        bool isAsked { false };
         double offeredBytes { 0 };
         double admittedBytes { 0 };
         core::TimePoint countedAt {};
@@ -77,6 +79,9 @@
     QueuedBytes m_queued {};
     core::TimePoint m_lastQueuedAt {};
     std::unordered_map<core::Endpoint, RouteState> m_routes;
+    // Those that callers have asked for. Most routes of a large configuration are idle, and each decision compares
+    // these.
+    std::vector<RouteState*> m_askedRoutes;
     std::unordered_map<core::FlowKey, Reservation> m_reservations;
     // When reservations end, in order.
     std::deque<std::pair<core::TimePoint, core::FlowKey>> m_expiries;
--- a/src/ibisgw/direct/LinkCongestion.cpp
+++ b/src/ibisgw/direct/LinkCongestion.cpp
@@ -13,15 +13,16 @@
     { CongestionCause::Receive, "receive" },
 } };
 
-// Wait from which on a packet shows congestion, by its class. Opening packets: half of the 50 ms after which one
-// without a response counts as evidence. Data of requests: three quarters of the 100 ms for an unconfirmed opening; a
-// burst of 16 full packets, which callers send at once, waits 70 ms at 2 Mbit/s. Uploads: half of the 200 ms after
-// which callers retransmit.
-constexpr std::array<core::Duration, egressClassCount> waitThresholds {
-    std::chrono::milliseconds(25),
-    std::chrono::milliseconds(75),
-    std::chrono::milliseconds(100),
-};
+// Waits from which on a packet shows congestion. Half of the 50 ms after which an opening packet without a response
+// counts as evidence.
+constexpr core::Duration controlWaitThreshold = std::chrono::milliseconds(25);
+// Three quarters of the 100 ms for an unconfirmed opening. A burst of 16 full packets, which callers send at once,
+// waits 70 ms at 2 Mbit/s.
+constexpr core::Duration interactiveWaitThreshold = std::chrono::milliseconds(75);
+// Half of the 200 ms after which callers retransmit.
+constexpr core::Duration bulkWaitThreshold = std::chrono::milliseconds(100);
+constexpr std::array<core::Duration, egressClassCount> waitThresholds { controlWaitThreshold, interactiveWaitThreshold,
+    bulkWaitThreshold };
 
 // A longer gap in the execution of the process delays packets as much as a full link does.
 constexpr core::Duration stallThreshold = std::chrono::milliseconds(100);
--- a/src/ibisgw/direct/UnansweredRequestMonitor.cpp
+++ b/src/ibisgw/direct/UnansweredRequestMonitor.cpp
@@ -25,16 +25,23 @@
 constexpr core::Duration minReportInterval = std::chrono::seconds(1);
 constexpr core::Duration reportBatchInterval = std::chrono::milliseconds(250);
 constexpr std::size_t maxReportsInBatch = 4;
-// Routes are bounded by the configuration; this only limits what a burst of changed configurations may leave behind.
-constexpr std::size_t maxRoutes = 4096;
 
 } // namespace
 
+void UnansweredRequestMonitor::setRoutes(const std::vector<Route>& routes)
+{
+    std::unordered_map<core::Endpoint, RouteAnswers> answers;
+    for (const auto& it : routes)
+        answers[it.address] = m_routes[it.address];
+    m_routes = std::move(answers);
+}
+
 bool UnansweredRequestMonitor::record(core::Endpoint route, bool isAnswered)
 {
-    if (m_routes.size() >= maxRoutes && !m_routes.contains(route))
-        m_routes.clear();
-    auto& answers = m_routes[route];
+    const auto found = m_routes.find(route);
+    if (found == m_routes.end())
+        return false;
+    auto& answers = found->second;
     const double weight = std::max(sampleWeight, 1.0 / ++answers.samples);
     answers.answeredShare += weight * ((isAnswered ? 1.0 : 0.0) - answers.answeredShare);
     return answers.samples >= minSamples && answers.answeredShare >= minAnsweredShare;
--- a/src/ibisgw/direct/UnansweredRequestMonitor.h
+++ b/src/ibisgw/direct/UnansweredRequestMonitor.h
@@ -2,6 +2,7 @@
 
 #include "ibisgw/core/Endpoint.h"
 #include "ibisgw/core/Time.h"
+#include "ibisgw/direct/RouteConfiguration.h"
 #include "ibisgw/upstream/InstanceReport.h"
 
 #include <cstdint>
@@ -17,6 +18,8 @@
 // What other balancers have detected counts as well, until it is no longer repeated.
 class UnansweredRequestMonitor {
 public:
+    // Sets the routes whose requests count, and keeps what is known of those set before.
+    void setRoutes(const std::vector<Route>&);
     void noteAnswered(core::Endpoint route, upstream::InstanceId);
     void noteUnanswered(core::Endpoint route, upstream::InstanceId, core::TimePoint now);
     // The upstream has answered a request of any route, also a late one.
@@ -51,6 +54,7 @@
         return now < state.avoidedUntil || now < state.sharedUntil;
     }
 
+    // Holds the addresses of routes only, since a caller may put any into its packets.
     std::unordered_map<core::Endpoint, RouteAnswers> m_routes;
     std::unordered_map<upstream::InstanceId, State> m_instances;
     std::vector<upstream::InstanceId> m_reports;
--- a/src/ibisgw/runtime/DirectController.cpp
+++ b/src/ibisgw/runtime/DirectController.cpp
@@ -130,7 +130,8 @@
     m_overdueMonitor.tick(m_directory, canReachMajority(now), now);
     m_departures.flush(now);
     m_feed.publish(feedHead(), now, *this);
-    m_failures.publish(m_feed.followers(), now, *this);
+    if (m_failures.isDue(now))
+        m_failures.publish(m_feed.followers(), now, *this);
     completeWaitingCalls(now);
     logRaftChanges(now);
     m_changeLogger.logChanges(m_directory, m_events, now);
--- a/src/ibisgw/sync/FailureExchange.cpp
+++ b/src/ibisgw/sync/FailureExchange.cpp
@@ -30,7 +30,7 @@
 
 void FailureExchange::publish(std::span<const core::NodeId> followers, core::TimePoint now, SyncOutput& output)
 {
-    if (!m_hasNewMarks && now < m_nextRepeat)
+    if (!isDue(now))
         return;
     m_hasNewMarks = false;
     m_nextRepeat = now + repeatInterval;
--- a/src/ibisgw/sync/FailureExchange.h
+++ b/src/ibisgw/sync/FailureExchange.h
@@ -17,6 +17,8 @@
     // Handles a report and returns whether it has marked the upstream. `others` are the other controllers.
     bool handle(core::NodeId from, const FailureReport&, std::span<const core::NodeId> others, core::TimePoint now,
         SyncOutput&);
+    // Whether publish() may have something to send.
+    bool isDue(core::TimePoint now) const { return m_hasNewMarks || now >= m_nextRepeat; }
     // Sends the marks to the followers when they have grown, and repeats them. Without marks nothing is sent.
     void publish(std::span<const core::NodeId> followers, core::TimePoint now, SyncOutput&);
     std::size_t markedInstances(core::TimePoint now) const { return m_marker.marks(now).size(); }
--- a/src/ibisgw/upstream/FailureMarker.cpp
+++ b/src/ibisgw/upstream/FailureMarker.cpp
@@ -1,5 +1,7 @@
 #include "ibisgw/upstream/FailureMarker.h"
 
+#include "ibisgw/upstream/MarkLimit.h"
+
 #include <algorithm>
 
 namespace ibisgw::upstream {
@@ -15,9 +17,6 @@
 // spread their first flows to an upstream whose mark has ended.
 constexpr core::Duration repetitionPeriod = std::chrono::seconds(10);
 
-// At most one in this many ready upstreams of a service may be marked, but one always may.
-constexpr std::size_t markedShareDivisor = 3;
-
 } // namespace
 
 bool FailureMarker::note(
@@ -29,10 +28,12 @@
         return false;
     auto& reports = m_reports[mark.id];
     if (reports.incarnation != mark.incarnation)
-        reports = { mark.incarnation, record->report.service, {}, {}, {} };
+        reports = { mark.incarnation, {}, {}, {} };
     reports.reporters[reporter] = now;
     const bool wasMarked = now < reports.markedUntil;
-    if (reports.reporters.size() < minReporters || (!wasMarked && !canMarkAnother(directory, reports.service, now)))
+    const auto isOtherMarked = [&](const InstanceRecord& it) { return isMarked(it, now); };
+    if (reports.reporters.size() < minReporters
+        || (!wasMarked && !mayMarkAnother(directory, record->report.service, isOtherMarked)))
         return false;
     if (!wasMarked)
         reports.markDuration = std::clamp(2 * reports.markDuration, minMarkDuration, maxMarkDuration);
@@ -40,15 +41,10 @@
     return !wasMarked;
 }
 
-bool FailureMarker::canMarkAnother(
-    const InstanceDirectory& directory, const core::ServiceName& service, core::TimePoint now) const
+bool FailureMarker::isMarked(const InstanceRecord& record, core::TimePoint now) const
 {
-    const auto marked = static_cast<std::size_t>(std::ranges::count_if(
-        m_reports, [&](const auto& it) { return it.second.service == service && now < it.second.markedUntil; }));
-    const auto ready = static_cast<std::size_t>(std::ranges::count_if(directory.records(), [&](const auto& it) {
-        return it.second.report.service == service && it.second.report.state == InstanceState::Ready;
-    }));
-    return marked == 0 || (marked + 1) * markedShareDivisor <= ready;
+    const auto found = m_reports.find(record.report.id);
+    return found != m_reports.end() && now < found->second.markedUntil;
 }
 
 std::vector<FailureMark> FailureMarker::marks(core::TimePoint now) const
--- a/src/ibisgw/upstream/FailureMarker.h
+++ b/src/ibisgw/upstream/FailureMarker.h
@@ -30,14 +30,13 @@
 private:
     struct Reports {
         core::Incarnation incarnation { 0 };
-        core::ServiceName service;
         // Last report of each balancer.
         std::map<core::NodeId, core::TimePoint> reporters;
         core::TimePoint markedUntil {};
         core::Duration markDuration { 0 };
     };
 
-    bool canMarkAnother(const InstanceDirectory&, const core::ServiceName&, core::TimePoint now) const;
+    bool isMarked(const InstanceRecord&, core::TimePoint now) const;
 
     std::map<InstanceId, Reports> m_reports;
 };
--- a/src/ibisgw/upstream/UnresponsiveMarker.h
+++ b/src/ibisgw/upstream/UnresponsiveMarker.h
@@ -16,8 +16,6 @@
     bool note(InstanceDirectory&, InstanceId, core::Incarnation, core::TimePoint now);
 
 private:
-    static bool canMarkAnother(const InstanceDirectory&, const InstanceReport&);
-
     // When upstreams were last marked. A mark that was ended by the upstream's own report isn't repeated for a while.
     std::unordered_map<InstanceId, core::TimePoint> m_markedAt;
 };
