Send orders of the command line through one function

`ibisgw zone evacuate|restore` repeated the request, the exit statuses and the output of `ibisgw drain`; Invocation::sendOrder serves both. Output and exit statuses are the same.

--- a/src/ibisgw_cli/Invocation.cpp
+++ b/src/ibisgw_cli/Invocation.cpp
@@ -65,6 +65,27 @@
     return status;
 }
 
+ExitStatus Invocation::sendOrder(const std::string& path, const std::string& done,
+    const std::function<std::string(const nlohmann::json&)>& describe) const
+{
+    auto status = ExitStatus::Ok;
+    const auto client = connect(status);
+    if (!client)
+        return status;
+    const auto reply = client->post(path, nlohmann::json::object());
+    // Without an answer the order may or may not have been taken; it is safe to repeat the request.
+    status = exitStatusOfSubmission(reply);
+    if (reply.status == 200 && reply.body.contains(done))
+        status = ExitStatus::Ok;
+    if (status != ExitStatus::Ok)
+        return reportFailure(reply, status);
+    if (format == OutputFormat::Json)
+        printJson(reply.body);
+    else
+        out << describe(reply.body) << "\n";
+    return status;
+}
+
 ExitStatus Invocation::reportFailure(const ApiReply& reply, ExitStatus status) const
 {
     printError(err, format, reply.body);
--- a/src/ibisgw_cli/Invocation.h
+++ b/src/ibisgw_cli/Invocation.h
@@ -4,6 +4,7 @@
 #include "ibisgw_cli/ExitStatus.h"
 #include "ibisgw_cli/Output.h"
 
+#include <functional>
 #include <iosfwd>
 #include <optional>
 #include <string>
@@ -39,6 +40,10 @@
     // Gets `path` from the API and prints the whole answer as JSON, or its array `list` as a table.
     ExitStatus showList(
         const std::string& path, const std::string& list, const std::vector<std::string>& columns) const;
+    // Posts an order without a body. It is done when the answer has the member `done`. Prints the answer as JSON, or
+    // the text that `describe` makes of it.
+    ExitStatus sendOrder(const std::string& path, const std::string& done,
+        const std::function<std::string(const nlohmann::json&)>& describe) const;
     // Prints the error in an answer of the API and returns the exit status.
     ExitStatus reportFailure(const ApiReply&, ExitStatus) const;
     void printJson(const nlohmann::json&) const;
--- a/src/ibisgw_cli/OperationCommands.cpp
+++ b/src/ibisgw_cli/OperationCommands.cpp
@@ -11,24 +11,9 @@
 // `kind` is the collection in the path of the API: upstreams or balancers.
 ExitStatus requestDrain(const Invocation& invocation, const std::string& kind)
 {
-    auto status = ExitStatus::Ok;
-    const auto client = invocation.connect(status);
-    if (!client)
-        return status;
     const auto& name = invocation.arguments[0];
-    const auto reply
-        = client->post("/api/v1/" + kind + "/" + ApiClient::percentEncode(name) + "/drain", json::object());
-    // Without an answer the drain may or may not have started; it is safe to repeat the request.
-    status = exitStatusOfSubmission(reply);
-    if (reply.status == 200 && reply.body.contains("draining"))
-        status = ExitStatus::Ok;
-    if (status != ExitStatus::Ok)
-        return invocation.reportFailure(reply, status);
-    if (invocation.format == OutputFormat::Json)
-        invocation.printJson(reply.body);
-    else
-        invocation.out << "draining " << name << "\n";
-    return status;
+    return invocation.sendOrder("/api/v1/" + kind + "/" + ApiClient::percentEncode(name) + "/drain", "draining",
+        [&name](const json&) { return "draining " + name; });
 }
 
 } // namespace
--- a/src/ibisgw_cli/ZoneCommands.cpp
+++ b/src/ibisgw_cli/ZoneCommands.cpp
@@ -9,38 +9,27 @@
 using nlohmann::json;
 
 // `order` is the last part of the path of the API: evacuate or restore.
-ExitStatus sendOrder(const Invocation& invocation, const std::string& order)
+ExitStatus sendZoneOrder(const Invocation& invocation, const std::string& order)
 {
-    auto status = ExitStatus::Ok;
-    const auto client = invocation.connect(status);
-    if (!client)
-        return status;
     const auto& zone = invocation.arguments[0];
-    const auto reply = client->post("/api/v1/zones/" + ApiClient::percentEncode(zone) + "/" + order, json::object());
-    // Without an answer the order may or may not be accepted; it is safe to repeat the request.
-    status = exitStatusOfSubmission(reply);
-    if (reply.status == 200 && reply.body.contains("evacuated"))
-        status = ExitStatus::Ok;
-    if (status != ExitStatus::Ok)
-        return invocation.reportFailure(reply, status);
-    if (invocation.format == OutputFormat::Json)
-        invocation.printJson(reply.body);
-    else
-        invocation.out << "zone " << zone << " is " << (reply.body["evacuated"] == true ? "evacuated" : "in service")
-                       << " by revision " << reply.body.value("revision", json()) << "\n";
-    return status;
+    return invocation.sendOrder(
+        "/api/v1/zones/" + ApiClient::percentEncode(zone) + "/" + order, "evacuated", [&zone](const json& answer) {
+            const bool isEvacuated = answer["evacuated"] == true;
+            return "zone " + zone + " is " + (isEvacuated ? "evacuated" : "in service") + " by revision "
+                + answer.value("revision", json()).dump();
+        });
 }
 
 } // namespace
 
 ExitStatus runZoneEvacuate(const Invocation& invocation)
 {
-    return sendOrder(invocation, "evacuate");
+    return sendZoneOrder(invocation, "evacuate");
 }
 
 ExitStatus runZoneRestore(const Invocation& invocation)
 {
-    return sendOrder(invocation, "restore");
+    return sendZoneOrder(invocation, "restore");
 }
 
 ExitStatus runZoneList(const Invocation& invocation)
