Say the packets and the bounds of hedging and evacuation once

RequestHedging built its cancels and closes twice each and had two loops that collect failed attempts; they have one function each. The time after which no copy of an open arrives stood in Balancer and in OpenAdmission; it is request::maxOpenDelay. Queued opens are searched for evacuated services only while a zone is evacuated. Behaviour is the same.

--- a/src/ibisgw/balancer/Balancer.cpp
+++ b/src/ibisgw/balancer/Balancer.cpp
@@ -11,15 +11,8 @@
 
 namespace {
 
-// A scan of the whole flow table is spread over this many ticks (10 s at 50 ms), so that no tick delays packets.
-constexpr std::size_t ticksPerTableScan = 200;
-// Limit of flow records as a share of the open flows. Beyond it the oldest records are evicted.
-constexpr double maxRecordShare = 0.04;
 // Callers don't open a new flow from the same port before this time has passed since the end of the last one.
 constexpr core::Duration portReuseDelay = std::chrono::seconds(1);
-// No copy of an open arrives later than this after the copy before it: callers repeat an open for about this long at
-// most, and a packet stays in the network for a far shorter time.
-constexpr core::Duration maxOpenDelay = std::chrono::seconds(5);
 
 bool isFromUpstream(PacketType type)
 {
@@ -225,7 +218,7 @@
     // portReuseDelay without a packet it may be the open of a new flow, which must not go to an ejected upstream. An
     // evacuation must not move a flow in use, so there the entry is replaced only when no copy can be that late.
     const auto idleTime = entry.idleTime(now);
-    if (idleTime > maxOpenDelay && m_upstreams.isEvacuated(entry.upstream()))
+    if (idleTime > request::maxOpenDelay && m_upstreams.isEvacuated(entry.upstream()))
         return true;
     return idleTime > portReuseDelay && isEjected(entry.upstream(), service, now);
 }
@@ -327,41 +320,6 @@
         dropFlow(packet.flow, now);
 }
 
-void Balancer::tick(core::TimePoint now, BalancerOutput& output)
-{
-    m_upstreams.removeExpired(now);
-    for (auto& [service, placement] : m_placements)
-        placement->update(now);
-    m_flows.scan(m_flows.bucketCount() / ticksPerTableScan + 1,
-        [&](flow::FlowEntry& entry) { return maintainFlow(entry, now); });
-    m_previousHomeQueries.tick(now);
-    for (const auto& it : m_previousHomeQueries.takeTimedOut(now)) {
-        const auto* service = m_document ? m_document->findService(it.packet.flow.service) : nullptr;
-        if (service && serves(it.packet.upstream, *service))
-            forwardToCaller(it.packet, *service, now, output);
-    }
-    if (m_knownUpstreamChanges != m_upstreams.changeCount()) {
-        m_knownUpstreamChanges = m_upstreams.changeCount();
-        m_hedging.upstreamsChanged(now);
-    }
-    m_admission.tick(now, output);
-    m_hedging.tick(now, output);
-    startDueAttempts(now, output);
-    placeAdmitted(now, output);
-    std::size_t streams = 0;
-    for (auto& [service, placement] : m_placements)
-        streams += placement->defaults().flowCount();
-    // This balancer counts only the flows whose home it is. Each home has about the same number of them.
-    const auto recordLimit = static_cast<double>(streams * m_homes.ring().homeCount()) * maxRecordShare;
-    m_records.setLimit(static_cast<std::size_t>(recordLimit));
-}
-
-void Balancer::startDueAttempts(core::TimePoint now, BalancerOutput& output)
-{
-    if (m_document)
-        m_hedging.startDueAttempts(*m_document, now, output);
-}
-
 void Balancer::forward(const Packet& packet, core::UpstreamId upstream, BalancerOutput& output)
 {
     auto forwarded = packet;
--- a/src/ibisgw/balancer/Balancer.h
+++ b/src/ibisgw/balancer/Balancer.h
@@ -104,6 +104,9 @@
     const RequestHedging& hedging() const { return m_hedging; }
 
 private:
+    // Limit of flow records as a share of the open flows. Beyond it the oldest records are evicted.
+    static constexpr double maxRecordShare = 0.04;
+
     core::UpstreamId upstreamOf(const core::FlowKey&, core::TimePoint now) override;
     core::UpstreamId placeFlow(const packet::Packet& open, const configuration::Service&,
         const std::vector<core::UpstreamId>& excluded, core::TimePoint now) override;
--- a/src/ibisgw/balancer/BalancerMaintenance.cpp
+++ b/src/ibisgw/balancer/BalancerMaintenance.cpp
@@ -15,9 +15,46 @@
 constexpr core::Duration maxAnnouncementDelay = std::chrono::seconds(10);
 // Time allowed for an answer to arrive after the deadline of its request.
 constexpr core::Duration answerDeliveryMargin = std::chrono::seconds(5);
+// A scan of the whole flow table is spread over this many ticks (10 s at 50 ms), so that no tick delays packets.
+constexpr std::size_t ticksPerTableScan = 200;
 
 } // namespace
 
+void Balancer::tick(core::TimePoint now, BalancerOutput& output)
+{
+    m_upstreams.removeExpired(now);
+    for (auto& [service, placement] : m_placements)
+        placement->update(now);
+    m_flows.scan(m_flows.bucketCount() / ticksPerTableScan + 1,
+        [&](flow::FlowEntry& entry) { return maintainFlow(entry, now); });
+    m_previousHomeQueries.tick(now);
+    for (const auto& it : m_previousHomeQueries.takeTimedOut(now)) {
+        const auto* service = m_document ? m_document->findService(it.packet.flow.service) : nullptr;
+        if (service && serves(it.packet.upstream, *service))
+            forwardToCaller(it.packet, *service, now, output);
+    }
+    if (m_knownUpstreamChanges != m_upstreams.changeCount()) {
+        m_knownUpstreamChanges = m_upstreams.changeCount();
+        m_hedging.upstreamsChanged(now);
+    }
+    m_admission.tick(now, output);
+    m_hedging.tick(now, output);
+    startDueAttempts(now, output);
+    placeAdmitted(now, output);
+    std::size_t streams = 0;
+    for (auto& [service, placement] : m_placements)
+        streams += placement->defaults().flowCount();
+    // This balancer counts only the flows whose home it is. Each home has about the same number of them.
+    const auto recordLimit = static_cast<double>(streams * m_homes.ring().homeCount()) * maxRecordShare;
+    m_records.setLimit(static_cast<std::size_t>(recordLimit));
+}
+
+void Balancer::startDueAttempts(core::TimePoint now, BalancerOutput& output)
+{
+    if (m_document)
+        m_hedging.startDueAttempts(*m_document, now, output);
+}
+
 bool Balancer::isUpstreamLost(const FlowEntry& entry, const configuration::Service& service, core::TimePoint now) const
 {
     const auto* record = m_upstreams.find(entry.upstream());
--- a/src/ibisgw/balancer/RequestHedging.h
+++ b/src/ibisgw/balancer/RequestHedging.h
@@ -6,6 +6,7 @@
 #include "ibisgw/request/HedgePolicy.h"
 
 #include <deque>
+#include <functional>
 #include <map>
 #include <unordered_map>
 
@@ -120,6 +121,10 @@
     void failAttempt(core::RequestId copy, BalancerOutput&);
     void failAttemptsAt(core::UpstreamId, const core::Endpoint& service, BalancerOutput&);
     void failAttemptsAtGoneUpstreams(BalancerOutput&);
+    void failAttemptsIf(const std::function<bool(const Key&, const TrackedRequest&)>&, BalancerOutput&);
+    // Cancels one attempt of the request: its flow and identifier, and its upstream.
+    void sendCancel(const TrackedRequest&, const Key& attempt, core::UpstreamId, BalancerOutput&);
+    void closeFlow(const core::FlowKey&, core::UpstreamId, BalancerOutput&);
     // Ends the request and cancels its extra attempt if that is in progress.
     void end(TrackedRequest&, BalancerOutput&);
     // Ends a request without an extra attempt in progress.
--- a/src/ibisgw/request/OpenTable.h
+++ b/src/ibisgw/request/OpenTable.h
@@ -12,6 +12,10 @@
 
 namespace ibisgw::request {
 
+// No copy of an open arrives later than this after the copy before it: callers repeat an open for about this long at
+// most, and a packet stays in the network for a far shorter time.
+constexpr core::Duration maxOpenDelay = std::chrono::seconds(5);
+
 enum class OpenState : std::uint8_t {
     Queued, // waits for capacity at the home; not sent to any upstream
     Forwarded, // sent to an upstream, no `opened` yet
--- a/src/ibisgw/upstream/UpstreamRegistry.h
+++ b/src/ibisgw/upstream/UpstreamRegistry.h
@@ -44,6 +44,7 @@
     void setDrained(std::set<core::UpstreamId>);
     // Sets the zones that operators evacuate. Their upstreams get no new work, whatever state they announce.
     void setEvacuatedZones(std::set<core::ZoneName>);
+    bool hasEvacuatedZones() const { return !m_evacuatedZones.empty(); }
     // Removes upstreams whose lease has expired, except those of a zone that this balancer is partitioned from.
     void removeExpired(core::TimePoint now);
     const Record* find(core::UpstreamId) const;
