Share the order, the gauges and the event of evacuated zones between both roles

The check for sorted zones without duplicates stood in both codecs, and the balancer and the controller had the gauges, with different help texts, and the fields of evacuations_in_force twice.

--- a/src/ibisgw/adapters/SyncCodec.cpp
+++ b/src/ibisgw/adapters/SyncCodec.cpp
@@ -5,7 +5,6 @@
 #include "ibisgw/core/ObjectReader.h"
 
 #include <algorithm>
-#include <functional>
 
 namespace ibisgw::adapters {
 
@@ -117,14 +116,12 @@
     return !zone.empty() && zone.size() <= core::maxTextBytes;
 }
 
-// ZoneEvacuations::contains() counts on sorted zones without duplicates.
 bool isValid(const upstream::ZoneEvacuations& evacuations)
 {
     const auto& zones = evacuations.zones;
     if (zones.size() > maxEvacuatedZones || (evacuations.revision == 0 && !zones.empty()))
         return false;
-    const bool isSorted = std::ranges::adjacent_find(zones, std::ranges::greater_equal {}) == zones.end();
-    return isSorted && std::ranges::all_of(zones, [](const auto& it) { return isValid(it); });
+    return evacuations.isOrdered() && std::ranges::all_of(zones, [](const auto& it) { return isValid(it); });
 }
 
 void readEvacuations(detail::JsonArrayReader& reader, DirectoryUpdate& message)
--- a/src/ibisgw/configuration/EvacuationCodec.cpp
+++ b/src/ibisgw/configuration/EvacuationCodec.cpp
@@ -2,7 +2,6 @@
 
 #include <boost/endian/conversion.hpp>
 
-#include <functional>
 #include <optional>
 
 namespace ibisgw::configuration {
@@ -37,11 +36,6 @@
     return zone;
 }
 
-bool isStrictlyAscending(const std::vector<core::ZoneName>& zones)
-{
-    return std::ranges::adjacent_find(zones, std::greater_equal<> {}) == zones.end();
-}
-
 std::optional<upstream::ZoneEvacuations> tryDecode(std::string_view bytes)
 {
     if (take<std::uint8_t>(bytes) != formatNumber)
@@ -57,7 +51,7 @@
             return std::nullopt;
         evacuations.zones.push_back(std::move(*zone));
     }
-    if (!bytes.empty() || !isStrictlyAscending(evacuations.zones))
+    if (!bytes.empty() || !evacuations.isOrdered())
         return std::nullopt;
     return evacuations;
 }
--- a/src/ibisgw/runtime/DirectBalancer.cpp
+++ b/src/ibisgw/runtime/DirectBalancer.cpp
@@ -247,9 +247,7 @@
     const auto& evacuations = m_subscriber.evacuations();
     if (evacuations.revision == m_forwarder.evacuations().revision || !m_forwarder.setEvacuations(evacuations))
         return;
-    m_events.record(Event::EvacuationsInForce, now, [&] {
-        return nlohmann::json { { "revision", evacuations.revision }, { "zones", evacuations.zones } };
-    });
+    m_events.record(Event::EvacuationsInForce, now, [&] { return fieldsOf(evacuations); });
 }
 
 void DirectBalancer::send(core::NodeId peer, const sync::SyncMessage& message)
--- a/src/ibisgw/runtime/DirectBalancerMetrics.cpp
+++ b/src/ibisgw/runtime/DirectBalancerMetrics.cpp
@@ -47,11 +47,7 @@
     m_metrics.gauge(
         "ibisgw_configuration_unconfirmed", "1 while the version or the evacuated zones in force may be outdated")
         = m_configurationMonitor.mayPlaceFlows() ? 0 : 1;
-    const auto& evacuations = m_forwarder.evacuations();
-    m_metrics.gauge("ibisgw_evacuated_zones", "Availability zones whose upstreams get no new flows")
-        = static_cast<double>(evacuations.zones.size());
-    m_metrics.gauge("ibisgw_evacuation_revision", "Revision of the set of evacuated zones in force")
-        = static_cast<double>(evacuations.revision);
+    updateEvacuationGauges(m_forwarder.evacuations(), m_metrics);
     m_metrics.gauge("ibisgw_ready", "1 while new flows may come") = isReady() ? 1 : 0;
     m_metrics.gauge("ibisgw_reachable_controllers", "Controllers that have answered lately")
         = static_cast<double>(m_subscriber.reachableControllers(m_loop.now()));
--- a/src/ibisgw/runtime/EvacuationCalls.cpp
+++ b/src/ibisgw/runtime/EvacuationCalls.cpp
@@ -2,6 +2,7 @@
 
 #include "ibisgw/configuration/EvacuationCodec.h"
 #include "ibisgw/core/NameTable.h"
+#include "ibisgw/runtime/LogFields.h"
 
 #include <nlohmann/json.hpp>
 
@@ -88,18 +89,12 @@
     if (evacuations.revision <= m_loggedRevision)
         return;
     m_loggedRevision = evacuations.revision;
-    m_events.record(Event::EvacuationsInForce, now, [&] {
-        return nlohmann::json { { "revision", evacuations.revision }, { "zones", evacuations.zones } };
-    });
+    m_events.record(Event::EvacuationsInForce, now, [&] { return fieldsOf(evacuations); });
 }
 
 void EvacuationCalls::updateMetrics()
 {
-    const auto& evacuations = m_register.evacuations();
-    m_metrics.gauge("ibisgw_evacuated_zones", "Zones whose upstreams get no new flows, by order of an operator")
-        = static_cast<double>(evacuations.zones.size());
-    m_metrics.gauge("ibisgw_evacuation_revision", "Revision of the evacuated zones in force")
-        = static_cast<double>(evacuations.revision);
+    updateEvacuationGauges(m_register.evacuations(), m_metrics);
 }
 
 } // namespace ibisgw::runtime
--- a/src/ibisgw/runtime/LogFields.cpp
+++ b/src/ibisgw/runtime/LogFields.cpp
@@ -5,6 +5,7 @@
 
 #include <array>
 #include <charconv>
+#include <nlohmann/json.hpp>
 
 namespace ibisgw::runtime {
 
@@ -20,6 +21,19 @@
     return flow.caller.toString() + ">" + flow.service.toString();
 }
 
+nlohmann::json fieldsOf(const upstream::ZoneEvacuations& evacuations)
+{
+    return { { "revision", evacuations.revision }, { "zones", evacuations.zones } };
+}
+
+void updateEvacuationGauges(const upstream::ZoneEvacuations& evacuations, adapters::MetricsRegistry& metrics)
+{
+    metrics.gauge("ibisgw_evacuated_zones", "Zones whose upstreams get no new flows, by order of an operator")
+        = static_cast<double>(evacuations.zones.size());
+    metrics.gauge("ibisgw_evacuation_revision", "Revision of the evacuated zones in force")
+        = static_cast<double>(evacuations.revision);
+}
+
 void updateUpstreamGauges(const upstream::InstanceDirectory& directory, adapters::MetricsRegistry& metrics)
 {
     const auto gauge = [&metrics](std::string_view state) -> double& {
--- a/src/ibisgw/runtime/LogFields.h
+++ b/src/ibisgw/runtime/LogFields.h
@@ -2,6 +2,9 @@
 
 #include "ibisgw/core/FlowKey.h"
 #include "ibisgw/upstream/InstanceReport.h"
+#include "ibisgw/upstream/ZoneEvacuations.h"
+
+#include <nlohmann/json_fwd.hpp>
 
 #include <string>
 
@@ -20,7 +23,13 @@
 std::string textOf(upstream::InstanceId);
 std::string textOf(const core::FlowKey&);
 
+// Fields of the event that a process follows another set of evacuated zones.
+nlohmann::json fieldsOf(const upstream::ZoneEvacuations&);
+
 // Sets the gauges that count the upstreams by state.
 void updateUpstreamGauges(const upstream::InstanceDirectory&, adapters::MetricsRegistry&);
 
+// Sets the gauges of the evacuated zones in force.
+void updateEvacuationGauges(const upstream::ZoneEvacuations&, adapters::MetricsRegistry&);
+
 } // namespace ibisgw::runtime
--- a/src/ibisgw/upstream/ZoneEvacuations.h
+++ b/src/ibisgw/upstream/ZoneEvacuations.h
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <functional>
 #include <vector>
 
 namespace ibisgw::upstream {
@@ -16,6 +17,8 @@
     // Sorted, without duplicates.
     std::vector<core::ZoneName> zones;
 
+    // Whether the zones are sorted and without duplicates, which contains() counts on.
+    bool isOrdered() const { return std::ranges::adjacent_find(zones, std::greater_equal<> {}) == zones.end(); }
     bool contains(const core::ZoneName& zone) const { return std::ranges::binary_search(zones, zone); }
     bool operator==(const ZoneEvacuations&) const = default;
 };
