Let each balancer select upstreams without work so far in an order of its own

Cause: upstreams that a balancer has sent no work yet are equal in work and in the time of their last work, so their identifiers decided. After a common start, all balancers sent their first flows to the same upstreams in the same order; these answered 503, and long flows stayed there.

Change: LeastWorkSelector ranks them by rendezvous hashing of a number drawn by the process and the upstream. Work and the time of the last work rank before, as ever.

--- a/benchmarks/micro/PlacementBenchmarks.cpp
+++ b/benchmarks/micro/PlacementBenchmarks.cpp
@@ -34,7 +34,7 @@
     core::TimePoint now { 24h };
     for (std::int64_t n = 0; n < state.range(0); ++n)
         directory.apply(reportOf(n), {}, now);
-    const LeastWorkSelector selector;
+    const LeastWorkSelector selector { 1 };
     FlowForwarder forwarder({ "a" }, directory, selector, random);
     auto configuration = std::make_shared<RouteConfiguration>();
     configuration->version = 1;
--- a/src/ibisgw/direct/LeastWorkSelector.cpp
+++ b/src/ibisgw/direct/LeastWorkSelector.cpp
@@ -1,4 +1,5 @@
 #include "ibisgw/direct/LeastWorkSelector.h"
+#include "ibisgw/core/FlowKey.h"
 
 #include <algorithm>
 #include <tuple>
@@ -31,10 +32,16 @@
 
 } // namespace
 
+LeastWorkSelector::LeastWorkSelector(std::uint64_t orderSeed)
+    : m_orderSeed(orderSeed)
+{
+}
+
 const Candidate* LeastWorkSelector::select(std::span<const Candidate> candidates, core::TimePoint now) const
 {
-    const auto rank = [now](const Candidate& it) {
-        return std::tuple { it.isSuspect, workPerSlot(it, now), it.load->lastWorkAt(), it.record->report.id };
+    const auto rank = [now, this](const Candidate& it) {
+        const auto ownOrder = core::rendezvousWeight(m_orderSeed, it.record->report.id.value);
+        return std::tuple { it.isSuspect, workPerSlot(it, now), it.load->lastWorkAt(), ownOrder };
     };
     const auto best = std::ranges::min_element(candidates, {}, rank);
     return best == candidates.end() ? nullptr : &*best;
--- a/src/ibisgw/runtime/DirectBalancer.h
+++ b/src/ibisgw/runtime/DirectBalancer.h
@@ -79,7 +79,7 @@
     const ConfigurationFormat& m_configurationFormat;
     core::PcgRandomSource m_random;
     upstream::InstanceDirectory m_directory;
-    direct::LeastWorkSelector m_selector;
+    direct::LeastWorkSelector m_selector { m_random.next() };
     direct::FlowForwarder m_forwarder;
     adapters::UdpSocket m_packets;
     adapters::PeerDatagrams m_peers;
--- a/tests/direct/ForwarderFixture.h
+++ b/tests/direct/ForwarderFixture.h
@@ -34,7 +34,7 @@
 struct ForwarderFixture {
     core::PcgRandomSource random { 5 };
     InstanceDirectory directory;
-    LeastWorkSelector selector;
+    LeastWorkSelector selector { 5 };
     FlowForwarder forwarder { { "a" }, directory, selector, random };
     core::TimePoint now { 100s };
     std::uint16_t nextPort { 1000 };
--- a/tests/direct/InstanceLoadTests.cpp
+++ b/tests/direct/InstanceLoadTests.cpp
@@ -77,7 +77,7 @@
             InstanceLoad normalLoad;
             const std::vector<Candidate> candidates { { &slow, &load, true, false },
                 { &normal, &normalLoad, true, false } };
-            const LeastWorkSelector selector;
+            const LeastWorkSelector selector { 1 };
             CHECK(selector.select(candidates, now) == &candidates[1]);
             normalLoad.noteWorkStarted(now);
             CHECK(selector.select(candidates, now) == &candidates[1]);
--- a/tests/support/LoadPattern.cpp
+++ b/tests/support/LoadPattern.cpp
@@ -83,4 +83,18 @@
     return pattern;
 }
 
+LoadPattern balanceFeedPattern(unsigned balancers, double loadFactor, unsigned upstreams)
+{
+    LoadPattern pattern;
+    pattern.balancers = balancers;
+    pattern.upstreams = upstreams;
+    pattern.tailShare = 0.03;
+    const double scale = loadFactor * upstreams / 120;
+    pattern.routes = {
+        { RouteKind::Idempotent, 1155 * scale, 47ms, 400ms, 5000ms, static_cast<unsigned>(1155 * scale), 1 },
+        { RouteKind::NonIdempotent, 330 * scale, 61ms, 400ms, 6000ms, 0, 1 },
+    };
+    return pattern;
+}
+
 } // namespace support
--- a/tests/support/LoadPattern.h
+++ b/tests/support/LoadPattern.h
@@ -24,13 +24,14 @@
     std::uint16_t requestBytes { 200 };
 };
 
-// All balancers lose their state at the same moment. Each starts within `startSpread` after `processesUpAt` and gets
-// its configuration and directory at `stateAt`.
+// The first `share` of the balancers lose their state at the same moment. Each starts within `startSpread` after
+// `processesUpAt` and gets its configuration and directory at `stateAt`.
 struct OutagePattern {
     ibisgw::core::Duration at;
     ibisgw::core::Duration processesUpAt;
     ibisgw::core::Duration startSpread;
     ibisgw::core::Duration stateAt;
+    double share { 1 };
 };
 
 // Some upstreams need several times as long for each request.
@@ -53,6 +54,28 @@
     double factor { 3 };
 };
 
+enum class PlacementRule : std::uint8_t {
+    Product, // LeastWorkSelector
+    CommonOrder, // upstreams without work so far by identifier, in the same order at all balancers
+    OwnOrder, // all upstreams with equal work in an order of the balancer's own, instead of the least recently used one
+    TwoRandom, // the better of two upstreams drawn at random
+    SharedFlows, // the open flows of the other balancers count
+    SharedWork, // the work and the open flows of the other balancers count
+    TwoRandomSharedFlows, // TwoRandom by the figures of SharedFlows
+};
+
+// How balancers place new flows. Balancers send their figures every `interval`; what the others get is `delay` old,
+// and each message is lost with probability `loss`.
+struct PlacementPattern {
+    // Older figures are dropped, in intervals.
+    static constexpr int maxFigureAge = 4;
+
+    PlacementRule rule { PlacementRule::Product };
+    ibisgw::core::Duration interval { std::chrono::milliseconds(500) };
+    ibisgw::core::Duration delay { std::chrono::milliseconds(10) };
+    double loss { 0 };
+};
+
 // Load on one service and the faults during it. Times count from the start of the replay.
 struct LoadPattern {
     unsigned balancers { 10 };
@@ -63,6 +86,9 @@
     std::size_t queueLimit { 8 };
     ibisgw::core::Duration length { std::chrono::seconds(10) };
     std::vector<RoutePattern> routes;
+    // Share of the requests that have seven times the work.
+    double tailShare { 0 };
+    PlacementPattern placement;
     std::optional<OutagePattern> outage;
     std::optional<SlowdownPattern> slowdown;
     std::optional<BurstPattern> burst;
@@ -85,5 +111,9 @@
 // The same with three kinds of requests, so long that links of 2 Mbit/s are full at ten times the callers, and with
 // upstreams that have slots for all of them.
 LoadPattern fullLinkPattern();
+// Balance feed and repayment of docs/zone-failures-and-overload.md with `loadFactor` times the callers, one for each
+// request per second on long flows, and 120 upstreams in one zone. With another number of upstreams the load changes in
+// proportion.
+LoadPattern balanceFeedPattern(unsigned balancers, double loadFactor, unsigned upstreams = 120);
 
 } // namespace support
