Check configurations before they are submitted

`ibisgw config check` only said whether a document was valid, and configurations of the direct-return mode could be checked by submitting them only. Parts without effect, limits that contradict each other and unintended removals were found after the change was in force.

POST /api/v1/check answers with the report too, so that `--against current` and the console use the same rules. core::printableText, moved from the tool's tables, also replaces C1 control characters and bytes that are not UTF-8.

--- a/src/ibisgw/adapters/detail/ConfigurationRoutes.cpp
+++ b/src/ibisgw/adapters/detail/ConfigurationRoutes.cpp
@@ -1,11 +1,14 @@
 #include "ibisgw/adapters/detail/ConfigurationRoutes.h"
 
 #include "ibisgw/adapters/detail/DocumentScope.h"
+#include "ibisgw/configuration/DocumentCheck.h"
 #include "ibisgw/configuration/DocumentReader.h"
 #include "ibisgw/configuration/DocumentWriter.h"
 #include "ibisgw/core/JsonText.h"
 #include "ibisgw/core/ObjectReader.h"
 
+#include <algorithm>
+
 namespace ibisgw::adapters::detail {
 
 namespace {
@@ -164,6 +167,37 @@
         sendSubmission(call, std::move(submission), std::move(change.document));
 }
 
+// Addresses of the known upstreams that the caller may see; empty if they are not known.
+std::set<core::Endpoint> visibleUpstreams(
+    const ApiCall& call, const Document& inForce, const ApiResult<std::vector<UpstreamStatus>>& upstreams)
+{
+    std::set<core::Endpoint> addresses;
+    const auto* known = std::get_if<std::vector<UpstreamStatus>>(&upstreams);
+    if (!known)
+        return addresses;
+    for (const auto& it : *known) {
+        if (call.caller.hasSystemScope()
+            || std::ranges::find(inForce.services, it.service, &configuration::Service::name) != inForce.services.end())
+            addresses.insert(it.address);
+    }
+    return addresses;
+}
+
+void respondChecked(const ApiCall& call, const Document& checked, const AcceptedRevision& accepted,
+    const ApiResult<std::vector<UpstreamStatus>>& upstreams)
+{
+    const auto inForce = visibleDocument(call, accepted);
+    if (!inForce) {
+        respondDamaged(call, accepted.revision);
+        return;
+    }
+    const configuration::DocumentContext context { &*inForce, visibleUpstreams(call, *inForce, upstreams),
+        !call.caller.hasSystemScope() };
+    auto patch = nlohmann::json::diff(configuration::writeDocument(*inForce), configuration::writeDocument(checked));
+    call.respond(jsonResponse({ { "valid", true }, { "revision", accepted.revision }, { "patch", std::move(patch) },
+        { "report", core::toJson(configuration::checkDocument(checked, context)) } }));
+}
+
 } // namespace
 
 void showDocumentInForce(const ApiCallPtr& call)
@@ -216,16 +250,11 @@
         respondInvalid(*call, problems);
         return;
     }
-    call->backend.documentInForce(onSuccess<AcceptedRevision>(
-        call, [call, checked = configuration::writeDocument(*document)](const AcceptedRevision& accepted) {
-            const auto inForce = visibleDocument(*call, accepted);
-            if (!inForce) {
-                respondDamaged(*call, accepted.revision);
-                return;
-            }
-            auto patch = nlohmann::json::diff(configuration::writeDocument(*inForce), checked);
-            call->respond(
-                jsonResponse({ { "valid", true }, { "revision", accepted.revision }, { "patch", std::move(patch) } }));
+    call->backend.documentInForce(
+        onSuccess<AcceptedRevision>(call, [call, checked = *document](const AcceptedRevision& accepted) {
+            call->backend.upstreams([call, checked, accepted](const ApiResult<std::vector<UpstreamStatus>>& upstreams) {
+                respondChecked(*call, checked, accepted, upstreams);
+            });
         }));
 }
 
--- a/src/ibisgw/adapters/detail/ConfigurationRoutes.h
+++ b/src/ibisgw/adapters/detail/ConfigurationRoutes.h
@@ -10,8 +10,8 @@
 void showDocumentAt(const ApiCallPtr&, core::Revision);
 void showHistory(const ApiCallPtr&);
 void showDifference(const ApiCallPtr&, core::Revision from, core::Revision to);
-// Validates the submitted document without changing anything. Answers with all problems, or with the difference
-// to the document in force as a JSON Patch (RFC 6902).
+// Checks the submitted document without changing anything. Answers with all problems, or with the report of
+// configuration::checkDocument() and the difference to the document in force as a JSON Patch (RFC 6902).
 void checkDocument(const ApiCallPtr&);
 void submitDocument(const ApiCallPtr&);
 void showSubmission(const ApiCallPtr&, const std::string& identifier);
--- /dev/null
+++ b/src/ibisgw/configuration/detail/DocumentComparison.h
@@ -0,0 +1,12 @@
+#pragma once
+
+#include "ibisgw/configuration/Document.h"
+#include "ibisgw/core/CheckReport.h"
+
+namespace ibisgw::configuration::detail {
+
+// Adds the differences of `document` from `base` to the report. Services, zones and organizations are matched by their
+// names, kinds by their numbers, because packets carry the number.
+void compareDocuments(const Document& base, const Document& document, core::CheckReport&);
+
+} // namespace ibisgw::configuration::detail
--- a/src/ibisgw/core/JsonText.cpp
+++ b/src/ibisgw/core/JsonText.cpp
@@ -1,7 +1,7 @@
 #include "ibisgw/core/JsonText.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
-
 #include <set>
 
 namespace ibisgw::core {
@@ -58,4 +58,17 @@
     return json.dump(indent, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
+std::string printableText(const std::string& text)
+{
+    auto printable = nlohmann::json::parse(formatJson(text)).get<std::string>();
+    std::ranges::replace_if(
+        printable, [](unsigned char c) { return c < 0x20 || c == 0x7f; }, '?');
+    // U+0080 to U+009F are control characters too; in UTF-8 they are 0xc2 and a byte below 0xa0.
+    for (std::size_t n = 0; n + 1 < printable.size(); ++n) {
+        if (printable[n] == '\xc2' && static_cast<unsigned char>(printable[n + 1]) < 0xa0)
+            printable[n] = printable[n + 1] = '?';
+    }
+    return printable;
+}
+
 } // namespace ibisgw::core
--- a/src/ibisgw/core/JsonText.h
+++ b/src/ibisgw/core/JsonText.h
@@ -24,4 +24,8 @@
 // hold text from outside.
 std::string formatJson(const nlohmann::json&, int indent = -1);
 
+// Makes text from outside safe to print on an operator's terminal: control characters, which could start escape
+// sequences, are replaced by '?', and bytes that are not UTF-8 by U+FFFD.
+std::string printableText(const std::string&);
+
 } // namespace ibisgw::core
--- a/src/ibisgw_cli/Commands.cpp
+++ b/src/ibisgw_cli/Commands.cpp
@@ -32,8 +32,9 @@
 const std::vector<Command>& commands()
 {
     static const std::vector<Command> table {
-        { "config check", "FILE", 1, 1, "Check a document; works offline", "ibisgw config check document.json",
-            runConfigCheck },
+        { "config check", "FILE [--against current|FILE]", 1, 1,
+            "Check a document and compare it; works offline except with current",
+            "ibisgw config check document.json --against current", runConfigCheck },
         { "config submit", "FILE --base N [--submission ID]", 1, 1,
             "Submit a document that was made from revision N; prints the identifier first",
             "ibisgw config submit document.json --base 41", runConfigSubmit },
@@ -82,6 +83,8 @@
     add("output", "table or json", cxxopts::value<std::string>()->default_value("table"), "FORM");
     add("json", "The same as --output json");
     add("base", "Revision that the document was made from", cxxopts::value<std::uint64_t>(), "N");
+    add("against", "Document to compare with: a file, or current for the one in force",
+        cxxopts::value<std::string>()->default_value(""), "FILE");
     add("submission", "Identifier of the submission; give the same one to repeat a submission safely",
         cxxopts::value<std::string>()->default_value(""), "ID");
     add("limit", "Number of revisions", cxxopts::value<std::uint64_t>()->default_value("50"), "N");
@@ -96,7 +99,8 @@
 void printExitStatuses(std::ostream& out)
 {
     out << "\nExit statuses: 0 ok, 1 failed, 2 invalid input, 3 conflict,\n"
-           "4 unknown outcome (ask again with the printed identifier), 5 permission denied\n";
+           "4 unknown outcome (ask again with the printed identifier), 5 permission denied.\n"
+           "config check: 0 clean, 1 warnings, 2 errors or not checked\n";
 }
 
 void printOverview(std::ostream& out)
@@ -176,6 +180,7 @@
         .tokenFile = parsed["token-file"].as<std::string>(),
         .format = output == "json" ? OutputFormat::Json : OutputFormat::Table,
         .base = std::nullopt,
+        .against = parsed["against"].as<std::string>(),
         .submission = parsed["submission"].as<std::string>(),
         .limit = parsed["limit"].as<std::uint64_t>(),
         .caller = parsed["caller"].as<std::string>(),
--- a/src/ibisgw_cli/ConfigCommands.cpp
+++ b/src/ibisgw_cli/ConfigCommands.cpp
@@ -1,5 +1,7 @@
 #include "ibisgw_cli/ConfigCommands.h"
 
+#include "ibisgw/adapters/CheckOutput.h"
+#include "ibisgw/configuration/DocumentCheck.h"
 #include "ibisgw/configuration/DocumentReader.h"
 #include "ibisgw/core/JsonText.h"
 #include "ibisgw_cli/ReadFile.h"
@@ -11,9 +13,14 @@
 
 namespace {
 
+using namespace ibisgw;
 using nlohmann::json;
 
 constexpr std::size_t identifierBytes = 16;
+// A document of the largest size that daemons accept, with any indentation.
+constexpr std::size_t maxDocumentFileBytes = std::size_t { 16 } << 20;
+// Argument of --against that stands for the document in force.
+constexpr std::string_view current = "current";
 
 // Random 128-bit identifier of a submission, in hexadecimal; empty when the system has no random numbers. Identifiers
 // must not repeat across operators and machines, since a repeated one marks a resubmission.
@@ -38,10 +45,10 @@
     const auto text = readFile(invocation, file, "the document");
     if (!text)
         return std::nullopt;
-    std::vector<ibisgw::core::Problem> problems;
-    auto document = ibisgw::core::parseJson(*text, problems);
+    std::vector<core::Problem> problems;
+    auto document = core::parseJson(*text, problems);
     if (document)
-        problems = ibisgw::configuration::readDocument(*document).problems;
+        problems = configuration::readDocument(*document).problems;
     if (!problems.empty()) {
         json error { { "error", "invalid_input" }, { "message", file + " has problems; correct them" },
             { "problems", json::array() } };
@@ -54,6 +61,43 @@
     return document;
 }
 
+core::CheckReport checkAgainstFile(const std::string& text, const std::string& file)
+{
+    core::CheckReport report;
+    const auto baseText = adapters::readCheckedFile(file, maxDocumentFileBytes, report);
+    if (!baseText)
+        return report;
+    std::vector<core::Problem> problems;
+    configuration::DocumentReadResult base;
+    if (const auto json = core::parseJson(*baseText, problems))
+        base = configuration::readDocument(*json);
+    if (base.document)
+        return configuration::checkDocumentText(text, { .base = &*base.document });
+    adapters::addBaseError(file, problems.empty() ? base.problems : problems, report);
+    return report;
+}
+
+// Lets a daemon check a valid document against the one in force there. Empty after an error has been printed; `status`
+// then holds the exit status.
+std::optional<json> requestCheck(const Invocation& invocation, const std::string& text, ExitStatus& status)
+{
+    const auto client = invocation.connect(status);
+    if (!client)
+        return std::nullopt;
+    auto reply = client->post("/api/v1/check", { { "document", json::parse(text) } });
+    if (const auto report = reply.body.find("report");
+        reply.status == 200 && report != reply.body.end() && report->is_object())
+        return *report;
+    // Failed would have the same number as Warnings.
+    status
+        = exitStatusOf(reply) == ExitStatus::PermissionDenied ? ExitStatus::PermissionDenied : ExitStatus::InvalidInput;
+    if (reply.status == 200)
+        invocation.fail(status, "unavailable", "the daemon sends no report; upgrade it or compare with a file");
+    else
+        invocation.reportFailure(reply, status);
+    return std::nullopt;
+}
+
 ExitStatus reportOutcome(const Invocation& invocation, const ApiReply& reply, const std::string& identifier)
 {
     const auto status = exitStatusOfSubmission(reply);
@@ -75,14 +119,22 @@
 
 ExitStatus runConfigCheck(const Invocation& invocation)
 {
-    auto status = ExitStatus::Ok;
-    if (!loadDocument(invocation, invocation.arguments[0], status))
-        return status;
-    if (invocation.format == OutputFormat::Json)
-        invocation.printJson({ { "valid", true } });
-    else
-        invocation.out << invocation.arguments[0] << " is valid\n";
-    return status;
+    const adapters::CheckOptions options { invocation.arguments[0], invocation.against,
+        invocation.format == OutputFormat::Json };
+    core::CheckReport report;
+    const auto text = adapters::readCheckedFile(options.file, maxDocumentFileBytes, report);
+    if (text)
+        report = options.against.empty() || options.against == current ? configuration::checkDocumentText(*text)
+                                                                       : checkAgainstFile(*text, options.against);
+    auto json = core::toJson(report);
+    if (options.against == current && report.count(core::Severity::Error) == 0) {
+        auto status = ExitStatus::Ok;
+        const auto checked = requestCheck(invocation, *text, status);
+        if (!checked)
+            return status;
+        json = *checked;
+    }
+    return static_cast<ExitStatus>(adapters::printCheckReport(json, options, invocation.out, invocation.err));
 }
 
 ExitStatus runConfigSubmit(const Invocation& invocation)
--- a/src/ibisgw_cli/ExitStatus.h
+++ b/src/ibisgw_cli/ExitStatus.h
@@ -6,6 +6,8 @@
 enum class ExitStatus {
     Ok = 0,
     Failed = 1,
+    // `ibisgw config check` only, which ends with InvalidInput if the check itself fails.
+    Warnings = 1,
     InvalidInput = 2,
     Conflict = 3,
     // The change may or may not take effect; `ibisgw config outcome` with the same identifier shows which.
--- a/src/ibisgw_cli/Invocation.h
+++ b/src/ibisgw_cli/Invocation.h
@@ -22,6 +22,8 @@
     OutputFormat format { OutputFormat::Table };
     // Revision that the document of a submission was made from.
     std::optional<std::uint64_t> base;
+    // What to compare a document with: "current" or a file; empty for no comparison.
+    std::string against;
     // Identifier of a submission; empty for a new one.
     std::string submission;
     // Number of revisions to list.
--- a/src/ibisgw_cli/Output.cpp
+++ b/src/ibisgw_cli/Output.cpp
@@ -10,14 +10,10 @@
 
 namespace {
 
-// Text of a table cell without control characters: names come from other machines and could hold escape sequences that
-// control the operator's terminal.
+// Text of a table cell; names come from other machines.
 std::string cellText(const nlohmann::json& value)
 {
-    auto text = value.is_string() ? value.get<std::string>() : ibisgw::core::formatJson(value);
-    std::ranges::replace_if(
-        text, [](unsigned char c) { return c < 0x20 || c == 0x7f; }, '?');
-    return text;
+    return ibisgw::core::printableText(value.is_string() ? value.get<std::string>() : ibisgw::core::formatJson(value));
 }
 
 } // namespace
