Show the report of a check in the console, and check with the scope of the token

The console listed a JSON patch without order or remedy; it shows the findings of the report now. A check with the token of one organization passed although the submission was refused, such as for an address of another organization's service; both merge the change into the document in force now. Zones and organizations, which such a document may leave out, are not compared.

--- a/src/ibisgw/adapters/detail/ConfigurationRoutes.cpp
+++ b/src/ibisgw/adapters/detail/ConfigurationRoutes.cpp
@@ -140,17 +140,17 @@
     }));
 }
 
-// Submits the base document with the services of the caller's organization replaced. Answers with the problems
-// if the caller changed anything else or the resulting document is invalid.
-void sendScopedSubmission(
-    const ApiCallPtr& call, ApiSubmission submission, const Document& submitted, const AcceptedRevision& accepted)
+// The base document with the services of the caller's organization replaced by the submitted ones. Empty after an
+// answer with the problems if the caller changed anything else or the resulting document is invalid.
+std::optional<Document> mergeScopedChange(
+    const ApiCall& call, const Document& submitted, const AcceptedRevision& accepted)
 {
     const auto base = parseAccepted(accepted);
     if (!base) {
-        respondDamaged(*call, accepted.revision);
-        return;
+        respondDamaged(call, accepted.revision);
+        return std::nullopt;
     }
-    auto change = applyScopedChange(*base, submitted, call->caller.organization);
+    auto change = applyScopedChange(*base, submitted, call.caller.organization);
     const auto addPrefix = [](std::vector<core::Problem>& problems) {
         for (auto& it : problems)
             it.path.insert(0, documentField);
@@ -158,13 +158,21 @@
     addPrefix(change.forbiddenChanges);
     addPrefix(change.problems);
     if (!change.forbiddenChanges.empty())
-        call->respond(errorResponse(403, core::ErrorKind::PermissionDenied,
-            "the token may change only services of organization '" + call->caller.organization + "'",
+        call.respond(errorResponse(403, core::ErrorKind::PermissionDenied,
+            "the token may change only services of organization '" + call.caller.organization + "'",
             change.forbiddenChanges));
     else if (!change.problems.empty())
-        respondInvalid(*call, change.problems);
+        respondInvalid(call, change.problems);
     else
-        sendSubmission(call, std::move(submission), std::move(change.document));
+        return std::move(change.document);
+    return std::nullopt;
+}
+
+void sendScopedSubmission(
+    const ApiCallPtr& call, ApiSubmission submission, const Document& submitted, const AcceptedRevision& accepted)
+{
+    if (auto merged = mergeScopedChange(*call, submitted, accepted))
+        sendSubmission(call, std::move(submission), std::move(*merged));
 }
 
 // Addresses of the known upstreams that the caller may see; empty if they are not known.
@@ -191,6 +199,8 @@
         respondDamaged(call, accepted.revision);
         return;
     }
+    if (!call.caller.hasSystemScope() && !mergeScopedChange(call, checked, accepted))
+        return;
     const configuration::DocumentContext context { &*inForce, visibleUpstreams(call, *inForce, upstreams),
         !call.caller.hasSystemScope() };
     auto patch = nlohmann::json::diff(configuration::writeDocument(*inForce), configuration::writeDocument(checked));
--- a/src/ibisgw/configuration/DocumentCheck.cpp
+++ b/src/ibisgw/configuration/DocumentCheck.cpp
@@ -44,7 +44,8 @@
     if (kind.placement == Placement::Sticky || isTooLong)
         report.add(CheckRule::QueueAboveConcurrency, path + "/queue_limit",
             std::to_string(kind.queueLimit) + " opens may wait for " + std::to_string(kind.concurrencyLimit)
-                + " flows, too many to be served within the deadline; lower queue_limit or raise concurrency_limit");
+                + " flows to end, more than are likely to get a turn within the deadline; lower queue_limit or raise "
+                  "concurrency_limit");
 }
 
 void checkHedging(const Service& service, const std::string& path, CheckReport& report)
@@ -113,7 +114,8 @@
         }
     }
     if (context.base)
-        detail::compareDocuments(*context.base, document, report);
+        detail::compareDocuments(*context.base, document,
+            context.isPartial ? detail::ComparedPart::Services : detail::ComparedPart::Everything, report);
     return report;
 }
 
--- a/src/ibisgw/configuration/DocumentCheck.h
+++ b/src/ibisgw/configuration/DocumentCheck.h
@@ -15,7 +15,7 @@
     // Addresses of all known upstreams; empty if they are not known.
     std::set<core::Endpoint> upstreams;
     // True if the document holds the services of one organization only. Services of other organizations may then use a
-    // zone that none of the document uses.
+    // zone that none of the document uses, and only services are compared.
     bool isPartial { false };
 };
 
--- a/src/ibisgw/configuration/detail/DocumentComparison.cpp
+++ b/src/ibisgw/configuration/detail/DocumentComparison.cpp
@@ -36,13 +36,6 @@
     std::string noun;
 };
 
-const std::vector<EntryList>& documentLists()
-{
-    static const std::vector<EntryList> lists { { "services", "name", "service" }, { "zones", "name", "zone" },
-        { "organizations", "name", "organization" } };
-    return lists;
-}
-
 // Compares two documents in the form that the writer gives them, so that each member is present, except those that are
 // written only if they are used.
 class Comparison {
@@ -147,13 +140,19 @@
 
 } // namespace
 
-void compareDocuments(const Document& base, const Document& document, CheckReport& report)
+void compareDocuments(const Document& base, const Document& document, ComparedPart part, CheckReport& report)
 {
     const auto before = writeDocument(base);
     const auto after = writeDocument(document);
     Comparison comparison(report);
-    for (const auto& it : documentLists())
-        comparison.compareEntries(it, before.at(it.member), after.at(it.member), "/" + it.member);
+    const auto compareList = [&](const EntryList& list) {
+        comparison.compareEntries(list, before.at(list.member), after.at(list.member), "/" + list.member);
+    };
+    compareList({ "services", "name", "service" });
+    if (part == ComparedPart::Services)
+        return;
+    compareList({ "zones", "name", "zone" });
+    compareList({ "organizations", "name", "organization" });
     const auto none = json::array();
     comparison.compareSets(
         "evacuated_zones", before.value("evacuated_zones", none), after.value("evacuated_zones", none), "", "zone ");
--- a/src/ibisgw/console/CallScript.cpp
+++ b/src/ibisgw/console/CallScript.cpp
@@ -60,16 +60,16 @@
   if (byId("status").textContent !== text) byId("status").textContent = text;
 }
 
-function showDifference(patch) {
-  const rows = patch.map((it) => {
+function showReport(report) {
+  const rows = report.findings.map((it) => {
     const row = document.createElement("tr");
-    for (const text of [it.op, it.path, it.value === undefined ? "" : JSON.stringify(it.value)])
+    for (const text of [it.severity, it.path, it.message])
       row.append(Object.assign(document.createElement("td"), { textContent: text }));
     return row;
   });
-  byId("difference").replaceChildren(...rows);
-  byId("no-difference").hidden = rows.length > 0;
-  byId("difference-section").hidden = false;
+  byId("report").replaceChildren(...rows);
+  byId("no-findings").hidden = rows.length > 0;
+  byId("report-section").hidden = false;
 }
 
 async function checkDocument() {
@@ -79,8 +79,8 @@
     return false;
   }
   clearProblems();
-  showDifference(reply.body.patch);
-  showMessage("The document is valid.");
+  showReport(reply.body.report);
+  showMessage(`The document is valid, with ${reply.body.report.warnings} warnings.`);
   return true;
 }
 
@@ -112,14 +112,14 @@
   baseRevision = reply.body.revision;
   byId("base").textContent = `from revision ${baseRevision}`;
   clearProblems();
-  byId("difference-section").hidden = true;
+  byId("report-section").hidden = true;
   showMessage(`Accepted as revision ${baseRevision}.`);
   showStatus();
 }
 
 byId("connection").addEventListener("submit", (event) => { event.preventDefault(); loadDocument(); });
 byId("check").addEventListener("click", async () => {
-  if (await checkDocument()) byId("difference-title").focus();
+  if (await checkDocument()) byId("report-title").focus();
 });
 byId("editor").addEventListener("submit", (event) => { event.preventDefault(); submitDocument(); });
 setInterval(() => { if (currentDocument) showStatus(); }, statusIntervalMs);
--- a/src/ibisgw/console/Page.cpp
+++ b/src/ibisgw/console/Page.cpp
@@ -37,13 +37,13 @@
   <h2 id="problems-title" tabindex="-1">Problems</h2>
   <ul id="problems"></ul>
 </section>
-<section aria-labelledby="difference-title" id="difference-section" hidden>
-  <h2 id="difference-title" tabindex="-1">Differences from the document in force</h2>
+<section aria-labelledby="report-title" id="report-section" hidden>
+  <h2 id="report-title" tabindex="-1">Warnings, and differences from the document in force</h2>
   <table>
-    <thead><tr><th scope="col">Change</th><th scope="col">Where</th><th scope="col">New value</th></tr></thead>
-    <tbody id="difference"></tbody>
+    <thead><tr><th scope="col">Severity</th><th scope="col">Where</th><th scope="col">Finding</th></tr></thead>
+    <tbody id="report"></tbody>
   </table>
-  <p id="no-difference" hidden>The document equals the one in force.</p>
+  <p id="no-findings" hidden>There are no warnings, and the document equals the one in force.</p>
 </section>
 <details><summary>Document as JSON</summary><pre id="json" tabindex="0"></pre></details>
 </main>
