--- a/tests/adapters/AdminApiTests.cpp
+++ b/tests/adapters/AdminApiTests.cpp
@@ -426,6 +426,24 @@
             CHECK(check()["patch"] == json::array());
             document["services"][0]["cross_zone"] = false;
             CHECK(check()["patch"][0]["path"] == "/services/0/cross_zone");
+            const auto findings = check()["report"]["findings"];
+            REQUIRE(findings.size() == 1);
+            CHECK(findings[0]["rule"] == "changed_target");
+            CHECK(findings[0]["path"] == "/services/0/cross_zone");
+        }
+        SUBCASE("a check of an organization's document refuses what its submission would refuse")
+        {
+            // Guards against a check that passes although the address belongs to a service the caller can't see.
+            auto document = fixture.get("/api/v1/document", peachtreeToken).json()["document"];
+            document["zones"] = json::array();
+            const auto check = [&] {
+                return fixture.post("/api/v1/check", json { { "document", document } }.dump(), peachtreeToken);
+            };
+            CHECK(check().json()["report"]["findings"] == json::array());
+            document["services"][0]["addresses"] = { "127.0.0.1:4430" };
+            CHECK(check().status == 422);
+            document["zones"] = { { { "name", "thun" }, { "region", "ch" } } };
+            CHECK(check().status == 403);
         }
     }
 
--- a/tests/cli/CommandsTests.cpp
+++ b/tests/cli/CommandsTests.cpp
@@ -7,6 +7,7 @@
 #include "ibisgw/configuration/DocumentWriter.h"
 #include "support/FakeApiBackend.h"
 #include "support/TemporaryFile.h"
+#include "support/TemporaryFolder.h"
 #include "support/TwoOrganizations.h"
 
 #include <doctest/doctest.h>
@@ -101,6 +102,66 @@
         }
     }
 
+    TEST_CASE("config check refuses files that are no documents in one line")
+    {
+        // Guards against a hang at a pipe, an exhausted stack, and escape sequences that reach the terminal.
+        const support::TemporaryFolder folder;
+        const auto pipe = folder.path() + "/pipe";
+        REQUIRE(::mkfifo(pipe.c_str(), 0600) == 0);
+        const support::TemporaryFile large(std::string(50'000'000, ' '));
+        const support::TemporaryFile deep(std::string(100'000, '[') + std::string(100'000, ']'));
+        const support::TemporaryFile escaped("{\"a\x1b[2J\xff\": 1}");
+        const support::TemporaryFile truncated(support::twoOrganizations().dump().substr(0, 200));
+        const support::TemporaryFile duplicate(R"({"zones": [], "zones": []})");
+        const support::TemporaryFile list("[]");
+        const support::TemporaryFile valid(support::twoOrganizations().dump());
+        for (const auto& it : { folder.path(), pipe, large.path(), deep.path(), escaped.path(), truncated.path(),
+                 duplicate.path(), list.path() }) {
+            const auto run = runCommand({ "config", "check", it });
+            CHECK(run.status == ExitStatus::InvalidInput);
+            CHECK(run.out.empty());
+            CHECK(std::ranges::count(run.err, '\n') == 1);
+            CHECK(run.err.find('\x1b') == std::string::npos);
+            const auto compared = runCommand({ "config", "check", valid.path(), "--against", it, "--json" });
+            CHECK(compared.status == ExitStatus::InvalidInput);
+            CHECK(nlohmann::json::parse(compared.out)["errors"] == 1);
+        }
+    }
+
+    TEST_CASE("config check compares a document with a file or with the one in force")
+    {
+        ApiServer server;
+        auto document = support::twoOrganizations();
+        const support::TemporaryFile old(document.dump());
+        CHECK(server.run({ "config", "check", old.path(), "--against", "current" }).status == ExitStatus::Ok);
+        document["services"][1]["kinds"][0]["deadline_ms"] = 1;
+        document["services"].erase(0);
+        const support::TemporaryFile file(document.dump());
+
+        SUBCASE("both list the same findings and end with status 1 for warnings")
+        {
+            const auto offline = runCommand({ "config", "check", file.path(), "--against", old.path() });
+            CHECK(offline.status == ExitStatus::Warnings);
+            CHECK(offline.out.find("difference: /services/0: service 'atelier' is removed") != std::string::npos);
+            CHECK(server.run({ "config", "check", file.path(), "--against", "current" }).out == offline.out);
+        }
+        SUBCASE("only the daemon knows the upstreams")
+        {
+            server.backend.knownUpstreams = { { *core::Endpoint::parse("10.0.0.1:80"), "slotdesk", "bern" } };
+            document["services"][0]["drained_upstreams"] = { "10.0.0.1:80", "10.0.0.2:80" };
+            const support::TemporaryFile drained(document.dump());
+            const auto run = server.run({ "config", "check", drained.path(), "--against", "current", "--json" });
+            CHECK(run.out.find("no upstream has the address 10.0.0.2:80") != std::string::npos);
+            CHECK(nlohmann::json::parse(run.out)["warnings"] == 2);
+        }
+        SUBCASE("a check that can't be done doesn't end like one with warnings")
+        {
+            const auto run
+                = runCommand({ "config", "check", old.path(), "--against", "current", "--api", "http://127.0.0.1:1" });
+            CHECK(run.status == ExitStatus::InvalidInput);
+        }
+    }
+
     TEST_CASE("config submit and config outcome end with the documented exit status")
     {
         ApiServer server;
