--- a/src/ibisgw/configuration/detail/DocumentComparison.cpp
+++ b/src/ibisgw/configuration/detail/DocumentComparison.cpp
@@ -98,6 +98,7 @@
     const std::string& member, const json& before, const json& after, const std::string& path, const std::string& owner)
 {
     const bool isAddress = member == "addresses";
+    const auto listPath = core::childPath(path, member);
     const std::set<std::string> oldTexts(before.begin(), before.end());
     const std::set<std::string> newTexts(after.begin(), after.end());
     const auto reportMissing
@@ -106,12 +107,11 @@
                   const auto text = list[n].get<std::string>();
                   if (!others.contains(text))
                       m_report.addDifference(isAddress ? rule : CheckRule::ChangedTarget,
-                          core::childPath(path, member) + "/" + std::to_string(n),
-                          owner + "'" + text + "' is " + change + member);
+                          listPath + "/" + std::to_string(n), (owner + "'").append(text).append(change));
               }
           };
-    reportMissing(before, newTexts, CheckRule::Removed, "removed from ");
-    reportMissing(after, oldTexts, CheckRule::Added, "added to ");
+    reportMissing(before, newTexts, CheckRule::Removed, "' is removed from " + member);
+    reportMissing(after, oldTexts, CheckRule::Added, "' is added to " + member);
 }
 
 void Comparison::compareMember(
--- a/src/ibisgw/core/CheckReport.h
+++ b/src/ibisgw/core/CheckReport.h
@@ -23,6 +23,7 @@
 enum class CheckRule : std::uint8_t {
     Invalid,
     VersionNotHigher,
+    Shadowed,
     UnusedService,
     ZeroWeight,
     UnusedZone,
@@ -43,9 +44,10 @@
     { Severity::Difference, "difference" },
 } };
 
-inline constexpr NameTable<CheckRule, 14> checkRuleNames { {
+inline constexpr NameTable<CheckRule, 15> checkRuleNames { {
     { CheckRule::Invalid, "invalid" },
     { CheckRule::VersionNotHigher, "version_not_higher" },
+    { CheckRule::Shadowed, "shadowed" },
     { CheckRule::UnusedService, "unused_service" },
     { CheckRule::ZeroWeight, "zero_weight" },
     { CheckRule::UnusedZone, "unused_zone" },
--- a/src/ibisgw/direct/ConfigurationCheck.cpp
+++ b/src/ibisgw/direct/ConfigurationCheck.cpp
@@ -64,10 +64,13 @@
         for (const auto& it : route.targets)
             targets.insert(it.service);
     }
+    std::set<core::ServiceName> names;
     std::size_t index = 0;
     for (const auto& it : configuration.services) {
         const auto path = itemPath("/services", index++);
-        if (!targets.contains(it))
+        if (!names.insert(it).second)
+            report.add(CheckRule::Shadowed, path, "service '" + it + "' is listed before; remove one of the entries");
+        else if (!targets.contains(it))
             report.add(CheckRule::UnusedService, path,
                 "service '" + it + "' has no route; add it to the targets of a route or remove it");
     }
@@ -151,12 +154,12 @@
     CheckRule rule, CheckReport& report)
 {
     const std::set<core::ServiceName> known(others.begin(), others.end());
-    const std::string change = rule == CheckRule::Removed ? "removed" : "added";
+    const auto* const change = rule == CheckRule::Removed ? "' is removed" : "' is added";
     std::size_t index = 0;
     for (const auto& it : services) {
         const auto path = itemPath("/services", index++);
         if (!known.contains(it))
-            report.addDifference(rule, path, "service '" + it + "' is " + change);
+            report.addDifference(rule, path, std::string("service '").append(it).append(change));
     }
 }
 
--- a/tests/cli/CommandsTests.cpp
+++ b/tests/cli/CommandsTests.cpp
@@ -13,6 +13,7 @@
 #include <doctest/doctest.h>
 
 #include <atomic>
+#include <filesystem>
 #include <sstream>
 #include <thread>
 
@@ -108,7 +109,8 @@
         const support::TemporaryFolder folder;
         const auto pipe = folder.path() + "/pipe";
         REQUIRE(::mkfifo(pipe.c_str(), 0600) == 0);
-        const support::TemporaryFile large(std::string(50'000'000, ' '));
+        const support::TemporaryFile large("");
+        std::filesystem::resize_file(large.path(), 50'000'000);
         const support::TemporaryFile deep(std::string(100'000, '[') + std::string(100'000, ']'));
         const support::TemporaryFile escaped("{\"a\x1b[2J\xff\": 1}");
         const support::TemporaryFile truncated(support::twoOrganizations().dump().substr(0, 200));
--- a/tests/platform/ConfigurationCheckTests.cpp
+++ b/tests/platform/ConfigurationCheckTests.cpp
@@ -53,6 +53,7 @@
             { CheckRule::Invalid, "/routes/1", "/routes/1/path_prefix", "/8080/" },
             { CheckRule::Invalid, "/routes/0", "/routes/0/service", "nowhere" },
             { CheckRule::Invalid, "/routes/0/route_type", "/routes/0/route_type", "fast" },
+            { CheckRule::Shadowed, "/services/2", "/services/2", { { "name", "huvo11a" } } },
             { CheckRule::UnusedService, "/services/2", "/services/2", { { "name", "huvo12a" } } },
             { CheckRule::ZeroWeight, "/routes/1", "/routes/1/traffic_split/1/weight", 0 },
             { CheckRule::TimeoutBelowObjective, "/routes/0", "/routes/0/timeout_ms", 1499 },
