--- a/src/ibisgw/adapters/detail/ConfigurationRoutes.cpp
+++ b/src/ibisgw/adapters/detail/ConfigurationRoutes.cpp
@@ -1,11 +1,14 @@
 #include "ibisgw/adapters/detail/ConfigurationRoutes.h"
 
 #include "ibisgw/adapters/detail/DocumentScope.h"
+#include "ibisgw/configuration/DocumentCheck.h"
 #include "ibisgw/configuration/DocumentReader.h"
 #include "ibisgw/configuration/DocumentWriter.h"
 #include "ibisgw/core/JsonText.h"
 #include "ibisgw/core/ObjectReader.h"
 
+#include <algorithm>
+
 namespace ibisgw::adapters::detail {
 
 namespace {
@@ -137,17 +140,17 @@
     }));
 }
 
-// Submits the base document with the services of the caller's organization replaced. Answers with the problems
-// if the caller changed anything else or the resulting document is invalid.
-void sendScopedSubmission(
-    const ApiCallPtr& call, ApiSubmission submission, const Document& submitted, const AcceptedRevision& accepted)
+// The base document with the services of the caller's organization replaced by the submitted ones. Empty after an
+// answer with the problems if the caller changed anything else or the resulting document is invalid.
+std::optional<Document> mergeScopedChange(
+    const ApiCall& call, const Document& submitted, const AcceptedRevision& accepted)
 {
     const auto base = parseAccepted(accepted);
     if (!base) {
-        respondDamaged(*call, accepted.revision);
-        return;
+        respondDamaged(call, accepted.revision);
+        return std::nullopt;
     }
-    auto change = applyScopedChange(*base, submitted, call->caller.organization);
+    auto change = applyScopedChange(*base, submitted, call.caller.organization);
     const auto addPrefix = [](std::vector<core::Problem>& problems) {
         for (auto& it : problems)
             it.path.insert(0, documentField);
@@ -155,13 +158,54 @@
     addPrefix(change.forbiddenChanges);
     addPrefix(change.problems);
     if (!change.forbiddenChanges.empty())
-        call->respond(errorResponse(403, core::ErrorKind::PermissionDenied,
-            "the token may change only services of organization '" + call->caller.organization + "'",
+        call.respond(errorResponse(403, core::ErrorKind::PermissionDenied,
+            "the token may change only services of organization '" + call.caller.organization + "'",
             change.forbiddenChanges));
     else if (!change.problems.empty())
-        respondInvalid(*call, change.problems);
+        respondInvalid(call, change.problems);
     else
-        sendSubmission(call, std::move(submission), std::move(change.document));
+        return std::move(change.document);
+    return std::nullopt;
+}
+
+void sendScopedSubmission(
+    const ApiCallPtr& call, ApiSubmission submission, const Document& submitted, const AcceptedRevision& accepted)
+{
+    if (auto merged = mergeScopedChange(*call, submitted, accepted))
+        sendSubmission(call, std::move(submission), std::move(*merged));
+}
+
+// Addresses of the known upstreams that the caller may see; empty if they are not known.
+std::set<core::Endpoint> visibleUpstreams(
+    const ApiCall& call, const Document& inForce, const ApiResult<std::vector<UpstreamStatus>>& upstreams)
+{
+    std::set<core::Endpoint> addresses;
+    const auto* known = std::get_if<std::vector<UpstreamStatus>>(&upstreams);
+    if (!known)
+        return addresses;
+    for (const auto& it : *known) {
+        if (call.caller.hasSystemScope()
+            || std::ranges::find(inForce.services, it.service, &configuration::Service::name) != inForce.services.end())
+            addresses.insert(it.address);
+    }
+    return addresses;
+}
+
+void respondChecked(const ApiCall& call, const Document& checked, const AcceptedRevision& accepted,
+    const ApiResult<std::vector<UpstreamStatus>>& upstreams)
+{
+    const auto inForce = visibleDocument(call, accepted);
+    if (!inForce) {
+        respondDamaged(call, accepted.revision);
+        return;
+    }
+    if (!call.caller.hasSystemScope() && !mergeScopedChange(call, checked, accepted))
+        return;
+    const configuration::DocumentContext context { &*inForce, visibleUpstreams(call, *inForce, upstreams),
+        !call.caller.hasSystemScope() };
+    auto patch = nlohmann::json::diff(configuration::writeDocument(*inForce), configuration::writeDocument(checked));
+    call.respond(jsonResponse({ { "valid", true }, { "revision", accepted.revision }, { "patch", std::move(patch) },
+        { "report", core::toJson(configuration::checkDocument(checked, context)) } }));
 }
 
 } // namespace
@@ -216,16 +260,11 @@
         respondInvalid(*call, problems);
         return;
     }
-    call->backend.documentInForce(onSuccess<AcceptedRevision>(
-        call, [call, checked = configuration::writeDocument(*document)](const AcceptedRevision& accepted) {
-            const auto inForce = visibleDocument(*call, accepted);
-            if (!inForce) {
-                respondDamaged(*call, accepted.revision);
-                return;
-            }
-            auto patch = nlohmann::json::diff(configuration::writeDocument(*inForce), checked);
-            call->respond(
-                jsonResponse({ { "valid", true }, { "revision", accepted.revision }, { "patch", std::move(patch) } }));
+    call->backend.documentInForce(
+        onSuccess<AcceptedRevision>(call, [call, checked = *document](const AcceptedRevision& accepted) {
+            call->backend.upstreams([call, checked, accepted](const ApiResult<std::vector<UpstreamStatus>>& upstreams) {
+                respondChecked(*call, checked, accepted, upstreams);
+            });
         }));
 }
 
