--- a/tests/support/LoadPattern.h
+++ b/tests/support/LoadPattern.h
@@ -24,14 +24,13 @@
     std::uint16_t requestBytes { 200 };
 };
 
-// The first `share` of the balancers lose their state at the same moment. Each starts within `startSpread` after
-// `processesUpAt` and gets its configuration and directory at `stateAt`.
+// All balancers lose their state at the same moment. Each starts within `startSpread` after `processesUpAt` and gets
+// its configuration and directory at `stateAt`.
 struct OutagePattern {
     ibisgw::core::Duration at;
     ibisgw::core::Duration processesUpAt;
     ibisgw::core::Duration startSpread;
     ibisgw::core::Duration stateAt;
-    double share { 1 };
 };
 
 // Some upstreams need several times as long for each request.
@@ -54,28 +53,6 @@
     double factor { 3 };
 };
 
-enum class PlacementRule : std::uint8_t {
-    Product, // LeastWorkSelector
-    CommonOrder, // upstreams without work so far by identifier, in the same order at all balancers
-    OwnOrder, // all upstreams with equal work in an order of the balancer's own, instead of the least recently used one
-    TwoRandom, // the better of two upstreams drawn at random
-    SharedFlows, // the open flows of the other balancers count
-    SharedWork, // the work and the open flows of the other balancers count
-    TwoRandomSharedFlows, // TwoRandom by the figures of SharedFlows
-};
-
-// How balancers place new flows. Balancers send their figures every `interval`; what the others get is `delay` old,
-// and each message is lost with probability `loss`.
-struct PlacementPattern {
-    // Older figures are dropped, in intervals.
-    static constexpr int maxFigureAge = 4;
-
-    PlacementRule rule { PlacementRule::Product };
-    ibisgw::core::Duration interval { std::chrono::milliseconds(500) };
-    ibisgw::core::Duration delay { std::chrono::milliseconds(10) };
-    double loss { 0 };
-};
-
 // Load on one service and the faults during it. Times count from the start of the replay.
 struct LoadPattern {
     unsigned balancers { 10 };
@@ -88,7 +65,6 @@
     std::vector<RoutePattern> routes;
     // Share of the requests that have seven times the work.
     double tailShare { 0 };
-    PlacementPattern placement;
     std::optional<OutagePattern> outage;
     std::optional<SlowdownPattern> slowdown;
     std::optional<BurstPattern> burst;
--- a/tests/support/LoadReplay.cpp
+++ b/tests/support/LoadReplay.cpp
@@ -4,7 +4,6 @@
 #include <algorithm>
 #include <array>
 #include <cmath>
-#include <span>
 #include <stdexcept>
 
 namespace support {
@@ -46,7 +45,7 @@
         addRoute(it);
     for (unsigned n = 0; n < pattern.balancers; ++n) {
         m_balancers.push_back(std::make_unique<ReplayBalancer>(m_random.next(), pattern.linkBytesPerSecond,
-            pattern.placement, [this](const auto& segment, const auto& decision) { deliver(segment, decision); }));
+            [this](const auto& segment, const auto& decision) { deliver(segment, decision); }));
         giveState(*m_balancers.back());
     }
 }
@@ -95,17 +94,8 @@
     scheduleTicks(end + settlingTime);
     if (m_pattern.linkBytesPerSecond > 0)
         scheduleReleases(end + settlingTime);
-    if (m_pattern.placement.rule >= PlacementRule::SharedFlows)
-        scheduleSharing(end);
     for (std::size_t n = 0; n < m_routes.size(); ++n)
         scheduleArrival(n);
-    m_queue.at(end, [this](auto) {
-        core::Duration busy { 0 };
-        for (const auto& it : m_upstreams)
-            busy += it->busyTime();
-        const double slots = m_pattern.upstreams * m_pattern.slots;
-        m_report.slotUse = core::toSeconds(busy) / core::toSeconds(m_pattern.length) / slots;
-    });
     m_queue.runUntil(end + settlingTime);
     for (const auto& it : m_upstreams)
         m_report.executed.push_back(it->executedCount());
@@ -117,8 +107,7 @@
 void LoadReplay::scheduleFaults()
 {
     if (const auto& outage = m_pattern.outage) {
-        const auto affected = static_cast<std::size_t>(std::lround(outage->share * m_pattern.balancers));
-        for (auto& it : std::span(m_balancers).first(affected)) {
+        for (auto& it : m_balancers) {
             const auto spread = static_cast<std::uint64_t>(outage->startSpread.count());
             const auto up = outage->processesUpAt + core::Duration(m_random.below(spread + 1));
             m_queue.at(m_start + outage->at, [&it](auto) { it->stop(); });
@@ -178,38 +167,6 @@
     });
 }
 
-void LoadReplay::scheduleSharing(core::TimePoint until)
-{
-    if (m_queue.now() > until)
-        return;
-    m_queue.after(m_pattern.placement.interval, [this, until](auto now) {
-        shareFigures(now);
-        scheduleSharing(until);
-    });
-}
-
-void LoadReplay::shareFigures(core::TimePoint now)
-{
-    const auto& placement = m_pattern.placement;
-    LoadFigures sum(m_pattern.upstreams);
-    m_figures.resize(m_balancers.size());
-    for (std::size_t n = 0; n < m_balancers.size(); ++n) {
-        auto& [figures, at] = m_figures[n];
-        if (m_balancers[n]->isRunning() && !m_random.chance(placement.loss))
-            m_figures[n] = { m_balancers[n]->figures(m_pattern.upstreams), now };
-        if (now - at > PlacementPattern::maxFigureAge * placement.interval)
-            figures.assign(m_pattern.upstreams, {});
-        std::ranges::transform(sum, figures, sum.begin(), std::plus {});
-    }
-    for (std::size_t n = 0; n < m_balancers.size(); ++n) {
-        if (m_random.chance(placement.loss))
-            continue;
-        LoadFigures others(m_pattern.upstreams);
-        std::ranges::transform(sum, m_figures[n].first, others.begin(), std::minus {});
-        m_queue.after(placement.delay, [this, n, others, now](auto) { m_balancers[n]->receiveFigures(others, now); });
-    }
-}
-
 double LoadReplay::loadFactor() const
 {
     const auto& burst = m_pattern.burst;
--- a/tests/support/LoadReplay.h
+++ b/tests/support/LoadReplay.h
@@ -36,9 +36,6 @@
     void scheduleTicks(ibisgw::core::TimePoint until);
     void scheduleReleases(ibisgw::core::TimePoint until);
     void scheduleArrival(std::size_t route);
-    // Lets balancers send their figures and receive those of the others.
-    void scheduleSharing(ibisgw::core::TimePoint until);
-    void shareFigures(ibisgw::core::TimePoint now);
     void startRequest(std::size_t route);
     ReplayCaller& idleCaller(Route&);
     void addCaller(Route&);
@@ -61,8 +58,6 @@
     std::unordered_map<std::uint32_t, ReplayCaller*> m_callers;
     // Newest request that each flow has delivered to its upstream, which ignores retransmissions of it.
     std::unordered_map<ibisgw::core::FlowKey, std::uint32_t> m_delivered;
-    // Newest figures of each balancer, and when they were sent.
-    std::vector<std::pair<LoadFigures, ibisgw::core::TimePoint>> m_figures;
     ReplayReport m_report;
 };
 
--- a/tests/support/ReplayBalancer.cpp
+++ b/tests/support/ReplayBalancer.cpp
@@ -21,20 +21,16 @@
 
 } // namespace
 
-ReplayBalancer::Process::Process(
-    std::uint64_t seed, std::uint64_t name, std::uint64_t linkBytesPerSecond, const PlacementPattern& placement)
+ReplayBalancer::Process::Process(std::uint64_t seed, std::uint64_t linkBytesPerSecond)
     : random(seed)
-    , selector(placement, name, random)
+    , selector(random.next())
     , forwarder({ "a", {}, linkBytesPerSecond }, directory, selector, random)
     , link({ linkBytesPerSecond }, forwarder.congestion(), forwarder.admission())
 {
 }
 
-ReplayBalancer::ReplayBalancer(
-    std::uint64_t seed, std::uint64_t linkBytesPerSecond, const PlacementPattern& placement, Forward forward)
+ReplayBalancer::ReplayBalancer(std::uint64_t seed, std::uint64_t linkBytesPerSecond, Forward forward)
     : m_seed(seed)
-    , m_name(seed)
-    , m_placement(placement)
     , m_linkBytesPerSecond(linkBytesPerSecond)
     , m_forward(std::move(forward))
 {
@@ -43,7 +39,7 @@
 
 void ReplayBalancer::restart()
 {
-    m_process = std::make_unique<Process>(++m_seed, m_name, m_linkBytesPerSecond, m_placement);
+    m_process = std::make_unique<Process>(++m_seed, m_linkBytesPerSecond);
 }
 
 void ReplayBalancer::receiveState(const std::shared_ptr<const RouteConfiguration>& configuration,
@@ -121,22 +117,6 @@
     return isRunning() ? m_process->forwarder.responses().lossCount() : 0;
 }
 
-LoadFigures ReplayBalancer::figures(std::size_t upstreams) const
-{
-    LoadFigures figures(upstreams);
-    for (std::size_t n = 0; n < upstreams; ++n) {
-        if (const auto* load = isRunning() ? m_process->forwarder.loadOf({ n + 1 }) : nullptr)
-            figures[n] = { load->inProgress(), load->openFlows() };
-    }
-    return figures;
-}
-
-void ReplayBalancer::receiveFigures(LoadFigures figures, core::TimePoint now)
-{
-    if (isRunning())
-        m_process->selector.receive(std::move(figures), now);
-}
-
 void ReplayBalancer::retryPending(core::TimePoint now)
 {
     for (const auto& it : m_process->pending.take()) {
--- a/tests/support/ReplayBalancer.h
+++ b/tests/support/ReplayBalancer.h
@@ -2,9 +2,9 @@
 
 #include "ibisgw/core/PcgRandomSource.h"
 #include "ibisgw/direct/FlowForwarder.h"
+#include "ibisgw/direct/LeastWorkSelector.h"
 #include "ibisgw/direct/PacedLink.h"
 #include "ibisgw/direct/PendingPackets.h"
-#include "support/ReplaySelector.h"
 
 #include <functional>
 #include <memory>
@@ -18,7 +18,7 @@
     using Forward = std::function<void(const ibisgw::direct::FlowSegment&, const ibisgw::direct::ForwardDecision&)>;
 
     // `linkBytesPerSecond` is the rate of the balancer's link; 0 for no limit.
-    ReplayBalancer(std::uint64_t seed, std::uint64_t linkBytesPerSecond, const PlacementPattern&, Forward);
+    ReplayBalancer(std::uint64_t seed, std::uint64_t linkBytesPerSecond, Forward);
 
     void stop() { m_process.reset(); }
     void restart();
@@ -32,10 +32,6 @@
     // Sends what the link can take. Call every few milliseconds.
     void releasePackets(ibisgw::core::TimePoint now);
     std::uint64_t foundUnresponsive() const;
-    // Own figures of the upstreams with the identifiers 1 to `upstreams`.
-    LoadFigures figures(std::size_t upstreams) const;
-    // Receives the figures of the other balancers; see ReplaySelector.
-    void receiveFigures(LoadFigures, ibisgw::core::TimePoint now);
 
 private:
     using Packet = std::pair<ibisgw::direct::FlowSegment, ibisgw::direct::ForwardDecision>;
@@ -45,11 +41,11 @@
         ibisgw::core::TimePoint endsAt;
     };
     struct Process {
-        Process(std::uint64_t seed, std::uint64_t name, std::uint64_t linkBytesPerSecond, const PlacementPattern&);
+        Process(std::uint64_t seed, std::uint64_t linkBytesPerSecond);
 
         ibisgw::core::PcgRandomSource random;
         ibisgw::upstream::InstanceDirectory directory;
-        ReplaySelector selector;
+        ibisgw::direct::LeastWorkSelector selector;
         ibisgw::direct::FlowForwarder forwarder;
         ibisgw::direct::PendingPackets pending;
         ibisgw::direct::PacedLink link;
@@ -67,8 +63,6 @@
     void retryPending(ibisgw::core::TimePoint now);
 
     std::uint64_t m_seed;
-    std::uint64_t m_name;
-    PlacementPattern m_placement;
     std::uint64_t m_linkBytesPerSecond;
     // Bytes that wait for the link on their way in, at m_receivedAt.
     double m_receiveQueue { 0 };
--- a/tests/support/ReplayReport.cpp
+++ b/tests/support/ReplayReport.cpp
@@ -1,7 +1,6 @@
 #include "support/ReplayReport.h"
 
 #include <algorithm>
-#include <numeric>
 
 namespace support {
 
@@ -26,10 +25,4 @@
     return worst;
 }
 
-double ReplayReport::busiestOverMean() const
-{
-    const auto sum = std::accumulate(executed.begin(), executed.end(), 0.0);
-    return sum == 0 ? 1 : static_cast<double>(std::ranges::max(executed)) * static_cast<double>(executed.size()) / sum;
-}
-
 } // namespace support
--- a/tests/support/ReplayReport.h
+++ b/tests/support/ReplayReport.h
@@ -37,12 +37,7 @@
     // Requests executed by each upstream.
     std::vector<std::uint64_t> executed;
 
-    // Execution time of the requests that were started before the end of the pattern, as a share of all slots.
-    double slotUse { 0 };
-
     double worstWindow() const;
-    // Most requests executed by one upstream over the mean of all; 1 if there are none.
-    double busiestOverMean() const;
 };
 
 } // namespace support
--- a/tests/support/ReplayUpstream.cpp
+++ b/tests/support/ReplayUpstream.cpp
@@ -26,7 +26,6 @@
     ++m_busy;
     ++m_executed;
     const auto time = std::chrono::duration_cast<core::Duration>(request.serviceTime * m_slowdown);
-    m_busyTime += time;
     m_queue.after(time, [this, reply = request.reply](auto) {
         --m_busy;
         if (!m_waiting.empty()) {
--- a/tests/support/ReplayUpstream.h
+++ b/tests/support/ReplayUpstream.h
@@ -21,8 +21,6 @@
     void setSlowdown(double factor) { m_slowdown = factor; }
     void handleRequest(ibisgw::core::Duration serviceTime, Reply);
     std::uint64_t executedCount() const { return m_executed; }
-    // Execution time of all requests that were started.
-    ibisgw::core::Duration busyTime() const { return m_busyTime; }
 
 private:
     struct Request {
@@ -39,7 +37,6 @@
     bool m_isRunning { true };
     std::uint16_t m_busy { 0 };
     std::uint64_t m_executed { 0 };
-    ibisgw::core::Duration m_busyTime { 0 };
     std::deque<Request> m_waiting;
 };
 
