Issue permits for new flows to cold upstreams at the controllers

A configuration limits the new requests of a cold upstream with the service member warmup_per_s, which was ignored. The limit is one for all balancers, so they need shares of it that no two controllers give away.

Three message types are added at the end of SyncMessage; they are sent only for services with a limit. A limit that is negative, infinite or no number makes a configuration invalid. The packets for comparing decisions move from the tests of evacuations to the fixture, for a second test.

--- a/benchmarks/micro/PlacementBenchmarks.cpp
+++ b/benchmarks/micro/PlacementBenchmarks.cpp
@@ -38,7 +38,7 @@
     FlowForwarder forwarder({ "a" }, directory, selector, random);
     auto configuration = std::make_shared<RouteConfiguration>();
     configuration->version = 1;
-    configuration->services = { "service-0" };
+    configuration->services = { { "service-0" } };
     configuration->routes.push_back(
         { "r", serviceAddress, RouteKind::Idempotent, 1, 1500ms, 100ms, { { "service-0", 1 } } });
     forwarder.apply(configuration, now);
--- a/src/ibisgw/adapters/SyncCodec.cpp
+++ b/src/ibisgw/adapters/SyncCodec.cpp
@@ -5,6 +5,7 @@
 #include "ibisgw/core/ObjectReader.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace ibisgw::adapters {
 
@@ -20,6 +21,7 @@
 // More zones than any deployment has. With names of at most core::maxTextBytes the list stays below the size limit of a
 // message.
 constexpr std::size_t maxEvacuatedZones = 256;
+constexpr std::uint64_t maxPermits = std::numeric_limits<std::uint32_t>::max();
 
 std::int64_t toMs(core::Duration duration)
 {
@@ -215,6 +217,31 @@
     json.push_back(std::move(marks));
 }
 
+void write(const upstream::ReportId& report, Json& json)
+{
+    json.push_back(report.instance.value);
+    json.push_back(report.incarnation);
+    json.push_back(report.sequence);
+}
+
+void write(const ColdStartOffer& message, Json& json)
+{
+    write(message.report, json);
+}
+
+void write(const ColdStartClaim& message, Json& json)
+{
+    write(message.report, json);
+    json.push_back(message.number);
+}
+
+void write(const ColdStartGrant& message, Json& json)
+{
+    write(message.report, json);
+    json.push_back(message.claim);
+    json.push_back(message.permits);
+}
+
 void read(detail::JsonArrayReader& reader, Subscription& message)
 {
     message.subscriber = reader.number();
@@ -286,6 +313,31 @@
     }
 }
 
+void read(detail::JsonArrayReader& reader, upstream::ReportId& report)
+{
+    report.instance.value = reader.number();
+    report.incarnation = reader.number();
+    report.sequence = reader.number();
+}
+
+void read(detail::JsonArrayReader& reader, ColdStartOffer& message)
+{
+    read(reader, message.report);
+}
+
+void read(detail::JsonArrayReader& reader, ColdStartClaim& message)
+{
+    read(reader, message.report);
+    message.number = reader.number();
+}
+
+void read(detail::JsonArrayReader& reader, ColdStartGrant& message)
+{
+    read(reader, message.report);
+    message.claim = reader.number();
+    message.permits = static_cast<std::uint32_t>(reader.number(maxPermits));
+}
+
 // Reads the message as the alternative of the variant with index `type`; fails when there is no such alternative.
 template <std::size_t index = 0>
 void readMessage(detail::JsonArrayReader& reader, std::size_t type, SyncMessage& message)
--- a/src/ibisgw/direct/RouteConfiguration.cpp
+++ b/src/ibisgw/direct/RouteConfiguration.cpp
@@ -32,7 +32,9 @@
     std::vector<core::Problem> problems;
     if (configuration.version == 0)
         problems.push_back({ "/version", "is 0; versions start at 1" });
-    const std::set<core::ServiceName> services(configuration.services.begin(), configuration.services.end());
+    std::set<core::ServiceName> services;
+    for (const auto& it : configuration.services)
+        services.insert(it.name);
     std::set<core::Endpoint> addresses;
     std::size_t index = 0;
     for (const auto& it : configuration.routes) {
--- a/src/ibisgw/direct/RouteConfiguration.h
+++ b/src/ibisgw/direct/RouteConfiguration.h
@@ -48,11 +48,22 @@
     std::uint64_t totalWeight() const;
 };
 
+// A service that routes may name, with the limit of the cold starts of its upstreams.
+struct ServiceConfiguration {
+    core::ServiceName name;
+    // New requests per second that a cold upstream may take; 0 for no limit.
+    double warmUpPerSecond { 0 };
+    // Time for which an upstream is cold after its start. Applied only where no report says how long it lasts.
+    core::Duration coldStart { 0 };
+
+    bool operator==(const ServiceConfiguration&) const = default;
+};
+
 // A complete configuration as submitted by an operator.
 struct RouteConfiguration {
     ConfigurationVersion version { 0 };
     std::vector<Route> routes;
-    std::vector<core::ServiceName> services;
+    std::vector<ServiceConfiguration> services;
     core::Duration idleTimeout { std::chrono::seconds(15) };
 };
 
--- a/src/ibisgw/runtime/DirectController.cpp
+++ b/src/ibisgw/runtime/DirectController.cpp
@@ -138,6 +138,7 @@
     if (now >= m_nextExpiry) {
         m_nextExpiry = now + expiryInterval;
         m_directory.expire(now);
+        m_coldStarts.expire(now);
         saveInstances();
         adapters::flushLog();
     }
@@ -309,6 +310,8 @@
         handle(sender, *report, now);
     else if (const auto* failure = std::get_if<sync::FailureReport>(&*message))
         handle(sender, *failure, now);
+    else if (const auto* claim = std::get_if<sync::ColdStartClaim>(&*message))
+        m_coldStarts.handle(sender, *claim, now, *this);
 }
 
 void DirectController::handle(core::NodeId sender, const sync::Subscription& subscription, core::TimePoint now)
--- a/src/ibisgw/runtime/DirectController.h
+++ b/src/ibisgw/runtime/DirectController.h
@@ -17,6 +17,7 @@
 #include "ibisgw/runtime/ProcessMonitor.h"
 #include "ibisgw/runtime/ShutdownTimer.h"
 #include "ibisgw/settings/DirectSettings.h"
+#include "ibisgw/sync/ColdStartPermits.h"
 #include "ibisgw/sync/DirectoryFeed.h"
 #include "ibisgw/sync/DirectorySubscriber.h"
 #include "ibisgw/sync/FailureExchange.h"
@@ -103,6 +104,9 @@
     bool isConfirmed(upstream::InstanceId, std::uint64_t change) const;
     bool isForeign(const upstream::InstanceReport&);
     bool isServiceNamed(const core::ServiceName&);
+    // Null if the configuration in force doesn't name the service.
+    const direct::ServiceConfiguration* configuredService(const core::ServiceName&);
+    void offerPermits(const upstream::InstanceReport&, core::TimePoint now);
     void logStoreFailure(const std::string& reason);
     void refuseReport(const std::string& instance, const std::string& reason);
     ControlAnswer redirectToLeader() const;
@@ -127,11 +131,12 @@
     upstream::OverdueMonitor m_overdueMonitor;
     upstream::UnresponsiveMarker m_unresponsiveMarker;
     sync::FailureExchange m_failures;
+    sync::ColdStartPermits m_coldStarts;
     std::vector<WaitingReport> m_waitingReports;
     std::vector<WaitingChange> m_waitingChanges;
     std::vector<WaitingRead> m_waitingReads;
     // Services of the configuration with the version m_servicesVersion.
-    std::vector<core::ServiceName> m_services;
+    std::vector<direct::ServiceConfiguration> m_services;
     direct::ConfigurationVersion m_servicesVersion { 0 };
     core::TimePoint m_nextExpiry {};
     std::uint64_t m_savedChange { 0 };
--- a/src/ibisgw/runtime/DirectControllerCalls.cpp
+++ b/src/ibisgw/runtime/DirectControllerCalls.cpp
@@ -19,6 +19,8 @@
         return;
     }
     const auto outcome = m_directory.apply(report, {}, now);
+    if (outcome != upstream::ReportOutcome::Stale)
+        offerPermits(report, now);
     const auto* record = m_directory.find(report.id);
     const bool isLeaving = report.state != upstream::InstanceState::Ready;
     // The next tick writes and publishes all departures in one batch; after a start of the fleet there are thousands at
@@ -44,7 +46,7 @@
     return !isKnown && m_register.version() > 0 && !isServiceNamed(report.service);
 }
 
-bool DirectController::isServiceNamed(const core::ServiceName& service)
+const direct::ServiceConfiguration* DirectController::configuredService(const core::ServiceName& service)
 {
     if (m_servicesVersion != m_register.version()) {
         m_servicesVersion = m_register.version();
@@ -52,8 +54,26 @@
         auto reading = text ? m_configurationFormat.read(*text) : ConfigurationReadResult {};
         m_services = reading.configuration ? std::move(reading.configuration->services) : decltype(m_services) {};
     }
+    const auto found = std::ranges::find(m_services, service, &direct::ServiceConfiguration::name);
+    return found == m_services.end() ? nullptr : &*found;
+}
+
+bool DirectController::isServiceNamed(const core::ServiceName& service)
+{
     // A configuration that cannot be read was accepted by a newer version of this program and names services, too.
-    return m_services.empty() || std::ranges::find(m_services, service) != m_services.end();
+    return configuredService(service) || m_services.empty();
+}
+
+// Balancers follow a controller of their own zone, so the followers of this one are near to an upstream of its zone.
+void DirectController::offerPermits(const upstream::InstanceReport& report, core::TimePoint now)
+{
+    const auto* service = report.coldRemaining > core::Duration::zero() ? configuredService(report.service) : nullptr;
+    if (!service || service->warmUpPerSecond == 0)
+        return;
+    const auto near = report.zone == m_settings.zone ? m_feed.followers() : std::vector<core::NodeId> {};
+    auto others = m_feed.subscribedBalancers();
+    std::erase_if(others, [&near](core::NodeId it) { return std::ranges::find(near, it) != near.end(); });
+    m_coldStarts.offer(report, service->warmUpPerSecond, near, others, now, *this);
 }
 
 void DirectController::reportEnd(
--- a/src/ibisgw/runtime/DirectControllerMetrics.cpp
+++ b/src/ibisgw/runtime/DirectControllerMetrics.cpp
@@ -27,6 +27,7 @@
             = m_events.count(event);
     m_evacuationCalls.updateMetrics();
     m_processMonitor.updateCounters(m_events, m_peers);
+    updatePermitCounter(m_metrics, "granted", m_coldStarts.grantedPermits());
     updateUpstreamGauges(m_directory, m_metrics);
     return m_metrics.render();
 }
--- a/src/ibisgw/runtime/LogFields.cpp
+++ b/src/ibisgw/runtime/LogFields.cpp
@@ -49,4 +49,11 @@
     }
 }
 
+void updatePermitCounter(adapters::MetricsRegistry& metrics, const std::string& outcome, std::uint64_t permits)
+{
+    metrics.counter(
+        "ibisgw_cold_start_permits_total", "Permits for new flows to cold upstreams", { { "outcome", outcome } })
+        = permits;
+}
+
 } // namespace ibisgw::runtime
--- a/src/ibisgw/runtime/LogFields.h
+++ b/src/ibisgw/runtime/LogFields.h
@@ -32,4 +32,7 @@
 // Sets the gauges of the evacuated zones in force.
 void updateEvacuationGauges(const upstream::ZoneEvacuations&, adapters::MetricsRegistry&);
 
+// Sets the counter of the permits for flows to cold upstreams with the given outcome.
+void updatePermitCounter(adapters::MetricsRegistry&, const std::string& outcome, std::uint64_t permits);
+
 } // namespace ibisgw::runtime
--- a/src/ibisgw/sync/SyncMessage.h
+++ b/src/ibisgw/sync/SyncMessage.h
@@ -143,9 +143,36 @@
     bool operator==(const FailureMarks&) const = default;
 };
 
+// Offers a balancer permits to open flows to a cold upstream. Sent by the controller that received the report from the
+// upstream itself.
+struct ColdStartOffer {
+    upstream::ReportId report;
+
+    bool operator==(const ColdStartOffer&) const = default;
+};
+
+// Reply of the balancer to an offer. The permits are valid from the moment when the claim was sent.
+struct ColdStartClaim {
+    upstream::ReportId report;
+    // Random number of the claim.
+    std::uint64_t number { 0 };
+
+    bool operator==(const ColdStartClaim&) const = default;
+};
+
+// Reply of the controller to a claim.
+struct ColdStartGrant {
+    upstream::ReportId report;
+    std::uint64_t claim { 0 };
+    // Number of flows that the balancer may open to the upstream.
+    std::uint32_t permits { 0 };
+
+    bool operator==(const ColdStartGrant&) const = default;
+};
+
 // Daemons of earlier versions ignore messages of a type that they don't know; new types are added at the end.
 using SyncMessage = std::variant<Subscription, DirectoryUpdate, ConfigurationRequest, ConfigurationTransfer,
-    UnresponsiveReport, FailureReport, FailureMarks>;
+    UnresponsiveReport, FailureReport, FailureMarks, ColdStartOffer, ColdStartClaim, ColdStartGrant>;
 
 // Sends messages to other daemons; implemented by the daemon and by test fakes. Delivery is unreliable: a message may
 // be lost.
--- a/src/ibisgw/upstream/InstanceReport.h
+++ b/src/ibisgw/upstream/InstanceReport.h
@@ -45,6 +45,15 @@
     bool operator==(const InstanceReport&) const = default;
 };
 
+// Identifies one call with which an upstream sent a report. A repeated call has another sequence.
+struct ReportId {
+    InstanceId instance;
+    core::Incarnation incarnation { 0 };
+    std::uint64_t sequence { 0 };
+
+    auto operator<=>(const ReportId&) const = default;
+};
+
 // Returns the 32-bit token of one incarnation of an upstream for one service. The packets of a flow carry its token, so
 // that every balancer forwards an open flow to the same upstream without per-flow state. Never 0, which means "no
 // token".
--- a/tests/direct/ForwarderFixture.h
+++ b/tests/direct/ForwarderFixture.h
@@ -6,6 +6,8 @@
 #include "support/InstanceReports.h"
 
 #include <memory>
+#include <tuple>
+#include <vector>
 
 namespace support {
 
@@ -22,7 +24,7 @@
 {
     auto configuration = std::make_shared<RouteConfiguration>();
     configuration->version = version;
-    configuration->services = { "booking", "archive" };
+    configuration->services = { { "booking" }, { "archive" } };
     configuration->routes.push_back(
         { "r1", bookingAddress, RouteKind::NonIdempotent, 1, 1500ms, 150ms, { { "booking", 1 } } });
     configuration->routes.push_back({ "r2", uploadAddress, RouteKind::Upload, 2, 5s, 500ms, { { "archive", 1 } } });
@@ -77,4 +79,37 @@
     ForwardDecision handle(const FlowSegment& segment) { return forwarder.handle(segment, now); }
 };
 
+using VisibleDecision = std::tuple<ForwardAction, ForwardReason, std::uint64_t, std::uint32_t, std::uint32_t>;
+
+// What a caller and an upstream see of the decisions on the same 2000 packets: opening packets, retransmitted ones, and
+// data of open flows, while the
+// upstreams 1 to 9 come and go.
+inline std::vector<VisibleDecision> decisionsOn(ForwarderFixture& fixture)
+{
+    std::vector<VisibleDecision> decisions;
+    core::PcgRandomSource random(7);
+    std::vector<std::pair<FlowSegment, std::uint32_t>> flows;
+    for (int n = 0; n < 2000; ++n) {
+        fixture.now += random.below(20) * 1ms;
+        const auto kind = random.below(20);
+        if (kind == 0)
+            fixture.setState(
+                1 + random.below(9), random.below(3) == 0 ? InstanceState::Draining : InstanceState::Ready);
+        // Packets of one of the last flows, as older ones no longer count as unanswered.
+        const auto age = random.below(8);
+        const bool isNew = flows.size() <= age || kind < 8;
+        auto [segment, token] = isNew ? std::pair { fixture.opening(), 0U } : flows[flows.size() - 1 - age];
+        if (!isNew && kind < 12)
+            segment.acknowledged = 1;
+        else if (!isNew)
+            segment = ForwarderFixture::dataOf(segment, token);
+        const auto it = fixture.handle(segment);
+        fixture.forwarder.tick(fixture.now);
+        if (isNew)
+            flows.emplace_back(segment, it.token);
+        decisions.emplace_back(it.action, it.reason, it.instance.value, it.token, it.candidates);
+    }
+    return decisions;
+}
+
 } // namespace support
--- a/tests/direct/ZoneEvacuationTests.cpp
+++ b/tests/direct/ZoneEvacuationTests.cpp
@@ -4,7 +4,6 @@
 
 #include <algorithm>
 #include <set>
-#include <tuple>
 
 using namespace support;
 
@@ -34,37 +33,6 @@
 
 using Zones = std::set<std::string>;
 
-// What a caller and an upstream see of the decisions on the same 2000 packets: opening packets, retransmitted ones, and
-// data of open flows, while upstreams come and go.
-std::vector<std::tuple<ForwardAction, ForwardReason, std::uint64_t, std::uint32_t, std::uint32_t>> decisionsOn(
-    EvacuationFixture& fixture)
-{
-    std::vector<std::tuple<ForwardAction, ForwardReason, std::uint64_t, std::uint32_t, std::uint32_t>> decisions;
-    core::PcgRandomSource random(7);
-    std::vector<std::pair<FlowSegment, std::uint32_t>> flows;
-    for (int n = 0; n < 2000; ++n) {
-        fixture.now += random.below(20) * 1ms;
-        const auto kind = random.below(20);
-        if (kind == 0)
-            fixture.setState(
-                1 + random.below(9), random.below(3) == 0 ? InstanceState::Draining : InstanceState::Ready);
-        // Packets of one of the last flows, as older ones no longer count as unanswered.
-        const auto age = random.below(8);
-        const bool isNew = flows.size() <= age || kind < 8;
-        auto [segment, token] = isNew ? std::pair { fixture.opening(), 0U } : flows[flows.size() - 1 - age];
-        if (!isNew && kind < 12)
-            segment.acknowledged = 1;
-        else if (!isNew)
-            segment = ForwarderFixture::dataOf(segment, token);
-        const auto it = fixture.handle(segment);
-        fixture.forwarder.tick(fixture.now);
-        if (isNew)
-            flows.emplace_back(segment, it.token);
-        decisions.emplace_back(it.action, it.reason, it.instance.value, it.token, it.candidates);
-    }
-    return decisions;
-}
-
 } // namespace
 
 TEST_SUITE("direct")
--- a/tests/platform/PlatformMessagesTests.cpp
+++ b/tests/platform/PlatformMessagesTests.cpp
@@ -173,6 +173,32 @@
             configuration["version"] = "7";
             CHECK_FALSE(problemsOf(configuration).empty());
         }
+        SUBCASE("the limit of cold starts is a number of new requests per second")
+        {
+            const auto serviceWith = [](const json& warmUp, const json& coldStart) {
+                auto configuration = exampleConfiguration();
+                configuration["services"][1].update({ { "warmup_per_s", warmUp }, { "cold_start_s", coldStart } });
+                return platform::ConfigurationMessage().read(configuration.dump());
+            };
+            const auto reading = serviceWith(2.5, 4);
+            REQUIRE(reading.configuration);
+            CHECK(reading.configuration->services[0] == direct::ServiceConfiguration { "huvo11a" });
+            CHECK(reading.configuration->services[1]
+                == direct::ServiceConfiguration { "wuno96b", 2.5, std::chrono::seconds(4) });
+            CHECK(serviceWith(0, 4).configuration->services[1].warmUpPerSecond == 0);
+            for (const json& invalid : { json(-1), json("20"), json(true), json(nullptr), json::array({ 1 }) }) {
+                const auto rejected = serviceWith(invalid, 4);
+                CHECK_FALSE(rejected.configuration);
+                REQUIRE(rejected.problems.size() == 1);
+                CHECK(rejected.problems[0].path == "/services/1/warmup_per_s");
+                // Without a limit, other members of services are ignored as before.
+                CHECK(serviceWith(0, invalid).configuration);
+                CHECK_FALSE(serviceWith(1, invalid).configuration);
+            }
+            auto text = exampleConfiguration().dump();
+            text.replace(text.find(R"({"name":"wuno96b"})"), 1, R"({"warmup_per_s":1e999,)");
+            CHECK_FALSE(platform::ConfigurationMessage().read(text).configuration);
+        }
         // Guards against a configuration that is rejected whole because one kind of route is unknown, so that the
         // deployment serves nothing (gnsm-gate scored 0).
         SUBCASE("each kind of route is read")
--- a/tests/support/LoadReplay.cpp
+++ b/tests/support/LoadReplay.cpp
@@ -39,7 +39,7 @@
         throw std::invalid_argument("load pattern: " + findProblems(pattern).front().message);
     addUpstreams();
     m_configuration->version = 1;
-    m_configuration->services = { serviceName };
+    m_configuration->services = { { serviceName } };
     for (const auto& it : pattern.routes)
         addRoute(it);
     for (unsigned n = 0; n < pattern.balancers; ++n) {
--- a/tests/sync/DirectorySyncTests.cpp
+++ b/tests/sync/DirectorySyncTests.cpp
@@ -619,6 +619,9 @@
             UnresponsiveReport { { 5 }, 6 },
             FailureReport { { { 5 }, 6 }, { 7 } },
             FailureMarks { { { { 5 }, 6 }, { { 8 }, 9 } } },
+            ColdStartOffer { { { 5 }, 6, 7 } },
+            ColdStartClaim { { { 5 }, 6, 7 }, ~std::uint64_t { 0 } },
+            ColdStartGrant { { { 5 }, 6, 7 }, 8, 9 },
             ConfigurationTransfer { 4, std::string("\x00\xff text", 7) },
         };
         for (const auto& it : messages) {
