Limit the new flows of cold upstreams to permits

A cold upstream got new flows from every balancer, whatever warmup_per_s said.

Balancers now exclude a cold upstream of a service with a limit from the candidates unless they hold a permit, which is valid for one second from the sending of the claim. An upstream that was silent counts as cold until it reports. If only cold upstreams without a permit are left, the opening packet is reset with the reason upstream_cold.

--- a/src/ibisgw/direct/FlowForwarder.cpp
+++ b/src/ibisgw/direct/FlowForwarder.cpp
@@ -23,6 +23,7 @@
     { ForwardReason::LateCopy, "late_copy" },
     { ForwardReason::ZoneEvacuated, "zone_evacuated" },
     { ForwardReason::LinkFull, "link_full" },
+    { ForwardReason::UpstreamCold, "upstream_cold" },
 } };
 
 constexpr core::Duration expiryInterval = std::chrono::milliseconds(500);
@@ -72,6 +73,7 @@
         m_routes.emplace(it.address, &it);
     m_flows.setRoutes(m_configuration->routes);
     m_admission.setRoutes(m_configuration->routes);
+    m_placer.coldStarts().setServices(m_configuration->services);
     return true;
 }
 
@@ -117,6 +119,13 @@
     return !m_admission.admits(route, now);
 }
 
+ForwardReason FlowForwarder::reasonNotPlaced() const
+{
+    if (m_placer.isServiceCold())
+        return ForwardReason::UpstreamCold;
+    return m_placer.isServiceEvacuated() ? ForwardReason::ZoneEvacuated : ForwardReason::NoUpstream;
+}
+
 // A caller retransmits its opening packet when it has received no response. The upstream selected first is then full,
 // gone or unreachable, so the retransmission goes to another one. The flow belongs to the upstream whose response the
 // caller acknowledges.
@@ -137,10 +146,8 @@
         m_flows.remove(found);
     }
     const auto* record = m_placer.place(segment.flow, route, silent, now);
-    if (!record) {
-        const auto reason = m_placer.isServiceEvacuated() ? ForwardReason::ZoneEvacuated : ForwardReason::NoUpstream;
-        return { ForwardAction::Reset, reason };
-    }
+    if (!record)
+        return { ForwardAction::Reset, reasonNotPlaced() };
     auto decision = forwardTo(*record, silent ? ForwardReason::PlacedAgain : ForwardReason::Placed);
     const auto& chosen = m_flows.load(record->report.id);
     decision.candidates = static_cast<std::uint32_t>(m_placer.candidateCount());
@@ -230,6 +237,9 @@
 
 void FlowForwarder::noteProbe(upstream::InstanceId id, ProbeResult result, core::TimePoint now)
 {
+    const auto* record = m_directory.find(id);
+    if (record && result == ProbeResult::Refused)
+        m_placer.coldStarts().noteOutage(*record, now);
     if (result != ProbeResult::NoAnswer || !m_silenceLimit.isReachedFor(id)) {
         m_responses.noteProbe(id, result, now);
         return;
--- a/src/ibisgw/direct/FlowForwarder.h
+++ b/src/ibisgw/direct/FlowForwarder.h
@@ -38,8 +38,9 @@
     LateCopy, // retransmitted opening packet of a flow that is open already
     ZoneEvacuated, // all ready upstreams of the service are in evacuated zones
     LinkFull, // the balancer's link can't carry another flow
+    UpstreamCold, // all upstreams of the service are cold, and the limit of their cold starts is reached
 };
-constexpr std::size_t forwardReasonCount = 13;
+constexpr std::size_t forwardReasonCount = 14;
 
 std::string_view nameOf(ForwardReason);
 
@@ -114,6 +115,7 @@
     // Number of upstreams that get fewer new flows because they respond slowly.
     std::size_t slowInstances(core::TimePoint now) const { return m_flows.slowInstances(now); }
     UnansweredRequestMonitor& unansweredRequests() { return m_flows.unanswered(); }
+    ColdStartLimit& coldStarts() { return m_placer.coldStarts(); }
     ZoneOutageMonitor& zoneOutages() { return m_placer.zoneOutages(); }
     // Observations that were not held against upstreams because the fault is probably this balancer's own.
     std::uint64_t evidenceDiscarded() const { return m_congestion.discardedCount() + m_probesOverLimit; }
@@ -122,6 +124,7 @@
 private:
     ForwardDecision decide(const FlowSegment&, const Route*, core::TimePoint now);
     bool isRejected(const FlowSegment&, const Route&, core::TimePoint now);
+    ForwardReason reasonNotPlaced() const;
     ForwardDecision open(const FlowSegment&, const Route&, core::TimePoint now);
     ForwardDecision continueFlow(const FlowSegment&, const Route*, core::TimePoint now);
     ForwardDecision forwardOpen(
--- a/src/ibisgw/direct/FlowPlacer.cpp
+++ b/src/ibisgw/direct/FlowPlacer.cpp
@@ -33,6 +33,7 @@
     , m_flows(flows)
     , m_responses(responses)
     , m_congestion(congestion)
+    , m_coldStarts(directory)
 {
 }
 
@@ -54,10 +55,12 @@
     collectCandidates(records, excluded, now);
     if (m_candidates.empty() && excluded)
         collectCandidates(records, std::nullopt, now);
+    m_isServiceCold = m_candidates.empty() && !records.empty();
     suspectFailedZones(service, records, now);
     const auto* candidate = m_selector.select(m_candidates, now);
     if (!candidate)
         return nullptr;
+    m_coldStarts.notePlaced(*candidate->record, now);
     m_zoneOutages.notePlaced(service, candidate->record->report.zone, now);
     m_unconfirmedOpens[flow.caller.address] = { flow, candidate->record->report.id, now };
     return candidate->record;
@@ -103,11 +106,14 @@
     const Records& records, std::optional<upstream::InstanceId> excluded, core::TimePoint now)
 {
     m_candidates.clear();
+    const bool isLimited = !records.empty() && m_coldStarts.isLimited(records.front()->report.service);
     for (const auto* record : records) {
         const auto& report = record->report;
         if (report.id == excluded)
             continue;
         const auto& load = m_flows.load(report.id);
+        if (isLimited && isTooCold(*record, load, now))
+            continue;
         m_candidates.push_back({ record, &load, report.zone == m_zone, isSuspect(*record, load, now) });
     }
 }
@@ -149,10 +155,23 @@
     return since && now - m_congestion.countedFrom(*since) >= silenceThreshold && now - *since <= maxSilence;
 }
 
+bool FlowPlacer::isUnreachable(const InstanceRecord& record, const InstanceLoad& load, core::TimePoint now) const
+{
+    return m_responses.isUnresponsive(record.report.id) || load.isAvoided(now)
+        || load.isUnconfirmed(now, m_congestion.clearAt());
+}
+
 bool FlowPlacer::isSuspect(const InstanceRecord& record, const InstanceLoad& load, core::TimePoint now) const
 {
-    return record.isOverdue || m_responses.isUnresponsive(record.report.id) || load.isAvoided(now)
-        || load.isUnconfirmed(now, m_congestion.clearAt()) || m_flows.unanswered().isFailing(record.report.id, now);
+    return record.isOverdue || isUnreachable(record, load, now)
+        || m_flows.unanswered().isFailing(record.report.id, now);
+}
+
+bool FlowPlacer::isTooCold(const InstanceRecord& record, const InstanceLoad& load, core::TimePoint now)
+{
+    if (isUnreachable(record, load, now))
+        m_coldStarts.noteOutage(record, now);
+    return !m_coldStarts.admits(record, now);
 }
 
 std::optional<upstream::InstanceId> FlowPlacer::unconfirmedInstanceOf(
@@ -176,6 +195,7 @@
 
 void FlowPlacer::expire(core::TimePoint now)
 {
+    m_coldStarts.update(now);
     std::erase_if(
         m_unconfirmedOpens, [now](const auto& it) { return now - it.second.at > FlowTracker::maxUnopenedFlowAge; });
 }
--- a/src/ibisgw/direct/FlowPlacer.h
+++ b/src/ibisgw/direct/FlowPlacer.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "ibisgw/core/RandomSource.h"
+#include "ibisgw/direct/ColdStartLimit.h"
 #include "ibisgw/direct/FlowTracker.h"
 #include "ibisgw/direct/InstanceSelector.h"
 #include "ibisgw/direct/ResponseMonitor.h"
@@ -31,12 +32,16 @@
     const upstream::ZoneEvacuations& evacuations() const { return m_evacuations; }
     // Whether the service of the last placement has ready upstreams, all of them in evacuated zones.
     bool isServiceEvacuated() const { return m_isServiceEvacuated; }
+    // Whether the service of the last placement has upstreams that may get new flows, all of them cold and without a
+    // permit.
+    bool isServiceCold() const { return m_isServiceCold; }
     // Number of upstreams that the last placement chose from.
     std::size_t candidateCount() const { return m_candidates.size(); }
     // The caller has received a response from the flow's upstream.
     void confirm(const core::FlowKey&);
     // Removes opens that are too old to matter.
     void expire(core::TimePoint now);
+    ColdStartLimit& coldStarts() { return m_coldStarts; }
     ZoneOutageMonitor& zoneOutages() { return m_zoneOutages; }
 
 private:
@@ -60,7 +65,11 @@
     void collectCandidates(const Records&, std::optional<upstream::InstanceId> excluded, core::TimePoint now);
     // Whether the upstream hasn't responded to an opening packet soon; counts as evidence for the failure of its zone.
     bool isSilent(const InstanceLoad&, core::TimePoint now) const;
+    // Whether the upstream answers neither probes nor opening packets.
+    bool isUnreachable(const upstream::InstanceRecord&, const InstanceLoad&, core::TimePoint now) const;
     bool isSuspect(const upstream::InstanceRecord&, const InstanceLoad&, core::TimePoint now) const;
+    // Whether an upstream of a service with a limit may get no new flow because it is cold or may have been restarted.
+    bool isTooCold(const upstream::InstanceRecord&, const InstanceLoad&, core::TimePoint now);
     // Updates the judgement of the zones of a service and marks the candidates of zones whose upstreams have failed
     // together, except for a flow that tries such a zone.
     void suspectFailedZones(const core::ServiceName&, const Records&, core::TimePoint now);
@@ -78,6 +87,8 @@
     std::unordered_map<std::uint32_t, UnconfirmedOpen> m_unconfirmedOpens;
     upstream::ZoneEvacuations m_evacuations;
     bool m_isServiceEvacuated { false };
+    ColdStartLimit m_coldStarts;
+    bool m_isServiceCold { false };
     // As of the directory's change m_indexedChange and the number of its removals then.
     std::unordered_map<core::ServiceName, ServiceUpstreams> m_upstreamsByService;
     std::uint64_t m_indexedChange { 0 };
--- a/src/ibisgw/runtime/DirectBalancer.cpp
+++ b/src/ibisgw/runtime/DirectBalancer.cpp
@@ -125,6 +125,7 @@
     m_forwarder.congestion().noteActivity(now);
     if (!m_pauseMonitor.recordActivity(now, m_loop.uptime()))
         return;
+    m_forwarder.coldStarts().discardPermits();
     m_subscriber.requestUpdates(now);
     m_subscriber.tick(now, *this);
 }
@@ -204,9 +205,20 @@
         applyConfiguration(*transfer, now);
     } else if (const auto* marks = std::get_if<sync::FailureMarks>(&*message)) {
         handle(*marks, now);
+    } else if (const auto* offer = std::get_if<sync::ColdStartOffer>(&*message)) {
+        handle(sender, *offer, now);
+    } else if (const auto* grant = std::get_if<sync::ColdStartGrant>(&*message)) {
+        m_forwarder.coldStarts().grant(grant->report, grant->claim, grant->permits, now);
     }
 }
 
+void DirectBalancer::handle(core::NodeId sender, const sync::ColdStartOffer& offer, core::TimePoint now)
+{
+    const auto number = m_random.next();
+    if (m_forwarder.coldStarts().claim(offer.report, number, now))
+        send(sender, sync::ColdStartClaim { offer.report, number });
+}
+
 void DirectBalancer::handle(const sync::FailureMarks& marks, core::TimePoint now)
 {
     for (const auto& it : marks.marks) {
@@ -269,6 +281,7 @@
     resetLostFlows(now);
     reportFailures(now);
     logZoneOutages(now);
+    logColdStarts(now);
     m_changeLogger.logChanges(m_directory, m_events, now);
     m_decisionLogger.flush(m_forwarder.version(), now);
     updateReadiness(now);
@@ -333,6 +346,16 @@
     }
 }
 
+void DirectBalancer::logColdStarts(core::TimePoint now)
+{
+    for (const auto& it : m_forwarder.coldStarts().takeChanges()) {
+        m_events.record(Event::ColdStartLimited, now, [&] {
+            return nlohmann::json { { "upstream", textOf(it.instance) }, { "service", it.service },
+                { "limited", it.isLimited } };
+        });
+    }
+}
+
 void DirectBalancer::handleProbeResult(upstream::InstanceId id, direct::ProbeResult result)
 {
     const auto now = m_loop.now();
--- a/src/ibisgw/runtime/DirectBalancer.h
+++ b/src/ibisgw/runtime/DirectBalancer.h
@@ -69,8 +69,10 @@
     void updateProbes(core::TimePoint now);
     void resetLostFlows(core::TimePoint now);
     void logZoneOutages(core::TimePoint now);
+    void logColdStarts(core::TimePoint now);
     void reportFailures(core::TimePoint now);
     void handle(const sync::FailureMarks&, core::TimePoint now);
+    void handle(core::NodeId sender, const sync::ColdStartOffer&, core::TimePoint now);
     void updateReadiness(core::TimePoint now);
 
     settings::DirectSettings m_settings;
--- a/src/ibisgw/runtime/DirectBalancerMetrics.cpp
+++ b/src/ibisgw/runtime/DirectBalancerMetrics.cpp
@@ -33,6 +33,11 @@
         = static_cast<double>(m_forwarder.unansweredRequests().failingInstances(m_loop.now()));
     m_metrics.gauge("ibisgw_zones_suspected", "Pairs of service and zone whose upstreams seem to have failed together")
         = static_cast<double>(m_forwarder.zoneOutages().suspectedZones());
+    const auto& coldStarts = m_forwarder.coldStarts();
+    m_metrics.gauge("ibisgw_cold_upstreams_limited", "Cold upstreams of services with a limit of cold starts")
+        = static_cast<double>(coldStarts.limitedUpstreams());
+    updatePermitCounter(m_metrics, "granted", coldStarts.grantedPermits());
+    updatePermitCounter(m_metrics, "used", coldStarts.usedPermits());
     m_metrics.gauge("ibisgw_egress_queue_bytes", "Bytes that wait for the link")
         = static_cast<double>(m_link.pacer().queuedBytes());
     m_metrics.gauge("ibisgw_link_congested", "1 while silence of upstreams may be due to this balancer's link")
--- a/src/ibisgw/runtime/Event.cpp
+++ b/src/ibisgw/runtime/Event.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-constexpr std::size_t eventCount = 47;
+constexpr std::size_t eventCount = 48;
 
 constexpr core::NameTable<Event, eventCount> eventNames { {
     { Event::FlowPlaced, "flow_placed" },
@@ -29,6 +29,7 @@
     { Event::UpstreamFailing, "upstream_failing" },
     { Event::ZoneSuspected, "zone_suspected" },
     { Event::ZoneRecovered, "zone_recovered" },
+    { Event::ColdStartLimited, "cold_start_limited" },
     { Event::LinkCongested, "link_congested" },
     { Event::LinkClear, "link_clear" },
     { Event::ReportRefused, "report_refused" },
--- a/src/ibisgw/runtime/Event.h
+++ b/src/ibisgw/runtime/Event.h
@@ -32,6 +32,7 @@
     UpstreamFailing,
     ZoneSuspected,
     ZoneRecovered,
+    ColdStartLimited,
     LinkCongested,
     LinkClear,
     ReportRefused,
