--- a/src/ibisgw/direct/ColdStartLimit.cpp
+++ b/src/ibisgw/direct/ColdStartLimit.cpp
@@ -54,8 +54,9 @@
     m_claims.erase(found);
     if (now >= claimedAt + permitValidity)
         return;
-    m_grants[report.instance].push_back(
-        { report.incarnation, permits, permitValidity / permits, claimedAt, claimedAt + permitValidity });
+    // Rounded up, so that no more permits than granted fit into the validity.
+    const auto interval = (permitValidity + core::Duration(permits - 1)) / permits;
+    m_grants[report.instance].push_back({ report.incarnation, interval, claimedAt, claimedAt + permitValidity });
     m_grantedPermits += permits;
 }
 
@@ -107,8 +108,7 @@
     if (found == m_grants.end())
         return nullptr;
     const auto grant = std::ranges::find_if(found->second, [&](const Grant& it) {
-        return it.incarnation == record.report.incarnation && it.remaining > 0 && now >= it.nextPermitAt
-            && now < it.validUntil;
+        return it.incarnation == record.report.incarnation && now >= it.nextPermitAt && now < it.validUntil;
     });
     return grant == found->second.end() ? nullptr : &*grant;
 }
@@ -127,7 +127,6 @@
         return;
     auto& grants = m_grants.at(record.report.id);
     auto& grant = grants[static_cast<std::size_t>(usable - grants.data())];
-    --grant.remaining;
     grant.nextPermitAt = std::max(grant.nextPermitAt, now) + grant.interval;
     ++m_usedPermits;
 }
--- a/src/ibisgw/direct/ColdStartLimit.h
+++ b/src/ibisgw/direct/ColdStartLimit.h
@@ -65,7 +65,7 @@
     // Permits of one claim, evenly spread over its validity.
     struct Grant {
         core::Incarnation incarnation { 0 };
-        std::uint32_t remaining { 0 };
+        // Time between two permits.
         core::Duration interval { 0 };
         core::TimePoint nextPermitAt;
         core::TimePoint validUntil;
--- a/tests/direct/ColdStartLimitTests.cpp
+++ b/tests/direct/ColdStartLimitTests.cpp
@@ -78,6 +78,7 @@
             limit.grant(report, 8, 10, now);
             ++report.incarnation;
             grantAfter(0ms, 10);
+            CHECK(openFor(200ms) == 0);
             --report.incarnation;
             grantAfter(0ms, 10);
             limit.discardPermits();
