--- a/src/ibisgw/direct/FlowForwarder.cpp
+++ b/src/ibisgw/direct/FlowForwarder.cpp
@@ -23,6 +23,7 @@
     { ForwardReason::LateCopy, "late_copy" },
     { ForwardReason::ZoneEvacuated, "zone_evacuated" },
     { ForwardReason::LinkFull, "link_full" },
+    { ForwardReason::UpstreamCold, "upstream_cold" },
 } };
 
 constexpr core::Duration expiryInterval = std::chrono::milliseconds(500);
@@ -78,6 +79,7 @@
         m_routes.emplace(it.address, &it);
     m_flows.setRoutes(m_configuration->routes);
     m_admission.setRoutes(m_configuration->routes);
+    m_placer.coldStarts().setServices(m_configuration->services);
     return true;
 }
 
@@ -123,6 +125,13 @@
     return m_flows.find(segment.flow) == m_flows.end() && !m_admission.admits(route, now);
 }
 
+ForwardReason FlowForwarder::reasonNotPlaced() const
+{
+    if (m_placer.isServiceCold())
+        return ForwardReason::UpstreamCold;
+    return m_placer.isServiceEvacuated() ? ForwardReason::ZoneEvacuated : ForwardReason::NoUpstream;
+}
+
 // A caller retransmits its opening packet when it has received no response. The upstream selected first is then full,
 // gone or unreachable, so the retransmission goes to another one. The flow belongs to the upstream whose response the
 // caller acknowledges.
@@ -143,10 +152,8 @@
         m_flows.remove(found);
     }
     const auto* record = m_placer.place(segment.flow, route, silent, now);
-    if (!record) {
-        const auto reason = m_placer.isServiceEvacuated() ? ForwardReason::ZoneEvacuated : ForwardReason::NoUpstream;
-        return { ForwardAction::Reset, reason };
-    }
+    if (!record)
+        return { ForwardAction::Reset, reasonNotPlaced() };
     auto decision = forwardTo(*record, silent ? ForwardReason::PlacedAgain : ForwardReason::Placed);
     const auto& chosen = m_flows.load(record->report.id);
     decision.candidates = static_cast<std::uint32_t>(m_placer.candidateCount());
@@ -236,6 +243,9 @@
 
 void FlowForwarder::noteProbe(upstream::InstanceId id, ProbeResult result, core::TimePoint now)
 {
+    const auto* record = m_directory.find(id);
+    if (record && result == ProbeResult::Refused)
+        m_placer.coldStarts().noteOutage(*record, now);
     const bool isOverLimit = result == ProbeResult::NoAnswer && m_silenceLimit.isReachedFor(id);
     if (isOverLimit)
         ++m_probesOverLimit;
