Drop copies of forwarded opening packets when all upstreams are cold, and check limits of cold starts

A reset of a copy could break a flow that the upstream of the original has accepted. The check of configurations uses the new type of services: a limit without a cold start is a warning, a changed limit a difference.

--- a/src/ibisgw/core/CheckReport.h
+++ b/src/ibisgw/core/CheckReport.h
@@ -32,6 +32,7 @@
     RetriesExceedDeadline,
     HedgingWithoutIdempotentKind,
     QueueAboveConcurrency,
+    WarmUpWithoutColdStart,
     Removed,
     ChangedTarget,
     ChangedLimit,
@@ -44,7 +45,7 @@
     { Severity::Difference, "difference" },
 } };
 
-inline constexpr NameTable<CheckRule, 15> checkRuleNames { {
+inline constexpr NameTable<CheckRule, 16> checkRuleNames { {
     { CheckRule::Invalid, "invalid" },
     { CheckRule::VersionNotHigher, "version_not_higher" },
     { CheckRule::Shadowed, "shadowed" },
@@ -56,6 +57,7 @@
     { CheckRule::RetriesExceedDeadline, "retries_exceed_deadline" },
     { CheckRule::HedgingWithoutIdempotentKind, "hedging_without_idempotent_kind" },
     { CheckRule::QueueAboveConcurrency, "queue_above_concurrency" },
+    { CheckRule::WarmUpWithoutColdStart, "warm_up_without_cold_start" },
     { CheckRule::Removed, "removed" },
     { CheckRule::ChangedTarget, "changed_target" },
     { CheckRule::ChangedLimit, "changed_limit" },
--- a/src/ibisgw/direct/ConfigurationCheck.cpp
+++ b/src/ibisgw/direct/ConfigurationCheck.cpp
@@ -2,8 +2,10 @@
 
 #include "ibisgw/core/NameTable.h"
 
+#include <algorithm>
 #include <map>
 #include <set>
+#include <sstream>
 
 namespace ibisgw::direct {
 
@@ -68,11 +70,19 @@
     std::size_t index = 0;
     for (const auto& it : configuration.services) {
         const auto path = itemPath("/services", index++);
-        if (!names.insert(it).second)
-            report.add(CheckRule::Shadowed, path, "service '" + it + "' is listed before; remove one of the entries");
-        else if (!targets.contains(it))
+        if (!names.insert(it.name).second) {
+            report.add(
+                CheckRule::Shadowed, path, "service '" + it.name + "' is listed before; remove one of the entries");
+            continue;
+        }
+        if (!targets.contains(it.name))
             report.add(CheckRule::UnusedService, path,
-                "service '" + it + "' has no route; add it to the targets of a route or remove it");
+                "service '" + it.name + "' has no route; add it to the targets of a route or remove it");
+        if (it.warmUpPerSecond > 0 && it.coldStart == core::Duration::zero())
+            report.add(CheckRule::WarmUpWithoutColdStart, path,
+                "service '" + it.name
+                    + "' limits cold upstreams but has no cold start, so one that was silent counts as warm; set the "
+                      "duration of the cold start or remove the limit");
     }
 }
 
@@ -88,6 +98,13 @@
     return text;
 }
 
+std::string coldStartTextOf(const ServiceConfiguration& service)
+{
+    std::ostringstream text;
+    text << service.warmUpPerSecond << " requests/s for " << textOf(service.coldStart);
+    return text.str();
+}
+
 // Adds a difference for each property of a route that has changed.
 class RouteComparison {
 public:
@@ -150,24 +167,38 @@
 }
 
 // Adds a difference for each service of `services` that `others` lacks.
-void compareServices(const std::vector<core::ServiceName>& services, const std::vector<core::ServiceName>& others,
-    CheckRule rule, CheckReport& report)
+void compareServiceNames(const std::vector<ServiceConfiguration>& services,
+    const std::vector<ServiceConfiguration>& others, CheckRule rule, CheckReport& report)
 {
-    const std::set<core::ServiceName> known(others.begin(), others.end());
     const auto* const change = rule == CheckRule::Removed ? "' is removed" : "' is added";
     std::size_t index = 0;
     for (const auto& it : services) {
         const auto path = itemPath("/services", index++);
-        if (!known.contains(it))
-            report.addDifference(rule, path, std::string("service '").append(it).append(change));
+        if (std::ranges::find(others, it.name, &ServiceConfiguration::name) == others.end())
+            report.addDifference(rule, path, std::string("service '").append(it.name).append(change));
+    }
+}
+
+void compareServices(const std::vector<ServiceConfiguration>& before, const std::vector<ServiceConfiguration>& after,
+    CheckReport& report)
+{
+    compareServiceNames(before, after, CheckRule::Removed, report);
+    compareServiceNames(after, before, CheckRule::Added, report);
+    std::size_t index = 0;
+    for (const auto& it : after) {
+        const auto path = itemPath("/services", index++);
+        const auto old = std::ranges::find(before, it.name, &ServiceConfiguration::name);
+        if (old != before.end() && *old != it)
+            report.addDifference(CheckRule::ChangedLimit, path,
+                "service '" + it.name + "': limit of cold upstreams changes from " + coldStartTextOf(*old) + " to "
+                    + coldStartTextOf(it));
     }
 }
 
 void compareConfigurations(const RouteConfiguration& before, const RouteConfiguration& after, CheckReport& report)
 {
     compareRoutes(before.routes, after.routes, report);
-    compareServices(before.services, after.services, CheckRule::Removed, report);
-    compareServices(after.services, before.services, CheckRule::Added, report);
+    compareServices(before.services, after.services, report);
     if (before.idleTimeout != after.idleTimeout)
         report.addDifference(CheckRule::ChangedLimit, "/limits",
             "idle timeout changes from " + textOf(before.idleTimeout) + " to " + textOf(after.idleTimeout));
--- a/src/ibisgw/direct/FlowForwarder.cpp
+++ b/src/ibisgw/direct/FlowForwarder.cpp
@@ -125,11 +125,13 @@
     return m_flows.find(segment.flow) == m_flows.end() && !m_admission.admits(route, now);
 }
 
-ForwardReason FlowForwarder::reasonNotPlaced() const
+ForwardDecision FlowForwarder::notPlaced(bool wasPlaced) const
 {
+    // The upstream that took the original may have accepted the flow, which a reset would break.
     if (m_placer.isServiceCold())
-        return ForwardReason::UpstreamCold;
-    return m_placer.isServiceEvacuated() ? ForwardReason::ZoneEvacuated : ForwardReason::NoUpstream;
+        return { wasPlaced ? ForwardAction::Drop : ForwardAction::Reset, ForwardReason::UpstreamCold };
+    const auto reason = m_placer.isServiceEvacuated() ? ForwardReason::ZoneEvacuated : ForwardReason::NoUpstream;
+    return { ForwardAction::Reset, reason };
 }
 
 // A caller retransmits its opening packet when it has received no response. The upstream selected first is then full,
@@ -139,7 +141,8 @@
 {
     std::optional<upstream::InstanceId> silent;
     const auto found = m_flows.find(segment.flow);
-    if (found != m_flows.end()) {
+    const bool wasPlaced = found != m_flows.end();
+    if (wasPlaced) {
         auto& flow = found->second;
         if (flow.isOpen && now - flow.openedAt < FlowTracker::maxUnopenedFlowAge)
             return { ForwardAction::Drop, ForwardReason::LateCopy };
@@ -153,7 +156,7 @@
     }
     const auto* record = m_placer.place(segment.flow, route, silent, now);
     if (!record)
-        return { ForwardAction::Reset, reasonNotPlaced() };
+        return notPlaced(wasPlaced);
     auto decision = forwardTo(*record, silent ? ForwardReason::PlacedAgain : ForwardReason::Placed);
     const auto& chosen = m_flows.load(record->report.id);
     decision.candidates = static_cast<std::uint32_t>(m_placer.candidateCount());
--- a/src/ibisgw/direct/FlowForwarder.h
+++ b/src/ibisgw/direct/FlowForwarder.h
@@ -124,7 +124,8 @@
 private:
     ForwardDecision decide(const FlowSegment&, const Route*, core::TimePoint now);
     bool isRejected(const FlowSegment&, const Route&, core::TimePoint now);
-    ForwardReason reasonNotPlaced() const;
+    // Decides about an opening packet for which there is no upstream. `wasPlaced`: an earlier copy was forwarded.
+    ForwardDecision notPlaced(bool wasPlaced) const;
     ForwardDecision open(const FlowSegment&, const Route&, core::TimePoint now);
     ForwardDecision continueFlow(const FlowSegment&, const Route*, core::TimePoint now);
     ForwardDecision forwardOpen(
--- a/tests/direct/ColdStartLimitTests.cpp
+++ b/tests/direct/ColdStartLimitTests.cpp
@@ -95,7 +95,10 @@
             handle(copy);
             copy.acknowledged = 1;
             now += 200ms;
-            CHECK(handle(copy).reason == ForwardReason::UpstreamCold);
+            // A reset could break the flow, if the upstream has accepted it and its answer is late.
+            const auto decision = handle(copy);
+            CHECK(decision.reason == ForwardReason::UpstreamCold);
+            CHECK(decision.action == ForwardAction::Drop);
             CHECK(handle(dataOf(first, token, 600)).reason == ForwardReason::OpenFlow);
             CHECK(limit.usedPermits() == 2);
         }
--- a/tests/platform/ConfigurationCheckTests.cpp
+++ b/tests/platform/ConfigurationCheckTests.cpp
@@ -57,6 +57,8 @@
             { CheckRule::UnusedService, "/services/2", "/services/2", { { "name", "huvo12a" } } },
             { CheckRule::ZeroWeight, "/routes/1", "/routes/1/traffic_split/1/weight", 0 },
             { CheckRule::TimeoutBelowObjective, "/routes/0", "/routes/0/timeout_ms", 1499 },
+            { CheckRule::WarmUpWithoutColdStart, "/services/1", "/services/1/warmup_per_s", 5 },
+            { CheckRule::Invalid, "/services/1/warmup_per_s", "/services/1/warmup_per_s", -5 },
         };
         for (const auto& it : rows)
             CHECK(support::textOf(check(it.applyTo(cleanConfiguration()))) == it.expectedText());
@@ -75,6 +77,8 @@
             { CheckRule::ChangedLimit, "/routes/1", "/routes/1/timeout_ms", 900 },
             { CheckRule::ChangedLimit, "/routes/1", "/routes/1/target_latency_ms", 100 },
             { CheckRule::ChangedLimit, "/routes/1", "/routes/1/priority", 4 },
+            { CheckRule::ChangedLimit, "/services/1", "/services/1",
+                { { "name", "wuno96b" }, { "warmup_per_s", 5 }, { "cold_start_s", 2 } } },
             { CheckRule::ChangedLimit, "/limits", "/limits/idle_timeout_ms", 900 },
         };
         for (const auto& it : rows)
