Add evacuations, load surges and lost zones to the soak of the direct-return mode

The soak of the direct-return mode ordered no evacuations, so nothing showed with real processes that an acknowledged one survives the loss of a leader, of a disk and of all power. Its callers never surged and no zone failed as a whole.

Each schedule now has evacuations in series with the loss of a leader and of a disk near them, a loss of all power in the last one, surges of 4 to 8 times the new flows, and losses of all upstreams of a zone. The events excuse no violation.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -50,8 +50,8 @@
     def send(self, flags, data=b"", ack=None):
         number = self.next_peer_seq if ack is None else ack
         packet = Packet(self.echo, self.seq, number or 0, flags, self.target, self.source, data)
-        balancer = self.system.router.pick_balancer(packet)
-        self.machine.transport.sendto(packet.encode(), (balancer.address, self.system.ports["packets"]))
+        self.balancer = self.system.router.pick_balancer(packet)
+        self.machine.transport.sendto(packet.encode(), (self.balancer.address, self.system.ports["packets"]))
 
     def handle(self, packet):
         if packet.flags & RST:
@@ -139,7 +139,7 @@
         served = opened and await flow.request(name)
         flow.close()
         self.flows.pop((flow.source, flow.target), None)
-        self.system.checks.request_finished(served)
+        self.system.checks.request_finished(served, flow)
 
     async def stream(self, target, prefix):
         """Sends up to 40 requests on one flow, and opens a new flow when it ends or is lost."""
@@ -152,7 +152,7 @@
                     name = f"{prefix}-{count}"
                     self.system.checks.request_sent(name, flow)
                     served = await flow.request(name)
-                    self.system.checks.request_finished(served)
+                    self.system.checks.request_finished(served, flow)
                     if not served:
                         break
                     await asyncio.sleep(self.system.random.uniform(0.05, 0.4))
--- a/tests/soak/daemons.py
+++ b/tests/soak/daemons.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import math
 import os
 import pathlib
 import resource
@@ -10,6 +11,8 @@
 import struct
 import subprocess
 
+ZONES = ("a", "b", "c")
+
 
 class Gateway(asyncio.DatagramProtocol):
     """Forwards datagrams between daemons, and drops or delays them while a network fault is active."""
@@ -53,6 +56,7 @@
         self.process = None
         self.is_paused = False
         self.was_started = False
+        self.faults = 0
         self.disturbed_at = -1e9
         self.seeds = []
 
@@ -70,6 +74,7 @@
             settings["control"] = f"{self.address}:{self.ports['control']}"
             settings["data_folder"] = str(self.data)
             settings["first_start"] = not self.was_started
+            settings["zones"] = ZONES
             settings["tolerated_disk_losses"] = self.tolerated_losses
         temporary = self.settings.with_suffix(".new")
         temporary.write_text(json.dumps(settings))
@@ -93,6 +98,9 @@
     def is_running(self):
         return self.process is not None and self.process.poll() is None
 
+    def undisturbed_since(self):
+        return math.inf if self.faults else self.disturbed_at
+
     def send(self, number):
         if self.is_running():
             os.kill(self.process.pid, number)
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -59,11 +59,36 @@
 
     async def inject(self, fault):
         self.active += 1
+        affected = self.affected_daemons(fault)
+        for it in affected:
+            it.faults += 1
         try:
             await getattr(self, fault.kind)(fault)
         finally:
             self.active -= 1
             self.last_end = self.system.now()
+            for it in affected:
+                it.faults -= 1
+                it.disturbed_at = self.last_end
+
+    def affected_daemons(self, fault):
+        """Daemons that the fault may stop, or keep from reaching the others."""
+        if fault.kind in ("kill_all", "loss", "delay"):
+            return self.system.daemons()
+        if "balancer" in fault.kind:
+            return [self.pick_target(self.system.balancers, fault)]
+        if "controller" in fault.kind or fault.kind in ("cut_one_way", "disk_full"):
+            return [self.pick_target(self.system.controllers, fault)]
+        return []
+
+    def majority_since(self):
+        """Time since when a majority of the controllers has had no fault."""
+        controllers = sorted(it.undisturbed_since() for it in self.system.controllers)
+        return controllers[len(controllers) // 2]
+
+    def contact_since(self, balancer):
+        """Time since when a balancer has been in contact with a majority of the controllers."""
+        return max(balancer.undisturbed_since(), self.majority_since())
 
     async def restart(self, daemon, fault, number):
         daemon.send(number)
@@ -88,6 +113,11 @@
     async def stop_controller(self, fault):
         await self.restart(self.pick_target(self.system.controllers, fault), fault, signal.SIGTERM)
 
+    async def kill_leader(self, fault):
+        leader = await self.system.find_leader()
+        target = fault.target if leader is None else self.system.controllers.index(leader)
+        await self.inject(Fault(fault.at, "kill_controller", target, fault.seconds))
+
     async def pause(self, daemon, fault):
         daemon.pause()
         await asyncio.sleep(fault.seconds)
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -14,7 +14,8 @@
 
 from callers import CallerMachine, Router
 from checks import Checks
-from daemons import Daemon, Gateway
+from daemons import Daemon, Gateway, ZONES
+from events import Events, draw_events
 from faults import Injector, draw_schedule
 from http_client import call
 from upstreams import Upstream
@@ -24,8 +25,9 @@
     """The system under test with its simulated callers, routers, upstreams and operator."""
 
     SERVICES = ("booking", "archive")
-    ZONES = ("a", "b", "c")
     DRAIN_SECONDS = 3.0
+    # Tasks of each caller machine that send single requests.
+    SENDERS = 2
 
     def __init__(self, program, seed, folder, scale):
         self.program, self.folder, self.scale = program, folder, scale
@@ -43,7 +45,7 @@
         self.routes = {}
         self.ports = {it: self.free_port() for it in ("peer", "packets", "ready", "control", "upstream")}
         self.targets = {it: (f"198.18.0.{n + 1}", 8080) for n, it in enumerate(self.SERVICES)}
-        self.probe_targets = set()
+        self.lost_zones = {}  # services of the upstreams that start when a lost zone is back, by zone
 
     def free_port(self):
         with socket.socket() as it:
@@ -78,7 +80,16 @@
         random.shuffle(addresses)
         return addresses
 
+    async def find_leader(self):
+        """Returns the controller that answers reads itself, or None."""
+        answers = await asyncio.gather(*(call("GET", (it.address, self.ports["control"]), "/Config.Read", "", 0.5, 0)
+                                         for it in self.controllers))
+        return next((it for it, (status, _) in zip(self.controllers, answers) if status == 200), None)
+
     async def add_upstream(self, service, zone, address=None):
+        if zone in self.lost_zones:
+            self.lost_zones[zone].append(service)
+            return
         if address is None:
             self.next_upstream += 1
             address = f"127.{self.block}.{3 + self.next_upstream // 250}.{1 + self.next_upstream % 250}"
@@ -100,9 +111,9 @@
             it.seeds = seeds
             it.start()
         for n in range(6 * self.scale):
-            await self.add_upstream("booking", self.ZONES[n % 3])
+            await self.add_upstream("booking", ZONES[n % 3])
         for n in range(3 * self.scale):
-            await self.add_upstream("archive", self.ZONES[n % 3])
+            await self.add_upstream("archive", ZONES[n % 3])
         for n in range(3):
             machine = CallerMachine(self, f"127.{self.block}.200.{n + 1}")
             await machine.start()
@@ -111,7 +122,7 @@
 
     def daemon(self, role, n):
         address = f"127.{self.block}.{1 if role == 'balancer' else 2}.{n + 1}"
-        return Daemon(self.program, role, f"{role}-{n}", self.ZONES[n % 3], address, self.ports, self.gateway,
+        return Daemon(self.program, role, f"{role}-{n}", ZONES[n % 3], address, self.ports, self.gateway,
                       self.folder, 1)
 
     def next_configuration(self):
@@ -181,6 +192,7 @@
             it.start()
         await asyncio.sleep(5.0)
         before = dict(self.checks.counts)
+        results = self.checks.results.copy()
         for _ in range(40):
             if await self.read_config_once():
                 break
@@ -192,6 +204,8 @@
         lost = self.checks.counts["lost"] - before.get("lost", 0)
         if served < 20 or lost > served:
             self.checks.fail("recover", f"after the last fault {served} requests were served and {lost} lost")
+        self.checks.check_served(results, "the last fault")
+        self.checks.check_reopened(2.0)
 
     def stop(self):
         for it in self.daemons():
@@ -199,18 +213,29 @@
             it.kill()
 
 
+def draw_all(seed, seconds):
+    events, overlapping = draw_events(random_module.Random(seed + 2), seconds)
+    faults = draw_schedule(random_module.Random(seed), seconds) + overlapping
+    return sorted(faults, key=lambda it: it.at), events
+
+
+def report(line):
+    print(line, flush=True)
+
+
 async def soak(arguments, folder):
     system = SoakSystem(arguments.program, arguments.seed, folder, arguments.scale)
-    schedule = draw_schedule(random_module.Random(arguments.seed), arguments.seconds)
+    faults, events = draw_all(arguments.seed, arguments.seconds)
     try:
         await system.start()
-        tasks = [system.router.probe_forever(), system.replace_config_forever(), system.read_config_forever()]
+        tasks = [system.router.probe_forever(), system.replace_config_forever(), system.read_config_forever(),
+                 Events(system, random_module.Random(arguments.seed + 3)).run(events, report)]
         for machine in system.callers:
-            tasks += [system.send_requests_forever(machine, n) for n in range(2)]
+            tasks += [system.send_requests_forever(machine, n) for n in range(system.SENDERS)]
             tasks += [machine.stream(system.targets[it], f"{machine.address}-s{n}") for n, it in
                       enumerate(system.SERVICES * 2)]
         running = [asyncio.create_task(it) for it in tasks]
-        await system.injector.run(schedule, lambda line: print(line, flush=True))
+        await system.injector.run(faults, report)
         await system.check_recovery()
         for it in running:
             if it.done() and it.exception():
@@ -231,7 +256,7 @@
     parser.add_argument("--keep", help="folder for logs; without it they are kept only after a failure")
     arguments = parser.parse_args()
     if arguments.replay:
-        for it in draw_schedule(random_module.Random(arguments.seed), arguments.seconds):
+        for it in sorted(sum(draw_all(arguments.seed, arguments.seconds), []), key=lambda it: it.at):
             print(it)
         return 0
     folder = arguments.keep or tempfile.mkdtemp(prefix=f"ibisgw-soak-{arguments.seed}-")
--- a/tests/soak/upstreams.py
+++ b/tests/soak/upstreams.py
@@ -93,13 +93,13 @@
         if packet is None:
             self.system.checks.fail("unasked", "an upstream received a malformed packet")
         elif target_id in (0, int(self.id, 16)):
-            self.handle(packet)
+            self.handle(packet, addr[0])
 
-    def handle(self, packet):
+    def handle(self, packet, sender):
         key = (packet.src, packet.dst)
         flow = self.flows.get(key)
         if packet.flags & SYN:
-            self.system.checks.opening_packet(self, packet)
+            self.system.checks.opening_packet(self, sender)
             if flow is None or flow.is_open:
                 flow = self.flows[key] = Flow(self.random.getrandbits(32), packet.seq, packet.echo)
             self.reply(packet, flow, SYN | ACK, flow.seq, packet.seq + 1)
