--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -10,8 +10,7 @@
     DRAIN_SECONDS = 3.0
     # Violations that a fault may cause are still excused for this long after its end.
     FAULT_EXCUSE_SECONDS = 4.0
-    # A balancer in contact with the controllers opens no flow in a zone this long after the evacuation was acknowledged
-    # (evacuation_ms).
+    # From then on after an evacuation was acknowledged, balancers open no flow in the zone (evacuation_ms).
     EVACUATION_SECONDS = 5.0
 
     def __init__(self, system):
