--- a/tests/soak/events.py
+++ b/tests/soak/events.py
@@ -19,15 +19,15 @@
     """Returns the events, and the faults that overlap with evacuations.
 
     Two zones are evacuated in turn and the third one is lost, so that one zone can always take new flows. All power
-    fails during the last evacuation, and the third zone is lost again before the faults end. The checks after them
-    therefore cover an evacuation that had to survive and a service without a zone; both last until the end."""
+    fails during the last evacuation, a surge follows it, and the third zone is lost before. The checks after the last
+    fault therefore cover an evacuation that had to survive and a service without a zone; both last until the end."""
     zones = random.sample(range(len(ZONES)), len(ZONES))
     evacuations, overlapping = draw_evacuations(random, zones[:2], seconds)
     losses = draw_series(random, "lose_zone", zones[2], random.uniform(4.0, 5.0), seconds - 9.0, (1.5, 3.0), (3.0, 8.0))
-    losses.append(Fault(seconds - 6.0, "lose_zone", zones[2], 1000.0))
     factor, first = random.randint(4, 8), random.uniform(4.0, 8.0)
     surges = draw_series(random, "surge", factor, first, seconds - 6.0, (1.5, 3.0), (3.0, 9.0))
-    return sorted(evacuations + losses + surges, key=lambda it: it.at), overlapping
+    last = [Fault(seconds - 6.0, "lose_zone", zones[2], 1000.0), Fault(seconds - 1.0, "surge", factor, 2.0)]
+    return sorted(evacuations + losses + surges + last, key=lambda it: it.at), overlapping
 
 
 def draw_evacuations(random, zones, seconds):
