--- a/tests/soak/daemons.py
+++ b/tests/soak/daemons.py
@@ -10,6 +10,8 @@
 import struct
 import subprocess
 
+ZONES = ("a", "b", "c")
+
 
 class Gateway(asyncio.DatagramProtocol):
     """Forwards datagrams between daemons, and drops or delays them while a network fault is active."""
@@ -53,7 +55,8 @@
         self.process = None
         self.is_paused = False
         self.was_started = False
-        self.disturbed_at = -1e9
+        self.faults = 0
+        self.disturbed_at = -1e9  # end of the last fault, infinite during one
         self.seeds = []
 
     def write_settings(self):
@@ -70,6 +73,7 @@
             settings["control"] = f"{self.address}:{self.ports['control']}"
             settings["data_folder"] = str(self.data)
             settings["first_start"] = not self.was_started
+            settings["zones"] = ZONES
             settings["tolerated_disk_losses"] = self.tolerated_losses
         temporary = self.settings.with_suffix(".new")
         temporary.write_text(json.dumps(settings))
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -1,6 +1,7 @@
 """Seeded schedules of faults, which may overlap in time, and the injector that applies and ends each fault."""
 
 import asyncio
+import math
 import signal
 from dataclasses import dataclass
 
@@ -59,11 +60,37 @@
 
     async def inject(self, fault):
         self.active += 1
+        affected = self.affected_daemons(fault)
+        for it in affected:
+            it.faults += 1
+            it.disturbed_at = math.inf
         try:
             await getattr(self, fault.kind)(fault)
         finally:
             self.active -= 1
             self.last_end = self.system.now()
+            for it in affected:
+                it.faults -= 1
+                it.disturbed_at = math.inf if it.faults else self.last_end
+
+    def affected_daemons(self, fault):
+        """Daemons that the fault may stop, or keep from reaching the others."""
+        if fault.kind in ("kill_all", "loss", "delay"):
+            return self.system.daemons()
+        if "balancer" in fault.kind:
+            return [self.pick_target(self.system.balancers, fault)]
+        if "controller" in fault.kind or fault.kind in ("cut_one_way", "disk_full"):
+            return [self.pick_target(self.system.controllers, fault)]
+        return []
+
+    def majority_since(self):
+        """Time since when a majority of the controllers has had no fault, and their common disk has not stalled."""
+        controllers = sorted(it.disturbed_at for it in self.system.controllers)
+        return max(controllers[len(controllers) // 2], self.system.disk_usable_since())
+
+    def contact_since(self, balancer):
+        """Time since when a balancer has been in contact with a majority of the controllers."""
+        return max(balancer.disturbed_at, self.majority_since())
 
     async def restart(self, daemon, fault, number):
         daemon.send(number)
@@ -88,6 +115,10 @@
     async def stop_controller(self, fault):
         await self.restart(self.pick_target(self.system.controllers, fault), fault, signal.SIGTERM)
 
+    async def kill_leader(self, fault):
+        target = await self.system.find_leader()
+        await self.inject(Fault(fault.at, "kill_controller", target, fault.seconds))
+
     async def pause(self, daemon, fault):
         daemon.pause()
         await asyncio.sleep(fault.seconds)
