Reject documents that other daemons could not receive

A document of 1 MiB or less that exceeds 1 MiB with its default values was accepted, and no other daemon can decompress it (found while the check of configurations was built: 8,999 kinds with names only, 1,482,936 bytes). The API now answers 422 with the size. The new case of AdminApiTests fails without the change.

--- a/src/ibisgw/adapters/detail/ConfigurationRoutes.cpp
+++ b/src/ibisgw/adapters/detail/ConfigurationRoutes.cpp
@@ -2,6 +2,7 @@
 
 #include "ibisgw/adapters/detail/DocumentScope.h"
 #include "ibisgw/configuration/DocumentCheck.h"
+#include "ibisgw/configuration/DocumentCompression.h"
 #include "ibisgw/configuration/DocumentReader.h"
 #include "ibisgw/configuration/DocumentWriter.h"
 #include "ibisgw/core/JsonText.h"
@@ -133,6 +134,10 @@
 void sendSubmission(const ApiCallPtr& call, ApiSubmission submission, Document document)
 {
     submission.text = configuration::canonicalText(document);
+    if (const auto problem = configuration::sizeProblemOf(submission.text)) {
+        respondInvalid(*call, { { documentField + problem->path, problem->message } });
+        return;
+    }
     submission.document = std::make_shared<const Document>(std::move(document));
     const auto identifier = submission.identifier;
     call->backend.submit(submission, onSuccess<SubmissionAnswer>(call, [call, identifier](const auto& answer) {
--- a/src/ibisgw/configuration/DocumentCheck.cpp
+++ b/src/ibisgw/configuration/DocumentCheck.cpp
@@ -86,21 +86,13 @@
     }
 }
 
-void checkSize(const Document& document, CheckReport& report)
-{
-    const auto bytes = canonicalText(document).size();
-    if (bytes > maxDocumentBytes)
-        report.add(CheckRule::Invalid, "",
-            "has " + std::to_string(bytes) + " bytes with all default values; shorten it to at most "
-                + std::to_string(maxDocumentBytes));
-}
-
 } // namespace
 
 CheckReport checkDocument(const Document& document, const DocumentContext& context)
 {
     CheckReport report;
-    checkSize(document, report);
+    if (const auto problem = sizeProblemOf(canonicalText(document)))
+        report.addErrors({ *problem });
     if (!context.isPartial)
         checkZones(document, report);
     for (std::size_t n = 0; n < document.services.size(); ++n) {
--- a/src/ibisgw/configuration/DocumentCompression.cpp
+++ b/src/ibisgw/configuration/DocumentCompression.cpp
@@ -4,6 +4,15 @@
 
 namespace ibisgw::configuration {
 
+std::optional<core::Problem> sizeProblemOf(const std::string& canonicalText)
+{
+    if (canonicalText.size() <= maxDocumentBytes)
+        return std::nullopt;
+    return core::Problem { "",
+        "has " + std::to_string(canonicalText.size()) + " bytes with all default values; shorten it to at most "
+            + std::to_string(maxDocumentBytes) };
+}
+
 std::string compressDocument(const std::string& document)
 {
     auto size = compressBound(document.size());
--- a/tests/adapters/AdminApiTests.cpp
+++ b/tests/adapters/AdminApiTests.cpp
@@ -138,6 +138,17 @@
             CHECK(fixture.post("/api/v1/check", json { { "document", document } }.dump()).status == 422);
             CHECK(fixture.backend.submissions.empty());
         }
+        // Guards against a revision that only the daemon that accepted it can read.
+        SUBCASE("a document that is too large with its default values is rejected")
+        {
+            auto& kinds = document["services"][0]["kinds"];
+            for (int n = 10; n < 8000; ++n)
+                kinds.push_back({ { "id", n }, { "name", "k" + std::to_string(n) } });
+            const auto answer = fixture.submit(document);
+            CHECK(answer.status == 422);
+            CHECK(pathsIn(answer) == "/document");
+            CHECK(fixture.backend.submissions.empty());
+        }
         SUBCASE("an answer of the backend after the call has returned is sent to the client")
         {
             fixture.backend.holdsSubmissions = true;
