Count only a balancer's own observations towards the limit of silent upstreams

Cause: a mark of another daemon counted as a retransmission, and upstreams with retransmissions count as silent. After the loss of all controllers or of a zone most reports of a large fleet are overdue for a while, so the limit was reached for every upstream, unanswered probes were ignored, and upstreams that had failed got new flows for seconds.

Change: suspicions of other daemons make a balancer probe, as before, and no longer count as silence. The check of LinkCongestionTests now notes retransmissions of callers in place of marks, with the same bound, and a new case holds what failed.

--- a/src/ibisgw/direct/ResponseMonitor.cpp
+++ b/src/ibisgw/direct/ResponseMonitor.cpp
@@ -33,14 +33,17 @@
 
 void ResponseMonitor::noteRetransmission(upstream::InstanceId id, core::TimePoint now)
 {
-    if (!m_congestion.discards(now))
-        noteSuspected(id, now);
+    if (m_congestion.discards(now))
+        return;
+    auto& state = m_states[id];
+    ++state.retransmissions;
+    state.lastRetransmissionAt = now;
 }
 
 void ResponseMonitor::noteSuspected(upstream::InstanceId id, core::TimePoint now)
 {
     auto& state = m_states[id];
-    ++state.retransmissions;
+    state.isSuspectedElsewhere = true;
     state.lastRetransmissionAt = now;
 }
 
@@ -58,7 +61,7 @@
         return;
     auto& state = found->second;
     state.retransmissions = state.probeFailures = 0;
-    state.isUnresponsive = false;
+    state.isUnresponsive = state.isSuspectedElsewhere = false;
 }
 
 void ResponseMonitor::noteProbe(upstream::InstanceId id, ProbeResult result, core::TimePoint now)
@@ -72,13 +75,13 @@
         return;
     if (result == ProbeResult::Answered) {
         state.probeFailures = state.retransmissions = 0;
-        state.isUnresponsive = false;
+        state.isUnresponsive = state.isSuspectedElsewhere = false;
         state.probeInterval = {};
         state.nextProbe = now + answeredProbeInterval;
         return;
     }
     // Progress since the probe was sent overrides the failed probe.
-    if (state.retransmissions == 0 && !state.isUnresponsive)
+    if (!state.isSuspect())
         return;
     ++state.probeFailures;
     state.isRefused = result == ProbeResult::Refused;
@@ -120,8 +123,7 @@
             it = m_states.erase(it);
             continue;
         }
-        const bool isSuspect = state.retransmissions > 0 || state.isUnresponsive;
-        if (!m_congestion.isCongested(now) && !state.isProbing && now >= state.nextProbe && isSuspect) {
+        if (!m_congestion.isCongested(now) && !state.isProbing && now >= state.nextProbe && state.isSuspect()) {
             state.isProbing = true;
             state.probedAt = now;
             ids.push_back(it->first);
--- a/src/ibisgw/direct/ResponseMonitor.h
+++ b/src/ibisgw/direct/ResponseMonitor.h
@@ -54,12 +54,16 @@
 
 private:
     struct State {
+        // Suspicions of other daemons are no observations of this balancer.
         bool isSilent() const { return !isRefused && (isUnresponsive || retransmissions > 0); }
+        bool isSuspect() const { return isUnresponsive || isSuspectedElsewhere || retransmissions > 0; }
 
         // Retransmissions since the last progress.
         std::uint32_t retransmissions { 0 };
         // Failed probes in a row.
         std::uint32_t probeFailures { 0 };
+        // Another daemon has reported the upstream as silent since its last progress.
+        bool isSuspectedElsewhere { false };
         bool isProbing { false };
         bool isUnresponsive { false };
         // The last failed probe was refused.
@@ -68,6 +72,7 @@
         core::TimePoint nextProbe;
         // Interval after the last failed or ignored probe; 0 before the first.
         core::Duration probeInterval { 0 };
+        // Of a retransmission or a suspicion of another daemon.
         core::TimePoint lastRetransmissionAt;
     };
 
--- a/tests/direct/LinkCongestionTests.cpp
+++ b/tests/direct/LinkCongestionTests.cpp
@@ -324,7 +324,7 @@
     {
         const auto suspect = [&](std::uint64_t from, std::uint64_t until) {
             for (auto id = from; id <= until; ++id)
-                forwarder.responses().noteSuspected({ id }, now);
+                forwarder.responses().noteRetransmission({ id }, now);
         };
         SUBCASE("")
         {
@@ -343,6 +343,20 @@
             failProbes();
             CHECK(unresponsive() == 4);
         }
+        // Guards against sparing those that fail next, for seconds, when all reports were overdue in a large fleet.
+        SUBCASE("but suspicions of other daemons alone spare none")
+        {
+            for (std::uint64_t id = 1; id <= 30; ++id)
+                forwarder.responses().noteSuspected({ id }, now);
+            const auto discardedBefore = forwarder.evidenceDiscarded();
+            forwarder.responses().takeProbes(now);
+            for (int n = 0; n < 2; ++n) {
+                forwarder.noteProbe({ 1 }, ProbeResult::NoAnswer, now);
+                forwarder.responses().takeProbes(now);
+            }
+            CHECK(forwarder.responses().isUnresponsive({ 1 }));
+            CHECK(forwarder.evidenceDiscarded() == discardedBefore);
+        }
         // Guards against leaving the callers of a lost zone to their timers.
         SUBCASE("but all those of a zone whose upstreams are lost")
         {
