--- a/src/ibisgw/direct/ConfigurationCheck.cpp
+++ b/src/ibisgw/direct/ConfigurationCheck.cpp
@@ -1,5 +1,6 @@
 #include "ibisgw/direct/ConfigurationCheck.h"
 
+#include "ibisgw/core/ItemPath.h"
 #include "ibisgw/core/NameTable.h"
 
 #include <algorithm>
@@ -21,11 +22,6 @@
     { RouteKind::Download, "download" },
 } };
 
-std::string itemPath(const std::string& list, std::size_t index)
-{
-    return list + "/" + std::to_string(index);
-}
-
 std::string titleOf(const Route& route)
 {
     return "route '" + route.name + "' at " + route.address.toString();
@@ -69,7 +65,7 @@
     std::set<core::ServiceName> names;
     std::size_t index = 0;
     for (const auto& it : configuration.services) {
-        const auto path = itemPath("/services", index++);
+        const auto path = core::itemPath("/services", index++);
         if (!names.insert(it.name).second) {
             report.add(
                 CheckRule::Shadowed, path, "service '" + it.name + "' is listed before; remove one of the entries");
@@ -151,7 +147,7 @@
     std::set<core::Endpoint> addresses;
     std::size_t index = 0;
     for (const auto& it : after) {
-        const auto path = itemPath("/routes", index++);
+        const auto path = core::itemPath("/routes", index++);
         addresses.insert(it.address);
         if (const auto old = oldRoutes.find(it.address); old != oldRoutes.end())
             compareRoute(*old->second, it, path, report);
@@ -160,7 +156,7 @@
     }
     index = 0;
     for (const auto& it : before) {
-        const auto path = itemPath("/routes", index++);
+        const auto path = core::itemPath("/routes", index++);
         if (!addresses.contains(it.address))
             report.addDifference(CheckRule::Removed, path, titleOf(it) + " is removed, its callers get resets");
     }
@@ -173,7 +169,7 @@
     const auto* const change = rule == CheckRule::Removed ? "' is removed" : "' is added";
     std::size_t index = 0;
     for (const auto& it : services) {
-        const auto path = itemPath("/services", index++);
+        const auto path = core::itemPath("/services", index++);
         if (std::ranges::find(others, it.name, &ServiceConfiguration::name) == others.end())
             report.addDifference(rule, path, std::string("service '").append(it.name).append(change));
     }
@@ -186,7 +182,7 @@
     compareServiceNames(after, before, CheckRule::Added, report);
     std::size_t index = 0;
     for (const auto& it : after) {
-        const auto path = itemPath("/services", index++);
+        const auto path = core::itemPath("/services", index++);
         const auto old = std::ranges::find(before, it.name, &ServiceConfiguration::name);
         if (old != before.end() && *old != it)
             report.addDifference(CheckRule::ChangedLimit, path,
@@ -214,7 +210,7 @@
         return report;
     checkServices(configuration, report);
     for (std::size_t n = 0; n < configuration.routes.size(); ++n)
-        checkRoute(configuration.routes[n], itemPath("/routes", n), report);
+        checkRoute(configuration.routes[n], core::itemPath("/routes", n), report);
     if (base) {
         checkVersion(configuration, *base, report);
         compareConfigurations(*base, configuration, report);
