--- a/src/ibisgw/adapters/detail/DocumentScope.cpp
+++ b/src/ibisgw/adapters/detail/DocumentScope.cpp
@@ -2,7 +2,7 @@
 
 #include "ibisgw/configuration/DocumentReader.h"
 #include "ibisgw/configuration/DocumentWriter.h"
-#include "ibisgw/core/ItemPath.h"
+#include "ibisgw/core/ObjectReader.h"
 
 #include <nlohmann/json.hpp>
 
@@ -38,25 +38,25 @@
     std::vector<core::Problem> forbiddenChanges;
     for (std::size_t n = 0; n < submitted.organizations.size(); ++n) {
         if (!findNamed(base.organizations, submitted.organizations[n].name))
-            forbiddenChanges.push_back({ core::itemPath("/organizations", n),
+            forbiddenChanges.push_back({ core::childPath("/organizations", n),
                 "only a token for the whole system may add an organization; remove it" });
     }
     for (std::size_t n = 0; n < submitted.zones.size(); ++n) {
         const auto* zone = findNamed(base.zones, submitted.zones[n].name);
         if (!zone || zone->region != submitted.zones[n].region)
-            forbiddenChanges.push_back({ core::itemPath("/zones", n),
+            forbiddenChanges.push_back({ core::childPath("/zones", n),
                 "only a token for the whole system may add or change a zone; restore it or leave it out" });
     }
     for (std::size_t n = 0; n < submitted.services.size(); ++n) {
         const auto& service = submitted.services[n];
         const auto* old = findNamed(base.services, service.name);
         if (service.organization != organization && (!old || !isSameService(*old, service)))
-            forbiddenChanges.push_back({ core::itemPath("/services", n),
+            forbiddenChanges.push_back({ core::childPath("/services", n),
                 "the token may change only services of organization '" + organization + "'; leave this one out" });
     }
     for (std::size_t n = 0; n < submitted.evacuatedZones.size(); ++n) {
         if (!base.isEvacuated(submitted.evacuatedZones[n]))
-            forbiddenChanges.push_back({ core::itemPath("/evacuated_zones", n),
+            forbiddenChanges.push_back({ core::childPath("/evacuated_zones", n),
                 "only a token for the whole system may evacuate a zone; leave it out" });
     }
     return forbiddenChanges;
@@ -103,7 +103,7 @@
     const auto index = std::stoul(path.substr(servicesPrefix.size()), &end);
     if (index >= origins.size() || origins[index] >= submittedCount)
         return "/services";
-    return core::itemPath("/services", origins[index]) + path.substr(servicesPrefix.size() + end);
+    return core::childPath("/services", origins[index]) + path.substr(servicesPrefix.size() + end);
 }
 
 } // namespace
--- a/src/ibisgw/configuration/DocumentCheck.cpp
+++ b/src/ibisgw/configuration/DocumentCheck.cpp
@@ -4,8 +4,8 @@
 #include "ibisgw/configuration/DocumentReader.h"
 #include "ibisgw/configuration/DocumentWriter.h"
 #include "ibisgw/configuration/detail/DocumentComparison.h"
-#include "ibisgw/core/ItemPath.h"
 #include "ibisgw/core/JsonText.h"
+#include "ibisgw/core/ObjectReader.h"
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
@@ -60,7 +60,7 @@
     for (std::size_t n = 0; n < service.drainedUpstreams.size(); ++n) {
         const auto& address = service.drainedUpstreams[n];
         if (!upstreams.contains(address))
-            report.add(CheckRule::UnknownDrainedUpstream, core::itemPath(path + "/drained_upstreams", n),
+            report.add(CheckRule::UnknownDrainedUpstream, core::childPath(path + "/drained_upstreams", n),
                 "no upstream has the address " + address.toString() + "; correct it or remove it from the list");
     }
 }
@@ -77,7 +77,7 @@
     for (std::size_t n = 0; n < document.zones.size(); ++n) {
         const auto& zone = document.zones[n].name;
         if (!used.contains(zone))
-            report.add(CheckRule::UnusedZone, core::itemPath("/zones", n),
+            report.add(CheckRule::UnusedZone, core::childPath("/zones", n),
                 "no service uses zone '" + zone + "'; add it to the zones of a service or remove it");
     }
 }
@@ -93,12 +93,12 @@
         checkZones(document, report);
     for (std::size_t n = 0; n < document.services.size(); ++n) {
         const auto& service = document.services[n];
-        const auto path = core::itemPath("/services", n);
+        const auto path = core::childPath("/services", n);
         checkDrainedUpstreams(service, path, context.upstreams, report);
         checkHedging(service, path, report);
         for (std::size_t k = 0; k < service.kinds.size(); ++k) {
-            checkRetries(service.kinds[k], core::itemPath(path + "/kinds", k), report);
-            checkQueue(service.kinds[k], core::itemPath(path + "/kinds", k), report);
+            checkRetries(service.kinds[k], core::childPath(path + "/kinds", k), report);
+            checkQueue(service.kinds[k], core::childPath(path + "/kinds", k), report);
         }
     }
     if (context.base)
--- a/src/ibisgw/configuration/DocumentPatch.cpp
+++ b/src/ibisgw/configuration/DocumentPatch.cpp
@@ -1,5 +1,7 @@
 #include "ibisgw/configuration/DocumentPatch.h"
 
+#include "ibisgw/core/ObjectReader.h"
+
 #include <nlohmann/json.hpp>
 
 namespace ibisgw::configuration {
@@ -18,12 +20,6 @@
     patch.push_back({ { "op", operation }, { "path", path }, { "value", value } });
 }
 
-// JSON pointer to a member of an object, with the key escaped (RFC 6901, section 3).
-std::string childPath(const std::string& path, const std::string& key)
-{
-    return (Json::json_pointer(path) / key).to_string();
-}
-
 void diffValues(Json& patch, const std::string& path, const Json& base, const Json& target);
 
 // Skips the common prefix and suffix; only the elements between them are compared, removed or added.
@@ -40,24 +36,24 @@
     }
     std::size_t n = first;
     for (; n < baseEnd && n < targetEnd; ++n)
-        diffValues(patch, path + "/" + std::to_string(n), base[n], target[n]);
+        diffValues(patch, core::childPath(path, n), base[n], target[n]);
     for (auto rest = n; rest < baseEnd; ++rest)
-        addOperation(patch, "remove", path + "/" + std::to_string(n));
+        addOperation(patch, "remove", core::childPath(path, n));
     for (; n < targetEnd; ++n)
-        addOperation(patch, "add", path + "/" + std::to_string(n), target[n]);
+        addOperation(patch, "add", core::childPath(path, n), target[n]);
 }
 
 void diffObjects(Json& patch, const std::string& path, const Json& base, const Json& target)
 {
     for (const auto& [key, value] : base.items()) {
         if (const auto found = target.find(key); found != target.end())
-            diffValues(patch, childPath(path, key), value, *found);
+            diffValues(patch, core::childPath(path, key), value, *found);
         else
-            addOperation(patch, "remove", childPath(path, key));
+            addOperation(patch, "remove", core::childPath(path, key));
     }
     for (const auto& [key, value] : target.items()) {
         if (!base.contains(key))
-            addOperation(patch, "add", childPath(path, key), value);
+            addOperation(patch, "add", core::childPath(path, key), value);
     }
 }
 
--- a/src/ibisgw/configuration/detail/DocumentComparison.cpp
+++ b/src/ibisgw/configuration/detail/DocumentComparison.cpp
@@ -81,10 +81,10 @@
     for (std::size_t n = 0; n < before.size(); ++n) {
         if (!newIndexes.contains(before[n].at(list.identity).dump()))
             m_report.addDifference(
-                CheckRule::Removed, path + "/" + std::to_string(n), owner + titleOf(list, before[n]) + " is removed");
+                CheckRule::Removed, core::childPath(path, n), owner + titleOf(list, before[n]) + " is removed");
     }
     for (std::size_t n = 0; n < after.size(); ++n) {
-        const auto entryPath = path + "/" + std::to_string(n);
+        const auto entryPath = core::childPath(path, n);
         const auto title = owner + titleOf(list, after[n]);
         if (const auto old = oldIndexes.find(after[n].at(list.identity).dump()); old != oldIndexes.end())
             compareObjects(before[old->second], after[n], entryPath, title + ": ");
@@ -106,8 +106,8 @@
               for (std::size_t n = 0; n < list.size(); ++n) {
                   const auto text = list[n].get<std::string>();
                   if (!others.contains(text))
-                      m_report.addDifference(isAddress ? rule : CheckRule::ChangedTarget,
-                          listPath + "/" + std::to_string(n), (owner + "'").append(text).append(change));
+                      m_report.addDifference(isAddress ? rule : CheckRule::ChangedTarget, core::childPath(listPath, n),
+                          (owner + "'").append(text).append(change));
               }
           };
     reportMissing(before, newTexts, CheckRule::Removed, "' is removed from " + member);
--- a/src/ibisgw/configuration/detail/ReferenceCheck.cpp
+++ b/src/ibisgw/configuration/detail/ReferenceCheck.cpp
@@ -1,6 +1,6 @@
 #include "ibisgw/configuration/detail/ReferenceCheck.h"
 
-#include "ibisgw/core/ItemPath.h"
+#include "ibisgw/core/ObjectReader.h"
 
 #include <set>
 #include <string>
@@ -25,7 +25,7 @@
         const auto& name = entries[n].name;
         if (!name.empty() && !names.insert(name).second)
             problems.push_back(
-                { core::itemPath(list, n) + "/name", "is already used in this list; choose another name" });
+                { core::childPath(list, n) + "/name", "is already used in this list; choose another name" });
     }
     return names;
 }
@@ -38,7 +38,7 @@
         const auto& kinds = document.services[n].kinds;
         for (std::size_t k = 0; k < kinds.size(); ++k) {
             if (kinds[k].id != 0 && !ids.insert(kinds[k].id).second)
-                problems.push_back({ core::itemPath(core::itemPath("/services", n) + "/kinds", k) + "/id",
+                problems.push_back({ core::childPath(core::childPath("/services", n) + "/kinds", k) + "/id",
                     std::to_string(kinds[k].id) + " is already the number of another kind; choose another number" });
         }
     }
@@ -54,7 +54,7 @@
                 continue;
             const auto [owner, isNew] = owners.try_emplace(addresses[k], n);
             if (!isNew && owner->second != n)
-                problems.push_back({ core::itemPath(core::itemPath("/services", n) + "/addresses", k),
+                problems.push_back({ core::childPath(core::childPath("/services", n) + "/addresses", k),
                     addresses[k].toString() + " belongs to another service; give each service its own addresses" });
         }
     }
@@ -65,7 +65,7 @@
     for (std::size_t n = 0; n < document.evacuatedZones.size(); ++n) {
         const auto& zone = document.evacuatedZones[n];
         if (!zone.empty() && !zones.contains(zone))
-            problems.push_back({ core::itemPath("/evacuated_zones", n),
+            problems.push_back({ core::childPath("/evacuated_zones", n),
                 "'" + zone + "' is not listed in /zones; add it there, correct the name or remove it here" });
     }
 }
@@ -79,13 +79,13 @@
     collectNames(document.services, "/services", problems);
     for (std::size_t n = 0; n < document.services.size(); ++n) {
         const auto& service = document.services[n];
-        const auto path = core::itemPath("/services", n);
+        const auto path = core::childPath("/services", n);
         if (!service.organization.empty() && !organizations.contains(service.organization))
             problems.push_back({ path + "/organization",
                 "'" + service.organization + "' is not listed in /organizations; add it there or correct the name" });
         for (std::size_t k = 0; k < service.zones.size(); ++k) {
             if (!service.zones[k].empty() && !zones.contains(service.zones[k]))
-                problems.push_back({ core::itemPath(path + "/zones", k),
+                problems.push_back({ core::childPath(path + "/zones", k),
                     "'" + service.zones[k] + "' is not listed in /zones; add it there or correct the name" });
         }
         collectNames(service.kinds, path + "/kinds", problems);
--- a/src/ibisgw/core/ObjectReader.cpp
+++ b/src/ibisgw/core/ObjectReader.cpp
@@ -45,6 +45,11 @@
     return child;
 }
 
+std::string childPath(const std::string& path, std::size_t index)
+{
+    return path + "/" + std::to_string(index);
+}
+
 ObjectReader::ObjectReader(
     const nlohmann::json& json, std::string path, std::vector<Problem>& problems, UnknownMembers unknownMembers)
     : m_json(json)
@@ -68,7 +73,7 @@
 
 void ObjectReader::reportItem(std::string_view member, std::size_t index, std::string message)
 {
-    m_problems.push_back({ childPath(childPath(m_path, member), std::to_string(index)), std::move(message) });
+    m_problems.push_back({ childPath(childPath(m_path, member), index), std::move(message) });
 }
 
 const nlohmann::json* ObjectReader::find(std::string_view member, Presence presence)
@@ -238,7 +243,7 @@
         return;
     const auto path = childPath(m_path, member);
     for (std::size_t n = 0; n < json->size(); ++n) {
-        ObjectReader reader((*json)[n], childPath(path, std::to_string(n)), m_problems, m_unknownMembers);
+        ObjectReader reader((*json)[n], childPath(path, n), m_problems, m_unknownMembers);
         readItem(reader);
         reader.finish();
     }
--- a/src/ibisgw/core/ObjectReader.h
+++ b/src/ibisgw/core/ObjectReader.h
@@ -110,7 +110,8 @@
 // Whether the text is a valid name; see ObjectReader::readName().
 bool isName(std::string_view);
 
-// Path of a member or list item below the given JSON pointer (RFC 6901).
+// Path of a member or of a list item below the given JSON pointer (RFC 6901).
 std::string childPath(const std::string& path, std::string_view member);
+std::string childPath(const std::string& path, std::size_t index);
 
 } // namespace ibisgw::core
--- a/src/ibisgw/direct/ConfigurationCheck.cpp
+++ b/src/ibisgw/direct/ConfigurationCheck.cpp
@@ -1,7 +1,7 @@
 #include "ibisgw/direct/ConfigurationCheck.h"
 
-#include "ibisgw/core/ItemPath.h"
 #include "ibisgw/core/NameTable.h"
+#include "ibisgw/core/ObjectReader.h"
 
 #include <algorithm>
 #include <map>
@@ -65,7 +65,7 @@
     std::set<core::ServiceName> names;
     std::size_t index = 0;
     for (const auto& it : configuration.services) {
-        const auto path = core::itemPath("/services", index++);
+        const auto path = core::childPath("/services", index++);
         if (!names.insert(it.name).second) {
             report.add(
                 CheckRule::Shadowed, path, "service '" + it.name + "' is listed before; remove one of the entries");
@@ -147,7 +147,7 @@
     std::set<core::Endpoint> addresses;
     std::size_t index = 0;
     for (const auto& it : after) {
-        const auto path = core::itemPath("/routes", index++);
+        const auto path = core::childPath("/routes", index++);
         addresses.insert(it.address);
         if (const auto old = oldRoutes.find(it.address); old != oldRoutes.end())
             compareRoute(*old->second, it, path, report);
@@ -156,7 +156,7 @@
     }
     index = 0;
     for (const auto& it : before) {
-        const auto path = core::itemPath("/routes", index++);
+        const auto path = core::childPath("/routes", index++);
         if (!addresses.contains(it.address))
             report.addDifference(CheckRule::Removed, path, titleOf(it) + " is removed, its callers get resets");
     }
@@ -169,7 +169,7 @@
     const auto* const change = rule == CheckRule::Removed ? "' is removed" : "' is added";
     std::size_t index = 0;
     for (const auto& it : services) {
-        const auto path = core::itemPath("/services", index++);
+        const auto path = core::childPath("/services", index++);
         if (std::ranges::find(others, it.name, &ServiceConfiguration::name) == others.end())
             report.addDifference(rule, path, std::string("service '").append(it.name).append(change));
     }
@@ -182,7 +182,7 @@
     compareServiceNames(after, before, CheckRule::Added, report);
     std::size_t index = 0;
     for (const auto& it : after) {
-        const auto path = core::itemPath("/services", index++);
+        const auto path = core::childPath("/services", index++);
         const auto old = std::ranges::find(before, it.name, &ServiceConfiguration::name);
         if (old != before.end() && *old != it)
             report.addDifference(CheckRule::ChangedLimit, path,
@@ -210,7 +210,7 @@
         return report;
     checkServices(configuration, report);
     for (std::size_t n = 0; n < configuration.routes.size(); ++n)
-        checkRoute(configuration.routes[n], core::itemPath("/routes", n), report);
+        checkRoute(configuration.routes[n], core::childPath("/routes", n), report);
     if (base) {
         checkVersion(configuration, *base, report);
         compareConfigurations(*base, configuration, report);
--- a/src/ibisgw/direct/RouteConfiguration.cpp
+++ b/src/ibisgw/direct/RouteConfiguration.cpp
@@ -1,5 +1,7 @@
 #include "ibisgw/direct/RouteConfiguration.h"
 
+#include "ibisgw/core/ObjectReader.h"
+
 #include <algorithm>
 #include <numeric>
 #include <set>
@@ -38,7 +40,7 @@
     std::set<core::Endpoint> addresses;
     std::size_t index = 0;
     for (const auto& it : configuration.routes) {
-        const auto path = "/routes/" + std::to_string(index++);
+        const auto path = core::childPath("/routes", index++);
         if (!addresses.insert(it.address).second)
             problems.push_back({ path, "has the address of another route; remove one of them" });
         if (it.timeout <= core::Duration::zero())
