Hash upstreams for ties only when a flow is placed

LeastWorkSelector computed the balancer's own order and the work of the best candidate once more for each comparison. Both are needed once or for ties only; the selected upstream is the same.

--- a/src/ibisgw/direct/LeastWorkSelector.cpp
+++ b/src/ibisgw/direct/LeastWorkSelector.cpp
@@ -39,12 +39,24 @@
 
 const Candidate* LeastWorkSelector::select(std::span<const Candidate> candidates, core::TimePoint now) const
 {
-    const auto rank = [now, this](const Candidate& it) {
-        const auto ownOrder = core::rendezvousWeight(m_orderSeed, it.record->report.id.value);
-        return std::tuple { it.isSuspect, workPerSlot(it, now), it.load->lastWorkAt(), ownOrder };
+    const auto rankOf = [now](const Candidate& it) {
+        return std::tuple { it.isSuspect, workPerSlot(it, now), it.load->lastWorkAt() };
     };
-    const auto best = std::ranges::min_element(candidates, {}, rank);
-    return best == candidates.end() ? nullptr : &*best;
+    // Computed for ties only.
+    const auto orderOf
+        = [this](const Candidate& it) { return core::rendezvousWeight(m_orderSeed, it.record->report.id.value); };
+    if (candidates.empty())
+        return nullptr;
+    const auto* best = &candidates.front();
+    auto bestRank = rankOf(*best);
+    for (const auto& it : candidates.subspan(1)) {
+        const auto rank = rankOf(it);
+        if (rank < bestRank || (rank == bestRank && orderOf(it) < orderOf(*best))) {
+            best = &it;
+            bestRank = rank;
+        }
+    }
+    return best;
 }
 
 } // namespace ibisgw::direct
