--- a/src/ibisgw/adapters/HttpServer.cpp
+++ b/src/ibisgw/adapters/HttpServer.cpp
@@ -2,6 +2,7 @@
 
 #include "ibisgw/adapters/EventLoop.h"
 #include "ibisgw/adapters/Log.h"
+#include "ibisgw/adapters/SocketAddress.h"
 
 #include <cerrno>
 #include <csignal>
@@ -16,10 +17,7 @@
 core::Result<int> openListener(core::Endpoint endpoint)
 {
     const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-    sockaddr_in address {};
-    address.sin_family = AF_INET;
-    address.sin_port = htons(endpoint.port);
-    address.sin_addr.s_addr = htonl(endpoint.address);
+    const auto address = toSocketAddress(endpoint);
     const int on = 1;
     if (fd >= 0 && ::setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on) == 0
         && ::bind(fd, reinterpret_cast<const sockaddr*>(&address), sizeof address) == 0 && ::listen(fd, SOMAXCONN) == 0)
@@ -336,7 +334,7 @@
 {
     sockaddr_in address {};
     h2o_socket_getsockname(m_state->listener, reinterpret_cast<sockaddr*>(&address));
-    return { ntohl(address.sin_addr.s_addr), ntohs(address.sin_port) };
+    return toEndpoint(address);
 }
 
 std::size_t HttpServer::openConnections() const
--- a/src/ibisgw/adapters/StreamTransport.cpp
+++ b/src/ibisgw/adapters/StreamTransport.cpp
@@ -1,6 +1,7 @@
 #include "ibisgw/adapters/StreamTransport.h"
 
 #include "ibisgw/adapters/EventLoop.h"
+#include "ibisgw/adapters/SocketAddress.h"
 #include "ibisgw/adapters/TcpStream.h"
 #include "ibisgw/adapters/detail/WebSocketSession.h"
 
@@ -8,7 +9,6 @@
 #include <cstring>
 #include <deque>
 #include <h2o.h>
-#include <netinet/in.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -80,10 +80,7 @@
     const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
     const int on = 1;
     ::setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
-    sockaddr_in address {};
-    address.sin_family = AF_INET;
-    address.sin_port = htons(endpoint.port);
-    address.sin_addr.s_addr = htonl(endpoint.address);
+    auto address = toSocketAddress(endpoint);
     socklen_t n = sizeof address;
     if (::bind(fd, reinterpret_cast<const sockaddr*>(&address), n) != 0 || ::listen(fd, listenBacklog) != 0
         || ::getsockname(fd, reinterpret_cast<sockaddr*>(&address), &n) != 0) {
@@ -93,7 +90,7 @@
             "cannot listen on " + endpoint.toString() + ": " + reason + "; choose a free control address");
     }
     m_loop.watchReadable(fd, [this, fd] { acceptConnections(fd); });
-    return core::Endpoint { ntohl(address.sin_addr.s_addr), ntohs(address.sin_port) };
+    return toEndpoint(address);
 }
 
 void StreamTransport::acceptConnections(int listener)
--- a/src/ibisgw/adapters/TcpStream.cpp
+++ b/src/ibisgw/adapters/TcpStream.cpp
@@ -1,9 +1,9 @@
 #include "ibisgw/adapters/TcpStream.h"
 
 #include "ibisgw/adapters/EventLoop.h"
+#include "ibisgw/adapters/SocketAddress.h"
 
 #include <h2o.h>
-#include <netinet/in.h>
 
 namespace ibisgw::adapters {
 
@@ -27,10 +27,7 @@
 
 std::unique_ptr<TcpStream> TcpStream::connect(EventLoop& loop, core::Endpoint target, Callbacks callbacks)
 {
-    sockaddr_in address {};
-    address.sin_family = AF_INET;
-    address.sin_port = htons(target.port);
-    address.sin_addr.s_addr = htonl(target.address);
+    auto address = toSocketAddress(target);
     std::unique_ptr<TcpStream> stream(new TcpStream(std::move(callbacks)));
     auto* socket = h2o_socket_connect(
         loop.nativeLoop(), reinterpret_cast<sockaddr*>(&address), sizeof address, TcpStream::onConnected);
--- a/src/ibisgw/adapters/UdpSocket.cpp
+++ b/src/ibisgw/adapters/UdpSocket.cpp
@@ -1,11 +1,11 @@
 #include "ibisgw/adapters/UdpSocket.h"
 
 #include "ibisgw/adapters/EventLoop.h"
+#include "ibisgw/adapters/SocketAddress.h"
 
 #include <array>
 #include <cerrno>
 #include <cstring>
-#include <netinet/in.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -19,20 +19,6 @@
 // Largest number of datagrams handled before the event loop serves other events.
 constexpr int maxDatagramsPerWakeup = 64;
 
-sockaddr_in toSocketAddress(core::Endpoint endpoint)
-{
-    sockaddr_in address {};
-    address.sin_family = AF_INET;
-    address.sin_port = htons(endpoint.port);
-    address.sin_addr.s_addr = htonl(endpoint.address);
-    return address;
-}
-
-core::Endpoint toEndpoint(const sockaddr_in& address)
-{
-    return { ntohl(address.sin_addr.s_addr), ntohs(address.sin_port) };
-}
-
 } // namespace
 
 UdpSocket::UdpSocket(int fd, core::Endpoint local)
--- a/src/ibisgw/runtime/ConnectProber.cpp
+++ b/src/ibisgw/runtime/ConnectProber.cpp
@@ -1,7 +1,8 @@
 #include "ibisgw/runtime/ConnectProber.h"
 
+#include "ibisgw/adapters/SocketAddress.h"
+
 #include <cerrno>
-#include <netinet/in.h>
 #include <optional>
 #include <poll.h>
 #include <sys/socket.h>
@@ -24,10 +25,7 @@
 // Returns 0 or an error number, EINPROGRESS in the usual case.
 int connectTo(int fd, core::Endpoint target)
 {
-    sockaddr_in address {};
-    address.sin_family = AF_INET;
-    address.sin_port = htons(target.port);
-    address.sin_addr.s_addr = htonl(target.address);
+    const auto address = adapters::toSocketAddress(target);
     return ::connect(fd, reinterpret_cast<const sockaddr*>(&address), sizeof address) == 0 ? 0 : errno;
 }
 
