Simplify the state of suspected upstreams and of permits

ResponseMonitor cleared the same four members in two places, and lastRetransmissionAt also held the time of other daemons' suspicions. ColdStartLimit computed the index of a permit from a pointer into its list. Decisions are the same.

--- a/src/ibisgw/direct/ColdStartLimit.cpp
+++ b/src/ibisgw/direct/ColdStartLimit.cpp
@@ -102,32 +102,32 @@
     return now < record.warmAt || isAssumedCold(record, now);
 }
 
-const ColdStartLimit::Grant* ColdStartLimit::usableGrant(const InstanceRecord& record, core::TimePoint now) const
+bool ColdStartLimit::Grant::isUsableFor(const InstanceRecord& record, core::TimePoint now) const
 {
-    const auto found = m_grants.find(record.report.id);
-    if (found == m_grants.end())
-        return nullptr;
-    const auto grant = std::ranges::find_if(found->second, [&](const Grant& it) {
-        return it.incarnation == record.report.incarnation && now >= it.nextPermitAt && now < it.validUntil;
-    });
-    return grant == found->second.end() ? nullptr : &*grant;
+    return incarnation == record.report.incarnation && now >= nextPermitAt && now < validUntil;
 }
 
 bool ColdStartLimit::admits(const InstanceRecord& record, core::TimePoint now) const
 {
-    return !isLimited(record.report.service) || !isCold(record, now) || usableGrant(record, now);
+    if (!isLimited(record.report.service) || !isCold(record, now))
+        return true;
+    const auto found = m_grants.find(record.report.id);
+    return found != m_grants.end()
+        && std::ranges::any_of(found->second, [&](const Grant& it) { return it.isUsableFor(record, now); });
 }
 
 void ColdStartLimit::notePlaced(const InstanceRecord& record, core::TimePoint now)
 {
     if (!isLimited(record.report.service) || !isCold(record, now))
         return;
-    const auto* usable = usableGrant(record, now);
-    if (!usable)
+    const auto found = m_grants.find(record.report.id);
+    if (found == m_grants.end())
+        return;
+    auto& grants = found->second;
+    const auto grant = std::ranges::find_if(grants, [&](const Grant& it) { return it.isUsableFor(record, now); });
+    if (grant == grants.end())
         return;
-    auto& grants = m_grants.at(record.report.id);
-    auto& grant = grants[static_cast<std::size_t>(usable - grants.data())];
-    grant.nextPermitAt = std::max(grant.nextPermitAt, now) + grant.interval;
+    grant->nextPermitAt = std::max(grant->nextPermitAt, now) + grant->interval;
     ++m_usedPermits;
 }
 
--- a/src/ibisgw/direct/ColdStartLimit.h
+++ b/src/ibisgw/direct/ColdStartLimit.h
@@ -64,6 +64,8 @@
     };
     // Permits of one claim, evenly spread over its validity.
     struct Grant {
+        bool isUsableFor(const upstream::InstanceRecord&, core::TimePoint now) const;
+
         core::Incarnation incarnation { 0 };
         // Time between two permits.
         core::Duration interval { 0 };
@@ -80,7 +82,6 @@
     bool isAssumedCold(const upstream::InstanceRecord&, core::TimePoint now) const;
     // Whether a report that was sent after the outage describes the upstream.
     static bool isReportedSince(const Outage&, const upstream::InstanceRecord&);
-    const Grant* usableGrant(const upstream::InstanceRecord&, core::TimePoint now) const;
     void expire(core::TimePoint now);
     void countUpstreams(core::TimePoint now);
     void setLimited(const upstream::InstanceRecord&, bool isLimited);
--- a/src/ibisgw/direct/ResponseMonitor.cpp
+++ b/src/ibisgw/direct/ResponseMonitor.cpp
@@ -26,6 +26,12 @@
 
 } // namespace
 
+void ResponseMonitor::State::clearSuspicion()
+{
+    retransmissions = probeFailures = 0;
+    isUnresponsive = isSuspectedElsewhere = false;
+}
+
 ResponseMonitor::ResponseMonitor(LinkCongestion& congestion)
     : m_congestion(congestion)
 {
@@ -37,14 +43,14 @@
         return;
     auto& state = m_states[id];
     ++state.retransmissions;
-    state.lastRetransmissionAt = now;
+    state.lastSuspicionAt = now;
 }
 
 void ResponseMonitor::noteSuspected(upstream::InstanceId id, core::TimePoint now)
 {
     auto& state = m_states[id];
     state.isSuspectedElsewhere = true;
-    state.lastRetransmissionAt = now;
+    state.lastSuspicionAt = now;
 }
 
 void ResponseMonitor::noteReporting(upstream::InstanceId id, core::TimePoint now)
@@ -59,9 +65,7 @@
     const auto found = m_states.find(id);
     if (found == m_states.end())
         return;
-    auto& state = found->second;
-    state.retransmissions = state.probeFailures = 0;
-    state.isUnresponsive = state.isSuspectedElsewhere = false;
+    found->second.clearSuspicion();
 }
 
 void ResponseMonitor::noteProbe(upstream::InstanceId id, ProbeResult result, core::TimePoint now)
@@ -74,8 +78,7 @@
     if (result == ProbeResult::NoAnswer && m_congestion.discards(state.probedAt))
         return;
     if (result == ProbeResult::Answered) {
-        state.probeFailures = state.retransmissions = 0;
-        state.isUnresponsive = state.isSuspectedElsewhere = false;
+        state.clearSuspicion();
         state.probeInterval = {};
         state.nextProbe = now + answeredProbeInterval;
         return;
@@ -119,7 +122,7 @@
     std::vector<upstream::InstanceId> ids;
     for (auto it = m_states.begin(); it != m_states.end();) {
         auto& state = it->second;
-        if (!state.isProbing && !state.isUnresponsive && now - state.lastRetransmissionAt > suspicionTimeout) {
+        if (!state.isProbing && !state.isUnresponsive && now - state.lastSuspicionAt > suspicionTimeout) {
             it = m_states.erase(it);
             continue;
         }
--- a/src/ibisgw/direct/ResponseMonitor.h
+++ b/src/ibisgw/direct/ResponseMonitor.h
@@ -57,6 +57,7 @@
         // Suspicions of other daemons are no observations of this balancer.
         bool isSilent() const { return !isRefused && (isUnresponsive || retransmissions > 0); }
         bool isSuspect() const { return isUnresponsive || isSuspectedElsewhere || retransmissions > 0; }
+        void clearSuspicion();
 
         // Retransmissions since the last progress.
         std::uint32_t retransmissions { 0 };
@@ -72,8 +73,8 @@
         core::TimePoint nextProbe;
         // Interval after the last failed or ignored probe; 0 before the first.
         core::Duration probeInterval { 0 };
-        // Of a retransmission or a suspicion of another daemon.
-        core::TimePoint lastRetransmissionAt;
+        // When a caller retransmitted a packet or another daemon reported the upstream last.
+        core::TimePoint lastSuspicionAt;
     };
 
     LinkCongestion& m_congestion;
