Read input files and answers of the API through one function each

The check of configurations had a copy of the command line's file reading, and five commands the same steps from the connection to the error message. Output and exit statuses are the same.

--- a/src/ibisgw/adapters/CheckOutput.cpp
+++ b/src/ibisgw/adapters/CheckOutput.cpp
@@ -58,16 +58,8 @@
 
 std::optional<std::string> readCheckedFile(const std::string& file, std::size_t maxBytes, core::CheckReport& report)
 {
-    return boost::leaf::try_handle_all(
-        [&]() -> core::Result<std::optional<std::string>> {
-            BOOST_LEAF_AUTO(text, readInputFile(file, "the file", maxBytes));
-            return std::optional(std::move(text));
-        },
-        [&](const core::Error& error) -> std::optional<std::string> {
-            report.add(core::CheckRule::Invalid, "", error.message);
-            return std::nullopt;
-        },
-        []() -> std::optional<std::string> { return std::nullopt; });
+    return readInputFile(file, "the file", maxBytes,
+        [&report](const core::Error& error) { report.add(core::CheckRule::Invalid, "", error.message); });
 }
 
 void addBaseError(const std::string& file, const std::vector<core::Problem>& problems, core::CheckReport& report)
--- a/src/ibisgw/adapters/InputFile.cpp
+++ b/src/ibisgw/adapters/InputFile.cpp
@@ -60,6 +60,21 @@
     return read(file, description, maxBytes, Access::Any);
 }
 
+std::optional<std::string> readInputFile(const std::string& file, const std::string& description, std::size_t maxBytes,
+    const std::function<void(const core::Error&)>& onError)
+{
+    return boost::leaf::try_handle_all(
+        [&]() -> core::Result<std::optional<std::string>> {
+            BOOST_LEAF_AUTO(text, readInputFile(file, description, maxBytes));
+            return std::optional(std::move(text));
+        },
+        [&](const core::Error& error) -> std::optional<std::string> {
+            onError(error);
+            return std::nullopt;
+        },
+        []() -> std::optional<std::string> { return std::nullopt; });
+}
+
 core::Result<std::string> readPrivateFile(const std::string& file, const std::string& description)
 {
     return read(file, description, maxPrivateFileBytes, Access::OwnerOnly);
--- a/src/ibisgw/adapters/InputFile.h
+++ b/src/ibisgw/adapters/InputFile.h
@@ -2,6 +2,8 @@
 
 #include "ibisgw/core/Error.h"
 
+#include <functional>
+#include <optional>
 #include <string>
 
 namespace ibisgw::adapters {
@@ -12,6 +14,10 @@
 core::Result<std::string> readInputFile(
     const std::string& file, const std::string& description, std::size_t maxBytes = std::size_t { 16 } << 20);
 
+// The same; empty after `onError` was called.
+std::optional<std::string> readInputFile(const std::string& file, const std::string& description, std::size_t maxBytes,
+    const std::function<void(const core::Error&)>& onError);
+
 // Like readInputFile(), for files with secrets. Fails if users other than the owner can access the file.
 core::Result<std::string> readPrivateFile(const std::string& file, const std::string& description);
 
--- a/src/ibisgw_cli/ConfigCommands.cpp
+++ b/src/ibisgw_cli/ConfigCommands.cpp
@@ -172,22 +172,19 @@
 ExitStatus runConfigShow(const Invocation& invocation)
 {
     auto status = ExitStatus::Ok;
-    const auto client = invocation.connect(status);
-    if (!client)
-        return status;
-    const auto reply = client->get(invocation.arguments.empty()
+    const auto body = invocation.get(invocation.arguments.empty()
             ? "/api/v1/document"
-            : "/api/v1/revisions/" + ApiClient::percentEncode(invocation.arguments[0]));
-    status = exitStatusOf(reply);
-    if (status != ExitStatus::Ok)
-        return invocation.reportFailure(reply, status);
+            : "/api/v1/revisions/" + ApiClient::percentEncode(invocation.arguments[0]),
+        status);
+    if (!body)
+        return status;
     if (invocation.format == OutputFormat::Json) {
-        invocation.printJson(reply.body);
+        invocation.printJson(*body);
         return status;
     }
     // Standard output holds the document only, so that it can be saved, edited and submitted.
-    invocation.err << "revision " << reply.body.value("revision", json()) << "\n";
-    invocation.printJson(reply.body.value("document", json()));
+    invocation.err << "revision " << body->value("revision", json()) << "\n";
+    invocation.printJson(body->value("document", json()));
     return status;
 }
 
--- a/src/ibisgw_cli/Invocation.cpp
+++ b/src/ibisgw_cli/Invocation.cpp
@@ -47,21 +47,30 @@
         });
 }
 
+std::optional<nlohmann::json> Invocation::get(const std::string& path, ExitStatus& status) const
+{
+    const auto client = connect(status);
+    if (!client)
+        return std::nullopt;
+    auto reply = client->get(path);
+    status = exitStatusOf(reply);
+    if (status == ExitStatus::Ok)
+        return std::move(reply.body);
+    reportFailure(reply, status);
+    return std::nullopt;
+}
+
 ExitStatus Invocation::showList(
     const std::string& path, const std::string& list, const std::vector<std::string>& columns) const
 {
     auto status = ExitStatus::Ok;
-    const auto client = connect(status);
-    if (!client)
+    const auto body = get(path, status);
+    if (!body)
         return status;
-    const auto reply = client->get(path);
-    status = exitStatusOf(reply);
-    if (status != ExitStatus::Ok)
-        return reportFailure(reply, status);
     if (format == OutputFormat::Json)
-        printJson(reply.body);
+        printJson(*body);
     else
-        printTable(out, reply.body.value(list, nlohmann::json::array()), columns);
+        printTable(out, body->value(list, nlohmann::json::array()), columns);
     return status;
 }
 
--- a/src/ibisgw_cli/Invocation.h
+++ b/src/ibisgw_cli/Invocation.h
@@ -39,6 +39,8 @@
     // Creates a client with the token of the token file. Empty after an error has been printed; `status` then holds
     // the exit status.
     std::optional<ApiClient> connect(ExitStatus& status) const;
+    // Gets `path` from the API. Empty after an error has been printed; `status` then holds the exit status.
+    std::optional<nlohmann::json> get(const std::string& path, ExitStatus& status) const;
     // Gets `path` from the API and prints the whole answer as JSON, or its array `list` as a table.
     ExitStatus showList(
         const std::string& path, const std::string& list, const std::vector<std::string>& columns) const;
--- a/src/ibisgw_cli/OperationCommands.cpp
+++ b/src/ibisgw_cli/OperationCommands.cpp
@@ -21,23 +21,19 @@
 ExitStatus runStatus(const Invocation& invocation)
 {
     auto status = ExitStatus::Ok;
-    const auto client = invocation.connect(status);
-    if (!client)
+    const auto body = invocation.get("/api/v1/status", status);
+    if (!body)
         return status;
-    const auto reply = client->get("/api/v1/status");
-    status = exitStatusOf(reply);
-    if (status != ExitStatus::Ok)
-        return invocation.reportFailure(reply, status);
-    const auto& body = reply.body;
     if (invocation.format == OutputFormat::Json) {
-        invocation.printJson(body);
+        invocation.printJson(*body);
         return status;
     }
-    invocation.out << "revision " << body.value("newest_revision", json()) << " is in force on "
-                   << body.value("daemons_in_force", json()) << " of " << body.value("daemons", json()) << " daemons\n";
-    if (body.contains("members")) {
-        printTable(invocation.out, json::array({ { { "leader", body.value("leader", json("")) } } }), { "leader" });
-        printTable(invocation.out, body["members"],
+    invocation.out << "revision " << body->value("newest_revision", json()) << " is in force on "
+                   << body->value("daemons_in_force", json()) << " of " << body->value("daemons", json())
+                   << " daemons\n";
+    if (body->contains("members")) {
+        printTable(invocation.out, json::array({ { { "leader", body->value("leader", json("")) } } }), { "leader" });
+        printTable(invocation.out, body->at("members"),
             { "name", "control", "zone", "balancer", "controller", "state", "revision" });
     }
     return status;
@@ -56,18 +52,15 @@
     if (invocation.caller.empty() || invocation.service.empty())
         return invocation.fail(ExitStatus::InvalidInput, "invalid_input", "give both --caller and --service");
     auto status = ExitStatus::Ok;
-    const auto client = invocation.connect(status);
-    if (!client)
+    const auto body = invocation.get("/api/v1/flows?caller=" + ApiClient::percentEncode(invocation.caller)
+            + "&service=" + ApiClient::percentEncode(invocation.service),
+        status);
+    if (!body)
         return status;
-    const auto reply = client->get("/api/v1/flows?caller=" + ApiClient::percentEncode(invocation.caller)
-        + "&service=" + ApiClient::percentEncode(invocation.service));
-    status = exitStatusOf(reply);
-    if (status != ExitStatus::Ok)
-        return invocation.reportFailure(reply, status);
     if (invocation.format == OutputFormat::Json)
-        invocation.printJson(reply.body);
+        invocation.printJson(*body);
     else
-        printTable(invocation.out, json::array({ reply.body }), { "service", "upstream", "source" });
+        printTable(invocation.out, json::array({ *body }), { "service", "upstream", "source" });
     return status;
 }
 
--- a/src/ibisgw_cli/ReadFile.cpp
+++ b/src/ibisgw_cli/ReadFile.cpp
@@ -12,16 +12,9 @@
 {
     // Large enough for the log of a day.
     constexpr std::size_t maxBytes = std::size_t { 1 } << 30;
-    return boost::leaf::try_handle_all(
-        [&]() -> core::Result<std::optional<std::string>> {
-            BOOST_LEAF_AUTO(text, adapters::readInputFile(file, description, maxBytes));
-            return std::optional<std::string>(std::move(text));
-        },
-        [&](const core::Error& error) -> std::optional<std::string> {
-            invocation.fail(ExitStatus::InvalidInput, std::string(core::nameOf(error.kind)), error.message);
-            return std::nullopt;
-        },
-        []() -> std::optional<std::string> { return std::nullopt; });
+    return adapters::readInputFile(file, description, maxBytes, [&invocation](const core::Error& error) {
+        invocation.fail(ExitStatus::InvalidInput, std::string(core::nameOf(error.kind)), error.message);
+    });
 }
 
 } // namespace ibisgw_cli
--- a/src/ibisgw_cli/ZoneCommands.cpp
+++ b/src/ibisgw_cli/ZoneCommands.cpp
@@ -35,19 +35,15 @@
 ExitStatus runZoneList(const Invocation& invocation)
 {
     auto status = ExitStatus::Ok;
-    const auto client = invocation.connect(status);
-    if (!client)
+    const auto body = invocation.get("/api/v1/zones", status);
+    if (!body)
         return status;
-    const auto reply = client->get("/api/v1/zones");
-    status = exitStatusOf(reply);
-    if (status != ExitStatus::Ok)
-        return invocation.reportFailure(reply, status);
     if (invocation.format == OutputFormat::Json) {
-        invocation.printJson(reply.body);
+        invocation.printJson(*body);
         return status;
     }
-    invocation.out << "revision " << reply.body.value("revision", json()) << " is in force on this daemon\n";
-    printTable(invocation.out, reply.body.value("zones", json::array()), { "name", "region", "evacuated" });
+    invocation.out << "revision " << body->value("revision", json()) << " is in force on this daemon\n";
+    printTable(invocation.out, body->value("zones", json::array()), { "name", "region", "evacuated" });
     return status;
 }
 
