Limit the size of documents where all submissions are taken

The limit stood in the submission of the API only, so a drain or an order for a zone could still make a revision that no other daemon can receive. ConfigurationService now refuses it as invalid, and a drain says so. The API still answers before it sends anything, with the path. The new case of ControllerGroupTests fails without the check (Unknown instead of Invalid).

--- a/src/ibisgw/configuration/ConfigurationService.cpp
+++ b/src/ibisgw/configuration/ConfigurationService.cpp
@@ -1,5 +1,7 @@
 #include "ibisgw/configuration/ConfigurationService.h"
 
+#include "ibisgw/configuration/DocumentCompression.h"
+
 #include <nlohmann/json.hpp>
 
 namespace ibisgw::configuration {
@@ -58,15 +60,16 @@
     const auto document = parseDocument(submission.document);
     if (document.is_discarded() || submission.id.empty())
         return { OutcomeKind::Invalid, 0, {}, {}, "the submission needs an identifier and a JSON document" };
+    auto canonical = submission;
+    canonical.document = document.dump();
+    if (const auto problem = sizeProblemOf(canonical.document))
+        return { OutcomeKind::Invalid, 0, {}, {}, "the document " + problem->message };
     if (m_pendingTerm != m_raft.term()) {
         m_pendingSubmissions.clear();
         m_pendingTerm = m_raft.term();
     }
-    if (m_pendingSubmissions.insert(submission.id).second) {
-        auto canonical = submission;
-        canonical.document = document.dump();
+    if (m_pendingSubmissions.insert(submission.id).second)
         m_raft.propose(m_state.encode(canonical), now, output);
-    }
     return outcomeOf(submission.id);
 }
 
--- a/src/ibisgw/configuration/SubmissionOutcome.h
+++ b/src/ibisgw/configuration/SubmissionOutcome.h
@@ -16,7 +16,7 @@
     Unknown,
     // This controller accepts no submissions; submit to `leader` if it is known.
     NotLeader,
-    // The identifier is empty, or the document is not JSON or nested too deeply.
+    // The identifier is empty, or the document is not JSON, nested too deeply or too large.
     Invalid,
 };
 
--- a/src/ibisgwd/DaemonBackend.cpp
+++ b/src/ibisgwd/DaemonBackend.cpp
@@ -303,6 +303,8 @@
                 completion(std::monostate {});
             else if (reply->outcome.kind == OutcomeKind::Conflict)
                 completion(core::Error { core::ErrorKind::Conflict, "another change was accepted first; drain again" });
+            else if (reply->outcome.kind == OutcomeKind::Invalid)
+                completion(core::Error { core::ErrorKind::InvalidInput, reply->outcome.message });
             else
                 completion(core::Error { core::ErrorKind::Unavailable, "the drain is not committed yet; drain again" });
         });
--- a/tests/configuration/ControllerGroupTests.cpp
+++ b/tests/configuration/ControllerGroupTests.cpp
@@ -1,3 +1,4 @@
+#include "ibisgw/configuration/DocumentCompression.h"
 #include "ibisgw/core/PcgRandomSource.h"
 #include "support/ControllerGroup.h"
 
@@ -109,6 +110,13 @@
             change.document = std::string(100'000, '[') + std::string(100'000, ']');
             CHECK(group.controllers.submit(leader, change).kind == OutcomeKind::Invalid);
         }
+        // Guards against a revision that no other daemon can receive, whoever submits it.
+        SUBCASE("and a document that is too large to be distributed is rejected")
+        {
+            auto change = group.change(1);
+            change.document = "\"" + std::string(maxDocumentBytes - 1, 'a') + "\"";
+            CHECK(group.controllers.submit(leader, change).kind == OutcomeKind::Invalid);
+        }
     }
 
     TEST_CASE("a second controller that is lost right after a repair takes nothing accepted with it")
