--- a/src/ibisgw/runtime/DirectController.cpp
+++ b/src/ibisgw/runtime/DirectController.cpp
@@ -49,14 +49,16 @@
     return options;
 }
 
+// Shorter than for balancers: subscriptions acknowledge departures to the other controllers, and departing upstreams
+// wait for these acknowledgements.
+constexpr core::Duration controllerSubscriptionInterval = std::chrono::milliseconds(400);
+
 sync::SubscriberOptions controllerSubscription(
     const settings::DirectSettings& settings, core::NodeId self, core::RandomSource& random)
 {
     auto options = subscriberOptions(settings, self, random);
     options.isController = true;
-    // Shorter than for balancers: subscriptions acknowledge departures to the other controllers, and departing
-    // upstreams wait for these acknowledgements.
-    options.interval = std::chrono::milliseconds(400);
+    options.interval = controllerSubscriptionInterval;
     return options;
 }
 
