Ask the registry whether an upstream still runs

OpenAdmission and RequestHedging each looked up the record and compared state and incarnation. Decisions are the same.

--- a/src/ibisgw/balancer/OpenAdmission.cpp
+++ b/src/ibisgw/balancer/OpenAdmission.cpp
@@ -82,12 +82,12 @@
     // have been in use until the upstream went away.
     const auto upstream = record->upstreams.back();
     const bool mayRetry = record->state == OpenState::Forwarded;
-    const bool isUnfit = isGone(upstream) || m_context.upstreams.isEvacuated(upstream)
+    const bool isUnfit = !m_context.upstreams.isRunning(upstream) || m_context.upstreams.isEvacuated(upstream)
         || m_context.placer.isEjected(upstream, service, now);
     if (mayRetry && isUnfit) {
         if (retry(*record, service, now, output))
             return true;
-        if (isGone(upstream)) {
+        if (!m_context.upstreams.isRunning(upstream)) {
             refuse(packet, RefusalKind::OutcomeUnknown, output);
             endFlow(packet.flow, now);
             return true;
@@ -324,10 +324,4 @@
     output.sendToUpstream(upstream, packet);
 }
 
-bool OpenAdmission::isGone(core::UpstreamId upstream) const
-{
-    const auto* record = m_context.upstreams.find(upstream);
-    return !record || record->announcement.state == upstream::UpstreamState::Stopped;
-}
-
 } // namespace ibisgw::balancer
--- a/src/ibisgw/balancer/OpenAdmission.h
+++ b/src/ibisgw/balancer/OpenAdmission.h
@@ -76,8 +76,6 @@
     void releaseCapacity(request::OpenRecord&, bool completed, core::TimePoint now);
     void refuse(const packet::Packet&, packet::RefusalKind, BalancerOutput&);
     void close(const core::FlowKey&, core::UpstreamId, BalancerOutput&);
-    // True when the upstream has stopped or its announcement has expired.
-    bool isGone(core::UpstreamId) const;
     // Sends the request to any running upstream. Used only when a test switches off requestsStayAtUpstream.
     void resendRequest(packet::Packet, BalancerOutput&);
     void refuseRequestsOfGoneUpstreams(core::TimePoint now, BalancerOutput&);
--- a/src/ibisgw/balancer/OpenAdmissionMaintenance.cpp
+++ b/src/ibisgw/balancer/OpenAdmissionMaintenance.cpp
@@ -21,9 +21,7 @@
 {
     for (auto it = m_incarnations.begin(); it != m_incarnations.end();) {
         const auto [id, incarnation] = *it;
-        const bool isSameIncarnation
-            = !isGone(id) && m_context.upstreams.find(id)->announcement.incarnation == incarnation;
-        if (isSameIncarnation) {
+        if (m_context.upstreams.isRunning(id, incarnation)) {
             ++it;
             continue;
         }
@@ -41,7 +39,7 @@
         });
     }
     for (const auto& [id, record] : m_context.upstreams.records()) {
-        if (!isGone(id))
+        if (m_context.upstreams.isRunning(id))
             m_incarnations.try_emplace(id, record.announcement.incarnation);
     }
 }
@@ -49,7 +47,7 @@
 void OpenAdmission::resendRequest(Packet packet, BalancerOutput& output)
 {
     for (const auto& [id, record] : m_context.upstreams.records()) {
-        if (isGone(id))
+        if (!m_context.upstreams.isRunning(id))
             continue;
         packet.type = PacketType::Open;
         output.sendToUpstream(id, packet);
--- a/src/ibisgw/balancer/RequestHedgingAttempts.cpp
+++ b/src/ibisgw/balancer/RequestHedgingAttempts.cpp
@@ -134,9 +134,7 @@
 void RequestHedging::failAttemptsAtGoneUpstreams(BalancerOutput& output)
 {
     const auto isGone = [&](const Key&, const TrackedRequest& it) {
-        const auto* record = m_context.upstreams.find(it.second);
-        return !record || record->announcement.state == upstream::UpstreamState::Stopped
-            || record->announcement.incarnation != it.secondIncarnation;
+        return !m_context.upstreams.isRunning(it.second, it.secondIncarnation);
     };
     failAttemptsIf(isGone, output);
 }
--- a/src/ibisgw/upstream/UpstreamRegistry.cpp
+++ b/src/ibisgw/upstream/UpstreamRegistry.cpp
@@ -133,6 +133,17 @@
     return it == m_records.end() ? nullptr : &it->second;
 }
 
+bool UpstreamRegistry::isRunning(core::UpstreamId upstream) const
+{
+    const auto* record = find(upstream);
+    return record && record->announcement.state != UpstreamState::Stopped;
+}
+
+bool UpstreamRegistry::isRunning(core::UpstreamId upstream, core::Incarnation incarnation) const
+{
+    return isRunning(upstream) && find(upstream)->announcement.incarnation == incarnation;
+}
+
 std::vector<core::UpstreamId> UpstreamRegistry::eligible(const core::ServiceName& service) const
 {
     std::vector<core::UpstreamId> upstreams;
--- a/src/ibisgw/upstream/UpstreamRegistry.h
+++ b/src/ibisgw/upstream/UpstreamRegistry.h
@@ -48,6 +48,10 @@
     // Removes upstreams whose lease has expired, except those of a zone that this balancer is partitioned from.
     void removeExpired(core::TimePoint now);
     const Record* find(core::UpstreamId) const;
+    // Whether the upstream is known and hasn't stopped.
+    bool isRunning(core::UpstreamId) const;
+    // The same for one incarnation of the upstream.
+    bool isRunning(core::UpstreamId, core::Incarnation) const;
     // Returns the upstreams of the service that may get new work.
     std::vector<core::UpstreamId> eligible(const core::ServiceName&) const;
     // Whether operators evacuate the zone of the upstream.
