--- a/review/standins-2/deployment.py
+++ b/review/standins-2/deployment.py
@@ -221,7 +221,7 @@
 def configuration(version, services, route_type="unsafe", timeout_ms=1500):
     """A complete configuration with a route for each service."""
     routes = [
-        {"name": f"r-{it}", "hostname": f"198.18.0.{n + 1}", "path_prefix": "/8080/", "route_type": route_type,
+        {"name": f"r-{it}", "hostname": f"127.198.18.{n + 1}", "path_prefix": "/8080/", "route_type": route_type,
          "timeout_ms": timeout_ms, "target_latency_ms": 150, "priority": 1, "service": it, "max_attempts": 2}
         for n, it in enumerate(services)
     ]
