Look for free ports on a loopback address

Cause: the stand-ins of the second review bound 0.0.0.0 to find a free port, and every address in a case has to be a loopback address. Change: free_port() binds an address of the deployment's own block.

--- a/review/standins-2/deployment.py
+++ b/review/standins-2/deployment.py
@@ -158,13 +158,14 @@
         self.balancers += [Machine(self, "balancer", n) for n in range(balancers)]
 
     def free_port(self):
-        """A port that is free for TCP and UDP on all loopback addresses, and was not chosen before."""
+        """A port that is free for TCP and UDP on a loopback address of this deployment, and was not chosen before."""
+        address = f"127.{self.block}.255.254"
         while True:
             with socket.socket() as tcp, socket.socket(type=socket.SOCK_DGRAM) as udp:
-                tcp.bind(("0.0.0.0", 0))
+                tcp.bind((address, 0))
                 port = tcp.getsockname()[1]
                 try:
-                    udp.bind(("0.0.0.0", port))
+                    udp.bind((address, port))
                 except OSError:
                     continue
                 if port not in self.ports.values():
