Store the leader of a term in place of a vote for another candidate

A healthy voter that had lost an election had its disk erased at its next start, so that a group with another lost disk stopped for good.

Cause: a controller that checks a peer's disk took the candidate it had voted for in a term for the leader of that term, whose log must hold all entries of the term. If another candidate has won, the one that lost need not have them.

Fix: a follower stores the leader of the term as its vote once the leader's first message comes. The election is decided then, so this grants no second vote, and the stored vote names the leader of every term with entries in the log. An older copy of the disk of a leader for which the follower had not voted is detected as well.

--- a/src/ibisgw/configuration/LogStore.h
+++ b/src/ibisgw/configuration/LogStore.h
@@ -11,7 +11,8 @@
 // Persistent election state: currentTerm and votedFor (Ongaro and Ousterhout 2014, figure 2).
 struct VoteState {
     Term term { 0 };
-    // Candidate that received the vote of this controller in this term; invalid when there is none.
+    // Leader of this term once it is known; before, the candidate that received the vote of this controller in this
+    // term; invalid when there is none.
     core::NodeId votedFor;
 
     bool operator==(const VoteState&) const = default;
--- a/src/ibisgw/configuration/RaftNode.h
+++ b/src/ibisgw/configuration/RaftNode.h
@@ -160,6 +160,7 @@
     void handle(core::NodeId from, const RaftMessage&, const DiskIdentityReply&, core::TimePoint now);
 
     // RaftReplication.cpp
+    bool followLeader(core::NodeId leader, Term, core::TimePoint now);
     void sendEntries(core::NodeId, core::TimePoint now);
     void broadcastEntries(core::TimePoint now, bool isHeartbeat);
     LogIndex durableIndex(const Member&) const;
--- a/src/ibisgw/configuration/RaftReplication.cpp
+++ b/src/ibisgw/configuration/RaftReplication.cpp
@@ -82,15 +82,23 @@
     }
 }
 
+// Follows the leader of the term; false if the store failed. The leader replaces a vote for another candidate in the
+// stored state, which thereby names the leader of every term of which this controller has entries. No other candidate
+// can win in this term any more, so the change grants no second vote.
+bool RaftNode::followLeader(core::NodeId leader, Term term, core::TimePoint now)
+{
+    becomeFollower(term, leader, now);
+    m_lastLeaderContact = now;
+    return m_role != RaftRole::Halted && saveVote({ term, leader });
+}
+
 void RaftNode::handle(core::NodeId from, const RaftMessage& message, const AppendRequest& request, core::TimePoint now)
 {
     if (message.term < m_vote.term) {
         enqueue(from, AppendReply { false, m_commitIndex, 0 });
         return;
     }
-    becomeFollower(message.term, from, now);
-    m_lastLeaderContact = now;
-    if (m_role == RaftRole::Halted)
+    if (!followLeader(from, message.term, now))
         return;
     const auto previousTerm = m_log.termAt(request.previousIndex);
     if (request.previousIndex > m_log.lastIndex()) {
@@ -180,9 +188,7 @@
         enqueue(from, AppendReply { false, m_commitIndex, 0 });
         return;
     }
-    becomeFollower(message.term, from, now);
-    m_lastLeaderContact = now;
-    if (m_role == RaftRole::Halted)
+    if (!followLeader(from, message.term, now))
         return;
     const auto& snapshot = request.snapshot;
     if (snapshot.index > m_commitIndex) {
