Split the disk check off RaftMembership.cpp

Moved as it was, but for hasLaterStateOf(), which takes the comparison out of the handler of the request, and holdsAnyOf(), which names the kinds of messages once.

--- a/src/ibisgw/configuration/RaftNode.cpp
+++ b/src/ibisgw/configuration/RaftNode.cpp
@@ -4,6 +4,15 @@
 
 namespace ibisgw::configuration {
 
+namespace {
+
+template <typename... Bodies> bool holdsAnyOf(const RaftMessage& message)
+{
+    return (std::holds_alternative<Bodies>(message.body) || ...);
+}
+
+} // namespace
+
 RaftNode::RaftNode(RaftOptions options, LogStore& store, StateMachine& stateMachine, core::RandomSource& random)
     : m_options(std::move(options))
     , m_store(store)
@@ -238,11 +247,7 @@
 
 bool RaftNode::acceptsMessage(core::NodeId from, const RaftMessage& message) const
 {
-    const bool isDiskCheck = std::holds_alternative<DiskCheckRequest>(message.body)
-        || std::holds_alternative<DiskCheckReply>(message.body)
-        || std::holds_alternative<DiskIdentityRequest>(message.body)
-        || std::holds_alternative<DiskIdentityReply>(message.body);
-    if (isDiskCheck)
+    if (holdsAnyOf<DiskCheckRequest, DiskCheckReply, DiskIdentityRequest, DiskIdentityReply>(message))
         return from != m_options.self;
     const auto group = m_log.membership().group;
     if (group != 0 && message.group != group)
@@ -250,9 +255,7 @@
     if (group == 0) {
         // A controller without a group joins the group of the first leader that sends it entries or a snapshot. The
         // disk check must be complete: the disk could be a copy from before the controller became a voter.
-        return m_isDiskConfirmed && message.group != 0
-            && (std::holds_alternative<AppendRequest>(message.body)
-                || std::holds_alternative<SnapshotRequest>(message.body));
+        return m_isDiskConfirmed && message.group != 0 && holdsAnyOf<AppendRequest, SnapshotRequest>(message);
     }
     return m_isDiskConfirmed;
 }
--- a/src/ibisgw/configuration/RaftNode.h
+++ b/src/ibisgw/configuration/RaftNode.h
@@ -128,7 +128,6 @@
     // Queues a message for syncAndSend().
     void enqueue(core::NodeId, decltype(RaftMessage::body));
     bool isSelfVoter() const;
-    void recordPeerState(core::NodeId, const RaftMessage&);
     bool acceptsMessage(core::NodeId, const RaftMessage&) const;
 
     // RaftElection.cpp
@@ -143,7 +142,6 @@
     void handle(core::NodeId from, const RaftMessage&, const VoteReply&, core::TimePoint now);
 
     // RaftQuorum.cpp
-
     // Whether a voter takes part in a decision: has voted, has stored an entry, is in contact or has confirmed a read.
     using Agreement = std::function<bool(const Member&)>;
     bool isQuorum(const Agreement&) const;
@@ -171,13 +169,20 @@
     void handle(core::NodeId from, const RaftMessage&, const SnapshotRequest&, core::TimePoint now);
     bool storeEntries(const AppendRequest&);
 
-    // RaftMembership.cpp
+    // RaftDiskCheck.cpp
     void sendDiskChecks(core::TimePoint now);
+    std::set<core::NodeId> diskCheckPeers() const;
     void concludeDiskCheck(core::TimePoint now);
     bool isDiskConfirmedByVoters(core::TimePoint now) const;
     const Membership& newestKnownMembership() const;
-    void bootstrapGroup(core::TimePoint now);
     void rejoinWithNewDisk(core::TimePoint now);
+    void recordPeerState(core::NodeId, const RaftMessage&);
+    bool hasLaterStateOf(core::NodeId, const RaftMessage&, const DiskCheckRequest&) const;
+    void handle(core::NodeId from, const RaftMessage&, const DiskCheckRequest&, core::TimePoint now);
+    void handle(core::NodeId from, const RaftMessage&, const DiskCheckReply&, core::TimePoint now);
+
+    // RaftMembership.cpp
+    void bootstrapGroup(core::TimePoint now);
     void admitController(core::NodeId, const RaftMessage&, const DiskCheckRequest&, core::TimePoint now);
     void recordStart(const Member&, core::TimePoint now);
     void promoteLearners(core::TimePoint now);
@@ -189,13 +194,10 @@
     void removeSilentMembers(core::TimePoint now);
     bool hasVoterToSpare() const;
     void removeFromMembership(core::NodeId, core::TimePoint now);
-    std::set<core::NodeId> diskCheckPeers() const;
     bool canBootstrapGroup() const;
     bool canChangeMembership() const;
     void changeMembership(Membership, core::TimePoint now);
     void updateProgress(core::TimePoint now);
-    void handle(core::NodeId from, const RaftMessage&, const DiskCheckRequest&, core::TimePoint now);
-    void handle(core::NodeId from, const RaftMessage&, const DiskCheckReply&, core::TimePoint now);
 
     // RaftLeave.cpp
     void sendLeaveRequest(core::TimePoint now);
