--- a/tests/configuration/OpenMembershipTests.cpp
+++ b/tests/configuration/OpenMembershipTests.cpp
@@ -3,6 +3,7 @@
 #include <doctest/doctest.h>
 
 #include <algorithm>
+#include <iterator>
 #include <set>
 
 using namespace ibisgw;
@@ -337,6 +338,50 @@
         }
     }
 
+    // Guards against two majorities without a common voter: half of the voters with a new one, and the other half with
+    // one of the first half that has lost its disk since.
+    TEST_CASE("half of the voters and a new one accept nothing that the other half and a lost disk could undo")
+    {
+        constexpr std::uint64_t seeds = 20;
+        for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+            CAPTURE(seed);
+            RegisterGroup group(4, 1, 70 * seed, 100ms);
+            group.runFor(6s);
+            REQUIRE(group.replace(1));
+            const auto leader = group.leader();
+            std::vector<core::NodeId> others;
+            std::ranges::copy_if(
+                group.running(), std::back_inserter(others), [&](core::NodeId it) { return it != leader; });
+
+            // The new controller is a learner when the others lose contact.
+            group.setDelay(30ms);
+            const auto added = group.add();
+            while (!group.membership().find(added))
+                group.runFor(20ms);
+            group.runFor(60ms);
+            REQUIRE(!group.membership().find(added)->voter);
+            group.isolate(others[0]);
+            group.isolate(others[1]);
+            const auto version = group.replace(2, 2s) ? 2 : 1;
+
+            group.stop(others[2]);
+            group.wipe(others[2]);
+            group.isolate(leader);
+            group.isolate(added);
+            group.reconnect(others[0]);
+            group.reconnect(others[1]);
+            group.start(others[2]);
+            CHECK(group.read() >= version);
+            CHECK(group.replace(3));
+
+            group.reconnect(leader);
+            group.reconnect(added);
+            group.runFor(repairDuration);
+            CHECK(group.read() == 3);
+            CHECK(group.replace(4));
+        }
+    }
+
     // Guards against a planned stop that takes a voter from a group that has none to spare, or that keeps it out after
     // its start.
     TEST_CASE("controllers that are stopped as planned and started again in turn remain members")
