--- a/tests/configuration/ScheduleTests.cpp
+++ b/tests/configuration/ScheduleTests.cpp
@@ -5,68 +5,63 @@
 using namespace ibisgw::configuration;
 using namespace support;
 
+namespace {
+
+struct Totals {
+    std::size_t accepted { 0 };
+    std::size_t conflicts { 0 };
+    std::size_t lostDisks { 0 };
+    std::size_t stuck { 0 };
+};
+
+// Checks the schedules of consecutive seeds. The caller compares the totals with lower limits, which guard against
+// schedules that no longer exercise what they are meant for.
+Totals checkSchedules(std::uint64_t firstSeed, std::uint64_t count, MembershipMode mode,
+    DiskLosses diskLosses = DiskLosses::LeaveMajority)
+{
+    Totals totals;
+    for (std::uint64_t seed = firstSeed; seed < firstSeed + count; ++seed) {
+        const auto result = runConfigurationSchedule(seed, {}, mode, diskLosses);
+        CAPTURE(seed);
+        CHECK_MESSAGE(result.violations.empty(), result.firstViolation);
+        CHECK(result.hasRecovered);
+        totals.accepted += result.accepted;
+        totals.conflicts += result.conflicts;
+        totals.lostDisks += result.lostDisks;
+        totals.stuck += !result.hasRecovered;
+    }
+    MESSAGE("accepted ", totals.accepted, ", conflicts ", totals.conflicts, ", lost disks ", totals.lostDisks,
+        ", stuck ", totals.stuck);
+    return totals;
+}
+
+} // namespace
+
 TEST_SUITE("configuration")
 {
     // Guards against lost or reverted revisions and groups that do not recover after random faults.
     TEST_CASE("nothing accepted is lost in 1,000 schedules of faults")
     {
-        std::size_t accepted = 0;
-        std::size_t conflicts = 0;
-        std::size_t lostDisks = 0;
-        std::size_t stuck = 0;
-        for (std::uint64_t seed = 1; seed <= 1000; ++seed) {
-            const auto result = runConfigurationSchedule(seed);
-            CAPTURE(seed);
-            CHECK_MESSAGE(result.violations.empty(), result.firstViolation);
-            CHECK(result.hasRecovered);
-            accepted += result.accepted;
-            conflicts += result.conflicts;
-            lostDisks += result.lostDisks;
-            stuck += !result.hasRecovered;
-        }
-        // Guards against schedules that no longer exercise conflicts and lost disks.
-        MESSAGE("accepted ", accepted, ", conflicts ", conflicts, ", lost disks ", lostDisks, ", stuck ", stuck);
-        CHECK(accepted > 10'000);
-        CHECK(conflicts > 1'000);
-        CHECK(lostDisks > 200);
+        const auto totals = checkSchedules(1, 1000, MembershipMode::Listed);
+        CHECK(totals.accepted > 10'000);
+        CHECK(totals.conflicts > 1'000);
+        CHECK(totals.lostDisks > 200);
     }
 
     // Guards against a group that loses accepted revisions when it removes and readmits controllers automatically.
     TEST_CASE("nothing accepted is lost in 500 schedules of faults with an open membership")
     {
-        constexpr std::uint64_t firstSeed = 20'001;
-        std::size_t accepted = 0;
-        std::size_t lostDisks = 0;
-        for (std::uint64_t seed = firstSeed; seed < firstSeed + 500; ++seed) {
-            const auto result = runConfigurationSchedule(seed, {}, MembershipMode::Open);
-            CAPTURE(seed);
-            CHECK_MESSAGE(result.violations.empty(), result.firstViolation);
-            CHECK(result.hasRecovered);
-            accepted += result.accepted;
-            lostDisks += result.lostDisks;
-        }
-        MESSAGE("accepted ", accepted, ", lost disks ", lostDisks);
-        CHECK(accepted > 5'000);
-        CHECK(lostDisks > 100);
+        const auto totals = checkSchedules(20'001, 500, MembershipMode::Open);
+        CHECK(totals.accepted > 5'000);
+        CHECK(totals.lostDisks > 100);
     }
 
     // Guards against two leaders, lost revisions and groups that never recover when quorums include a voter that has
     // lost its disk.
     TEST_CASE("nothing accepted is lost in 500 schedules in which an even number of voters loses one disk more")
     {
-        constexpr std::uint64_t firstSeed = 40'001;
-        std::size_t accepted = 0;
-        std::size_t lostDisks = 0;
-        for (std::uint64_t seed = firstSeed; seed < firstSeed + 500; ++seed) {
-            const auto result = runConfigurationSchedule(seed, {}, MembershipMode::Open, DiskLosses::LeaveQuorum);
-            CAPTURE(seed);
-            CHECK_MESSAGE(result.violations.empty(), result.firstViolation);
-            CHECK(result.hasRecovered);
-            accepted += result.accepted;
-            lostDisks += result.lostDisks;
-        }
-        MESSAGE("accepted ", accepted, ", lost disks ", lostDisks);
-        CHECK(accepted > 5'000);
-        CHECK(lostDisks > 500);
+        const auto totals = checkSchedules(40'001, 500, MembershipMode::Open, DiskLosses::LeaveQuorum);
+        CHECK(totals.accepted > 5'000);
+        CHECK(totals.lostDisks > 500);
     }
 }
