Say in the subscriber which quorums a confirmation meets

A version may be in the logs of half of the voters now, if the quorum that accepted it included a lost disk. The majority of voters that a balancer asks for must run with their disks, so it still has one of them in common with every quorum; the comment said majority for both.

--- a/src/ibisgw/sync/DirectorySubscriber.h
+++ b/src/ibisgw/sync/DirectorySubscriber.h
@@ -51,8 +51,8 @@
     // Requests the newest configuration if a controller has reported one above the version held here. Requests go to
     // one controller at a time; the next controller is tried when no transfer arrives.
     void fetchConfiguration(direct::ConfigurationVersion held, core::TimePoint now, SyncOutput&);
-    // Each accepted version, and each committed set of evacuated zones, is in the logs of a majority of the voters, and
-    // any two majorities have a voter in common.
+    // Each accepted version, and each committed set of evacuated zones, is in the logs of a quorum of the voters. A
+    // majority of voters that have their disks has one of these in common with every quorum (RaftNode::isQuorum()).
     ConfigurationCheck checkConfiguration(
         direct::ConfigurationVersion heldVersion, std::uint64_t heldEvacuationRevision, core::TimePoint now) const;
     // Sends the subscriptions that are due.
--- a/tests/configuration/DiskCheckTests.cpp
+++ b/tests/configuration/DiskCheckTests.cpp
@@ -4,6 +4,8 @@
 
 #include <doctest/doctest.h>
 
+#include <initializer_list>
+#include <map>
 #include <optional>
 
 using namespace ibisgw;
