Save the commit of a membership at once, and keep majorities in listed groups

What callers would have seen: after a loss of all power with a lost disk, a group whose commit index is not saved stops for good.

Cause: voters that don't know that their membership is committed need a quorum of the membership before as well, if that has an even number of voters; after a loss of all power nobody can tell them.

Fix: with an open membership the commit of a membership is saved with the next tick, whatever the interval. Lost disks count only there; listed controllers, which an operator replaces, keep their majorities.

--- a/src/ibisgw/configuration/RaftDiskCheck.cpp
+++ b/src/ibisgw/configuration/RaftDiskCheck.cpp
@@ -70,18 +70,18 @@
 {
     const auto& membership = newestKnownMembership();
     const auto* self = membership.find(m_options.self);
-    std::size_t confirmations = self && self->voter && isSelf(*self) ? 1 : 0;
+    std::size_t confirmations = self && hasVote(*self, m_disk) ? 1 : 0;
     std::size_t lostVoters = 0;
     bool hasGroupMember = false;
     for (const auto& [node, answer] : m_diskCheckResults) {
         const auto* member = membership.find(node);
         hasGroupMember |= answer.hasSameGroup;
-        if (!member || !member->voter)
+        if (!member)
             continue;
-        if (member->disk != answer.disk)
-            ++lostVoters;
-        else if (answer.hasSameGroup)
+        if (answer.hasSameGroup && hasVote(*member, answer.disk))
             ++confirmations;
+        else if (member->voter && member->disk != answer.disk)
+            ++lostVoters;
     }
     if (confirmations >= membership.voterCount())
         return true;
@@ -91,7 +91,7 @@
     // a learner has made no promise beyond its stored state.
     if (!isSelfVoter())
         return hasGroupMember;
-    return confirmations + std::min(lostVoters, membership.lostVoterAllowance()) >= membership.majority();
+    return confirmations + std::min(lostVoters, lostVoterAllowance(membership)) >= membership.majority();
 }
 
 // Newest membership among the own log and the replies, because the own log may be outdated.
--- a/src/ibisgw/configuration/RaftElection.cpp
+++ b/src/ibisgw/configuration/RaftElection.cpp
@@ -29,7 +29,7 @@
         return;
     m_role = isPreVote ? RaftRole::PreCandidate : RaftRole::Candidate;
     m_leader = {};
-    m_votes = { { m_options.self, m_disk } };
+    m_votes.clear();
     if (isPreVote) {
         m_lostDisks.clear();
         m_diskIdentityNonce = m_random.next();
@@ -52,7 +52,8 @@
         const auto vote = m_votes.find(it.node);
         // A vote from another disk than the member's is not counted: the lost disk may have recorded a vote for another
         // candidate in this term.
-        return vote != m_votes.end() && (vote->second == it.disk || m_options.disabledRules.diskIdentity);
+        return isSelf(it)
+            || (vote != m_votes.end() && (vote->second == it.disk || m_options.disabledRules.diskIdentity));
     };
     if (!isQuorum(hasVoted))
         return;
--- a/src/ibisgw/configuration/RaftNode.cpp
+++ b/src/ibisgw/configuration/RaftNode.cpp
@@ -199,10 +199,21 @@
     }
 }
 
+// With an open membership a controller that starts must know that its membership is committed, as isQuorum() requires
+// more voters otherwise, and after a loss of all power nobody could tell it.
+bool RaftNode::isMembershipCommitUnsaved() const
+{
+    const auto index = m_log.membershipIndex();
+    return m_options.membershipMode == MembershipMode::Open && index <= m_commitIndex && index > m_savedCommitIndex;
+}
+
 void RaftNode::saveCommitIfDue(core::TimePoint now)
 {
+    if (m_commitIndex == m_savedCommitIndex)
+        return;
     const auto interval = m_options.commitSaveInterval;
-    if (interval == core::Duration::zero() || m_commitIndex == m_savedCommitIndex || now < m_nextCommitSave)
+    const bool isDue = interval != core::Duration::zero() && now >= m_nextCommitSave;
+    if (!isDue && !isMembershipCommitUnsaved())
         return;
     m_nextCommitSave = now + interval;
     if (!tryWrite([&] { return m_store.saveCommit(m_commitIndex); }))
@@ -239,10 +250,7 @@
 bool RaftNode::isSelfVoter() const
 {
     const auto* member = m_log.membership().find(m_options.self);
-    if (!member)
-        return false;
-    return m_options.disabledRules.diskIdentity || m_options.disabledRules.learnerRestriction
-        || (member->voter && member->disk == m_disk);
+    return member && hasVote(*member, m_disk);
 }
 
 bool RaftNode::acceptsMessage(core::NodeId from, const RaftMessage& message) const
--- a/src/ibisgw/configuration/RaftNode.h
+++ b/src/ibisgw/configuration/RaftNode.h
@@ -124,6 +124,7 @@
     bool appendToLog(std::vector<LogEntry>);
     void applyCommitted();
     void compactIfLong();
+    bool isMembershipCommitUnsaved() const;
     void saveCommitIfDue(core::TimePoint now);
     // Queues a message for syncAndSend().
     void enqueue(core::NodeId, decltype(RaftMessage::body));
@@ -150,7 +151,9 @@
     const Membership* membershipBeingReplaced() const;
     std::vector<const Membership*> membershipsInForce() const;
     std::set<core::NodeId> peersInForce() const;
+    std::size_t lostVoterAllowance(const Membership&) const;
     std::size_t countLostVoters(const Membership&) const;
+    bool hasVote(const Member&, DiskIdentity) const;
     bool isSelf(const Member&) const;
     // Null if the disk of the member is not the one that the leader replicates to.
     const Progress* findProgress(const Member&) const;
@@ -232,7 +235,7 @@
     core::TimePoint m_lastLeaderContact;
     core::TimePoint m_electionDeadline;
     core::TimePoint m_nextHeartbeat;
-    // Disks of the controllers that have granted their vote.
+    // Disks of the other controllers that have granted their vote.
     std::map<core::NodeId, DiskIdentity> m_votes;
     std::uint64_t m_diskIdentityNonce { 0 };
     // Disks of voters that were replaced by others before the present term of this controller as candidate or leader.
--- a/src/ibisgw/configuration/RaftOptions.h
+++ b/src/ibisgw/configuration/RaftOptions.h
@@ -62,7 +62,8 @@
     std::size_t trailingEntries { 64 };
     std::size_t maxAppendBytes { 65'536 };
     // Minimum interval between two writes of the commit index to the store; 0 disables them. With a saved commit index
-    // a restarted controller applies the committed entries at once, without waiting for a leader.
+    // a restarted controller applies the committed entries at once, without waiting for a leader. The commit of a
+    // membership is always written at once if the membership is open.
     core::Duration commitSaveInterval { 0 };
     DisabledRules disabledRules;
 };
--- a/src/ibisgw/configuration/RaftQuorum.cpp
+++ b/src/ibisgw/configuration/RaftQuorum.cpp
@@ -7,7 +7,8 @@
 // Quorums of a group whose voters can lose their disks (docs/design/lost-disks.md). Elections, commits and reads use
 // the same quorums. A voter whose disk is lost can neither vote nor acknowledge entries any more, but it cannot take
 // part in another quorum either, so a quorum may include lostVoterAllowance() of them and still has a voter with its
-// disk in common with every other quorum of the membership.
+// disk in common with every other quorum of the membership. Listed controllers are replaced by an operator, one at a
+// time, so their quorums are majorities.
 //
 // Only losses that were known before the term began count in that term: otherwise a disk that has voted in a term could
 // be left out of a second quorum of the same term.
@@ -22,7 +23,7 @@
     const auto* replaced = membershipBeingReplaced();
     if (!replaced)
         return isQuorumOf(newest, agrees);
-    if (replaced->lostVoterAllowance() == 0 && countAgreeing(newest, agrees) >= newest.majority())
+    if (lostVoterAllowance(*replaced) == 0 && countAgreeing(newest, agrees) >= newest.majority())
         return true;
     return isQuorumOf(newest, agrees) && isQuorumOf(*replaced, agrees);
 }
@@ -41,12 +42,17 @@
     return static_cast<std::size_t>(std::ranges::count_if(membership.members, counts));
 }
 
+std::size_t RaftNode::lostVoterAllowance(const Membership& membership) const
+{
+    return m_options.membershipMode == MembershipMode::Open ? membership.lostVoterAllowance() : 0;
+}
+
 // Number of voters with lost disks that quorums of the membership include.
 std::size_t RaftNode::countLostVoters(const Membership& membership) const
 {
     const auto isLost = [this](const Member& it) { return it.voter && m_lostDisks.contains(it.controllerDisk()); };
     const auto lost = static_cast<std::size_t>(std::ranges::count_if(membership.members, isLost));
-    return std::min(lost, membership.lostVoterAllowance());
+    return std::min(lost, lostVoterAllowance(membership));
 }
 
 // The membership that the newest one replaces, until that one is known to be committed; null afterwards.
@@ -75,9 +81,18 @@
     return nodes;
 }
 
+// Whether the controller of the member has a vote with this disk.
+bool RaftNode::hasVote(const Member& member, DiskIdentity disk) const
+{
+    const auto& disabled = m_options.disabledRules;
+    return disabled.diskIdentity || disabled.learnerRestriction || (member.voter && member.disk == disk);
+}
+
 bool RaftNode::isSelf(const Member& member) const
 {
-    return member.node == m_options.self && (member.disk == m_disk || m_options.disabledRules.diskIdentity);
+    const auto& disabled = m_options.disabledRules;
+    return member.node == m_options.self
+        && (member.disk == m_disk || disabled.diskIdentity || disabled.learnerRestriction);
 }
 
 auto RaftNode::findProgress(const Member& member) const -> const Progress*
--- a/tests/configuration/OpenMembershipTests.cpp
+++ b/tests/configuration/OpenMembershipTests.cpp
@@ -301,6 +301,13 @@
     // has been silent for some seconds.
     TEST_CASE("a disk that is lost right after a controller with a successor was killed leaves a majority")
     {
+        core::Duration commitSaveInterval {};
+        SUBCASE("with the commit index saved regularly")
+        {
+            commitSaveInterval = 100ms;
+        }
+        // Guards against voters that do not know after a loss of all power that their membership is committed.
+        SUBCASE("with no commit index saved but those of memberships") { }
         constexpr std::uint64_t seeds = 20;
         for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
             // With f = 3 the successor would be the eighth voter, above the limit of seven.
@@ -308,7 +315,7 @@
                 CAPTURE(seed);
                 CAPTURE(tolerated);
                 core::PcgRandomSource random(seed);
-                RegisterGroup group(2 * tolerated + 1, tolerated, 50 * seed, 100ms);
+                RegisterGroup group(2 * tolerated + 1, tolerated, 50 * seed, commitSaveInterval);
                 group.runFor(4s);
                 REQUIRE(group.replace(1));
                 group.add();
