--- a/review/standins-3/deployment.py
+++ b/review/standins-3/deployment.py
@@ -147,6 +147,7 @@
         self.began = time.monotonic()
         self.record = []
         self.misses = {}
+        self.summary = ""
 
     def free_ports(self, names):
         sockets = {}
@@ -164,6 +165,11 @@
     def note(self, text):
         self.record.append(f"{self.now():8.3f} {text}")
 
+    def conclude(self, text):
+        """Notes the result of the case, which the script also prints."""
+        self.summary = text
+        self.note(text)
+
     def write_record(self, folder):
         with open(os.path.join(folder, "record.txt"), "w") as out:
             out.write("\n".join(self.record) + "\n")
@@ -501,5 +507,5 @@
         deployment.note(f"the case could not run: {error!r}")
         status = 2
     deployment.write_record(folder)
-    print(deployment.record[-1] if deployment.record else "", "- exit", status)
+    print(f"{deployment.summary or deployment.record[-1:]} - exit {status}")
     raise SystemExit(status)
