--- a/review/standins-3/deployment.py
+++ b/review/standins-3/deployment.py
@@ -107,6 +107,8 @@
         else:
             settings |= {"control": f"{self.address}:{ports['control']}", "data_folder": self.data,
                          "zones": d.zones, "first_start": self.starts == 0, "tolerated_disk_losses": 1}
+        if d.gateway:
+            settings["peer_gateway"] = "%s:%d" % d.gateway.address
         with open(self.settings + ".new", "w") as out:
             json.dump(settings, out)
         os.replace(self.settings + ".new", self.settings)
@@ -133,6 +135,24 @@
             self.process.wait()
 
 
+class Gateway(asyncio.DatagramProtocol):
+    """The network between the daemons: each sends its datagrams here, with their source and target, if its settings
+    name this gateway. Drops those between the pairs of addresses in `cuts`."""
+
+    def __init__(self, address):
+        self.address = address
+        self.cuts = set()
+
+    async def start(self):
+        loop = asyncio.get_running_loop()
+        self.transport, _ = await loop.create_datagram_endpoint(lambda: self, local_addr=self.address)
+
+    def datagram_received(self, data, addr):
+        source, target = socket.inet_ntoa(data[:4]), socket.inet_ntoa(data[6:10])
+        if (source, target) not in self.cuts and (target, source) not in self.cuts:
+            self.transport.sendto(data, (target, int.from_bytes(data[10:12], "big")))
+
+
 class Deployment:
     """Processes, ports, the operator and the routers of the platform."""
 
@@ -144,6 +164,7 @@
         self.ports = self.free_ports(("peer", "packets", "ready", "control", "metrics", "host"))
         self.controllers, self.balancers, self.hosts = [], [], []
         self.seeds = []
+        self.gateway = None
         self.began = time.monotonic()
         self.record = []
         self.misses = {}
