--- a/review/standins-3/deployment.py
+++ b/review/standins-3/deployment.py
@@ -137,7 +137,7 @@
 
 class Gateway(asyncio.DatagramProtocol):
     """The network between the daemons: each sends its datagrams here, with their source and target, if its settings
-    name this gateway. Drops those between the pairs of addresses in `cuts`."""
+    name this gateway. Drops those between the pairs of addresses in `cuts`; hosts then drop theirs, too."""
 
     def __init__(self, address):
         self.address = address
@@ -147,9 +147,12 @@
         loop = asyncio.get_running_loop()
         self.transport, _ = await loop.create_datagram_endpoint(lambda: self, local_addr=self.address)
 
+    def is_cut(self, one, other):
+        return (one, other) in self.cuts or (other, one) in self.cuts
+
     def datagram_received(self, data, addr):
         source, target = socket.inet_ntoa(data[:4]), socket.inet_ntoa(data[6:10])
-        if (source, target) not in self.cuts and (target, source) not in self.cuts:
+        if not self.is_cut(source, target):
             self.transport.sendto(data, (target, int.from_bytes(data[10:12], "big")))
 
 
@@ -301,9 +304,13 @@
         self.listener = await asyncio.start_server(self.serve_health, self.address, port)
         self.beats = asyncio.create_task(self.beat_forever())
 
+    def is_cut_off_from(self, address):
+        gateway = self.deployment.gateway
+        return gateway is not None and gateway.is_cut(self.address, address)
+
     async def serve_health(self, reader, writer):
         try:
-            if await reader.readline():
+            if await reader.readline() and not self.is_cut_off_from(writer.get_extra_info("peername")[0]):
                 writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\nConnection: close\r\n\r\n")
                 await writer.drain()
         except OSError:
@@ -325,6 +332,10 @@
 
     async def beat(self):
         for it in self.deployment.shuffled_controls():
+            if self.is_cut_off_from(it[0]):
+                # No response within a second.
+                await asyncio.sleep(1.0)
+                continue
             self.sequence += 1
             body = {"service": self.service, "address": f"{self.address}:{self.deployment.ports['host']}",
                     "zone": self.zone, "version": "v1", "max_concurrency": 2, "state": self.state,
@@ -342,6 +353,8 @@
         self.transport.sendto(packet.encode(), (packet.dst[0], self.deployment.ports["packets"]))
 
     def datagram_received(self, data, addr):
+        if self.is_cut_off_from(addr[0]):
+            return
         packet = Packet.decode(data[8:])
         intended = int.from_bytes(data[:8], "big")
         if packet is None or not self.is_alive or intended not in (0, self.number):
