--- a/review/11/case.py
+++ b/review/11/case.py
@@ -12,7 +12,7 @@
 
 HERE = os.path.dirname(os.path.abspath(__file__))
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-ROUTE = ("r-1", "198.18.0.1", 8080, "unsafe", "booking")
+ROUTE = ("r-1", "127.198.18.1", 8080, "unsafe", "booking")
 CATCH_UP_SECONDS = 4.0
 REMOVAL_GAP_SECONDS = 1.0
 RECOVERY_SECONDS = 12.0
--- a/review/12/case.py
+++ b/review/12/case.py
@@ -15,7 +15,7 @@
 
 HERE = os.path.dirname(os.path.abspath(__file__))
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-ROUTE = ("r-1", "198.18.0.1", 8080, "unsafe", "booking")
+ROUTE = ("r-1", "127.198.18.1", 8080, "unsafe", "booking")
 CUT_SECONDS = 5.5
 REMOVAL_GAP_SECONDS = 0.2
 RECOVERY_SECONDS = 12.0
