Let a successor take the vote of the controller that it replaces

The successors ran on and never had a leader again: every read and every change got 503, a host that left got no ack, and after a restart of the balancers no request was served.

Cause: a successor got a vote, and the controller that it replaces kept its own until it had been silent for 3 s. Four of six voters are a majority, so nothing that is done after the loss of three can help: three of six that are gone look like three that are cut off. Evidence: members_changed shows six voters to the end, and all three successors hold version 5.

Controllers now give their zone and whether they take part in the first start when they ask for admission. The group keeps the order of admission and the number of controllers of each zone at the first start. Quorums stay as they were. Balancers and departures of upstreams count voters now: learners stand beside them for longer, and only voters confirm.

Why it works: a controller that may go without notice has no vote any more when it goes, so nothing needs to be noticed. The leader keeps its vote, and one voter more than needed leaves a quorum without it.

Messages between controllers have version 4; data of earlier releases is read, and then no voter counts as replaced.

--- a/src/ibisgw/adapters/RaftCodec.cpp
+++ b/src/ibisgw/adapters/RaftCodec.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-constexpr std::uint64_t raftProtocolVersion = 3;
+constexpr std::uint64_t raftProtocolVersion = 4;
 
 using Json = nlohmann::json;
 using Body = decltype(RaftMessage::body);
@@ -55,6 +55,8 @@
 {
     json.push_back(body.startNonce);
     json.push_back(body.lastIndex);
+    json.push_back(body.zone);
+    json.push_back(body.isFirstStart);
 }
 
 void write(const DiskCheckReply& body, Json& json)
@@ -132,6 +134,8 @@
 {
     body.startNonce = reader.number();
     body.lastIndex = reader.number();
+    body.zone = reader.text();
+    body.isFirstStart = reader.boolean();
 }
 
 void read(detail::JsonArrayReader& reader, DiskCheckReply& body)
--- a/src/ibisgw/adapters/detail/JsonArrayReader.h
+++ b/src/ibisgw/adapters/detail/JsonArrayReader.h
@@ -21,10 +21,12 @@
     // A nested array; an empty one after an error.
     const nlohmann::json& array();
 
+    // True when all elements were read, for fields that earlier releases did not write.
+    bool isAtEnd() const { return m_next == m_array.size(); }
     void fail() { m_failed = true; }
     bool failed() const { return m_failed; }
     // True when all elements were read and had the expected types.
-    bool finished() const { return !m_failed && m_next == m_array.size(); }
+    bool finished() const { return !m_failed && isAtEnd(); }
 
 private:
     const nlohmann::json* takeNext();
--- a/src/ibisgw/adapters/detail/RaftJson.cpp
+++ b/src/ibisgw/adapters/detail/RaftJson.cpp
@@ -16,12 +16,61 @@
     return nlohmann::json::binary({ bytes.begin(), bytes.end() });
 }
 
+namespace {
+
+nlohmann::json toJson(const Member& member)
+{
+    return { member.node.value, member.disk, member.voter, member.generation, member.startNonce, member.zone,
+        member.admission };
+}
+
+std::optional<Member> readMember(const nlohmann::json& json)
+{
+    JsonArrayReader reader(json);
+    Member member;
+    member.node.value = reader.number();
+    member.disk = reader.number();
+    member.voter = reader.boolean();
+    member.generation = reader.number();
+    member.startNonce = reader.number();
+    if (!reader.isAtEnd()) {
+        member.zone = reader.text();
+        member.admission = reader.number();
+    }
+    if (!reader.finished())
+        return std::nullopt;
+    return member;
+}
+
+nlohmann::json toJson(const std::map<core::ZoneName, std::size_t>& initialControllers)
+{
+    auto json = nlohmann::json::array();
+    for (const auto& [zone, count] : initialControllers)
+        json.push_back({ zone, count });
+    return json;
+}
+
+std::optional<std::map<core::ZoneName, std::size_t>> readInitialControllers(const nlohmann::json& json)
+{
+    std::map<core::ZoneName, std::size_t> initialControllers;
+    for (const auto& it : json) {
+        JsonArrayReader reader(it);
+        auto zone = reader.text();
+        const auto count = reader.number();
+        if (!reader.finished() || !initialControllers.try_emplace(std::move(zone), count).second)
+            return std::nullopt;
+    }
+    return initialControllers;
+}
+
+} // namespace
+
 nlohmann::json toJson(const Membership& membership)
 {
     auto members = nlohmann::json::array();
     for (const auto& it : membership.members)
-        members.push_back({ it.node.value, it.disk, it.voter, it.generation, it.startNonce });
-    return { membership.group, std::move(members) };
+        members.push_back(toJson(it));
+    return { membership.group, std::move(members), toJson(membership.initialControllers) };
 }
 
 nlohmann::json toJson(const LogEntry& entry)
@@ -45,17 +94,17 @@
     Membership membership;
     membership.group = reader.number();
     for (const auto& it : reader.array()) {
-        JsonArrayReader item(it);
-        Member member;
-        member.node.value = item.number();
-        member.disk = item.number();
-        member.voter = item.boolean();
-        member.generation = item.number();
-        member.startNonce = item.number();
+        auto member = readMember(it);
         // This program writes unique members in ascending order, so other input is malformed.
-        if (!item.finished() || (!membership.members.empty() && membership.members.back().node >= member.node))
+        if (!member || (!membership.members.empty() && membership.members.back().node >= member->node))
+            return std::nullopt;
+        membership.members.push_back(std::move(*member));
+    }
+    if (!reader.isAtEnd()) {
+        auto initialControllers = readInitialControllers(reader.array());
+        if (!initialControllers)
             return std::nullopt;
-        membership.members.push_back(member);
+        membership.initialControllers = std::move(*initialControllers);
     }
     if (!reader.finished())
         return std::nullopt;
--- a/src/ibisgw/configuration/Membership.cpp
+++ b/src/ibisgw/configuration/Membership.cpp
@@ -24,11 +24,54 @@
     return nodes;
 }
 
+std::vector<core::NodeId> Membership::voters() const
+{
+    std::vector<core::NodeId> nodes;
+    for (const auto& it : members) {
+        if (it.voter)
+            nodes.push_back(it.node);
+    }
+    return nodes;
+}
+
 std::size_t Membership::voterCount() const
 {
     return static_cast<std::size_t>(std::ranges::count(members, true, &Member::voter));
 }
 
+std::size_t Membership::initialControllerCount() const
+{
+    std::size_t count = 0;
+    for (const auto& [zone, controllers] : initialControllers)
+        count += controllers;
+    return count;
+}
+
+bool Membership::isReplaced(const Member& member) const
+{
+    const auto initial = initialControllers.find(member.zone);
+    if (initial == initialControllers.end())
+        return false;
+    const auto isSuccessor
+        = [&member](const Member& it) { return it.voter && it.zone == member.zone && it.admission > member.admission; };
+    return static_cast<std::size_t>(std::ranges::count_if(members, isSuccessor)) >= initial->second;
+}
+
+void Membership::admit(Member member, bool isFirstStart)
+{
+    const auto* known = find(member.node);
+    member.voter = false;
+    if (known) {
+        member.admission = known->admission;
+    } else if (isFirstStart) {
+        member.admission = initialAdmission;
+        ++initialControllers[member.zone];
+    } else {
+        member.admission = nextAdmission();
+    }
+    put(member);
+}
+
 void Membership::put(const Member& member)
 {
     remove(member.node);
@@ -36,6 +79,21 @@
     std::ranges::sort(members, {}, &Member::node);
 }
 
+AdmissionNumber Membership::nextAdmission() const
+{
+    AdmissionNumber newest = initialAdmission;
+    for (const auto& it : members)
+        newest = std::max(newest, it.admission);
+    return newest + 1;
+}
+
+void Membership::setVoter(core::NodeId node, bool isVoter)
+{
+    const auto it = std::ranges::find(members, node, &Member::node);
+    if (it != members.end())
+        it->voter = isVoter;
+}
+
 void Membership::remove(core::NodeId node)
 {
     std::erase_if(members, [node](const Member& it) { return it.node == node; });
--- a/src/ibisgw/configuration/Membership.h
+++ b/src/ibisgw/configuration/Membership.h
@@ -4,6 +4,7 @@
 
 #include <compare>
 #include <cstdint>
+#include <map>
 #include <vector>
 
 namespace ibisgw::configuration {
@@ -20,6 +21,11 @@
     auto operator<=>(const ControllerDisk&) const = default;
 };
 
+// Orders the members of a group by the time of their admission, the latest last. All controllers that take part in the
+// first start have the same number.
+using AdmissionNumber = std::uint64_t;
+inline constexpr AdmissionNumber initialAdmission = 1;
+
 // One controller of the group: a voter or a learner.
 struct Member {
     core::NodeId node;
@@ -28,6 +34,9 @@
     // Latest start of the controller that is recorded in the log; see StoredState.
     std::uint64_t generation { 0 };
     std::uint64_t startNonce { 0 };
+    // Empty for a controller that was admitted by an earlier release.
+    core::ZoneName zone {};
+    AdmissionNumber admission { 0 };
 
     ControllerDisk controllerDisk() const { return { node, disk }; }
     bool operator==(const Member&) const = default;
@@ -38,22 +47,35 @@
     // Identifier of the group: the disk identity of the controller that bootstrapped it. Messages from other groups
     // are dropped. 0 while the controller belongs to no group.
     std::uint64_t group { 0 };
-    std::vector<Member> members;
+    std::vector<Member> members {};
+    // Number of controllers of each zone that took part in the first start.
+    std::map<core::ZoneName, std::size_t> initialControllers {};
 
     const Member* find(core::NodeId) const;
     bool isVoter(core::NodeId, DiskIdentity) const;
     std::size_t voterCount() const;
+    std::size_t initialControllerCount() const;
     std::vector<core::NodeId> nodes() const;
+    std::vector<core::NodeId> voters() const;
+    // Whether other controllers vote in place of this one: at least as many voters of its zone as took part in the
+    // first start were admitted after it.
+    bool isReplaced(const Member&) const;
     // Quorum size: any two sets of this many voters have a voter in common.
     std::size_t majority() const { return voterCount() / 2 + 1; }
     // Number of voters with lost disks that a quorum may include. Two majorities of an even number of voters have two
     // voters in common, so one of these two may have lost its disk. With two voters a single disk would be left.
     std::size_t lostVoterAllowance() const { return voterCount() >= 4 && voterCount() % 2 == 0 ? 1 : 0; }
+    // Adds a controller as a learner, or makes a member with a new disk one.
+    void admit(Member, bool isFirstStart);
     // Replaces the member with the same node, or adds it.
     void put(const Member&);
+    void setVoter(core::NodeId, bool isVoter);
     void remove(core::NodeId);
 
     bool operator==(const Membership&) const = default;
+
+private:
+    AdmissionNumber nextAdmission() const;
 };
 
 } // namespace ibisgw::configuration
--- a/src/ibisgw/configuration/RaftDiskCheck.cpp
+++ b/src/ibisgw/configuration/RaftDiskCheck.cpp
@@ -22,8 +22,9 @@
     if (m_isLeaving)
         return;
     m_nextDiskCheck = now + m_options.diskCheckInterval;
+    const bool isFirstStart = m_options.mayBootstrapGroup && m_log.membership().group == 0;
     for (const auto& it : diskCheckPeers())
-        enqueue(it, DiskCheckRequest { m_startNonce, m_log.lastIndex() });
+        enqueue(it, DiskCheckRequest { m_startNonce, m_log.lastIndex(), m_options.zone, isFirstStart });
 }
 
 // The listed controllers; with an open membership also the members according to the log and the controllers
--- a/src/ibisgw/configuration/RaftElection.cpp
+++ b/src/ibisgw/configuration/RaftElection.cpp
@@ -81,16 +81,18 @@
 // and that no lease is used after it has expired (dissertation, 6.2).
 void RaftNode::checkQuorum(core::TimePoint now)
 {
-    const auto isInContact = [&](const Member& it) {
-        const auto* progress = findProgress(it);
-        return isSelf(it) || (progress && now - progress->lastContact < 2 * m_options.electionTimeout);
-    };
-    if (!isQuorum(isInContact)) {
+    if (!isQuorum([&](const Member& it) { return isInContact(it, now); })) {
         becomeFollower(m_vote.term, {}, now);
         m_problem = "no contact to a majority of the controllers; restore the network or the other controllers";
     }
 }
 
+bool RaftNode::isInContact(const Member& member, core::TimePoint now) const
+{
+    const auto* progress = findProgress(member);
+    return isSelf(member) || (progress && now - progress->lastContact < 2 * m_options.electionTimeout);
+}
+
 // True on the leader, and on a controller that received a message from the leader within the election timeout. Such a
 // controller ignores vote requests, so that a removed or badly connected controller cannot disrupt the group
 // (dissertation, 4.2.3).
--- a/src/ibisgw/configuration/RaftMembership.cpp
+++ b/src/ibisgw/configuration/RaftMembership.cpp
@@ -23,7 +23,9 @@
 // only after all listed controllers have replied that they belong to no group, so that no second group is created.
 void RaftNode::bootstrapGroup(core::TimePoint now)
 {
-    Membership membership { m_disk, { Member { m_options.self, m_disk, true, m_generation, m_startNonce } } };
+    Membership membership { .group = m_disk };
+    membership.admit(ownStart(), true);
+    membership.setVoter(m_options.self, true);
     if (!saveVote({ std::max<Term>(m_vote.term, 1), m_vote.votedFor }))
         return;
     if (!appendToLog({ LogEntry { m_vote.term, EntryKind::Membership, {}, std::move(membership) } }))
@@ -43,7 +45,11 @@
     if (m_role != RaftRole::Leader || (!isListed && m_options.membershipMode == MembershipMode::Listed))
         return;
     const auto* member = m_log.membership().find(node);
-    const Member current { node, message.disk, member && member->voter, message.generation, request.startNonce };
+    const Member start { .node = node,
+        .disk = message.disk,
+        .generation = message.generation,
+        .startNonce = request.startNonce,
+        .zone = request.zone };
     if (member && (member->disk == message.disk || m_options.disabledRules.diskIdentity)) {
         auto& progress = m_progress.at(node);
         if (progress.generation != message.generation) {
@@ -51,37 +57,40 @@
             progress = Progress { .disk = message.disk, .nextIndex = nextIndex, .generation = message.generation };
             progress.lastContact = now;
         }
-        recordStart(current, now);
+        recordStart(start, now);
         return;
     }
     if (!canChangeMembership())
         return;
     auto membership = m_log.membership();
-    membership.put({ node, message.disk, false, message.generation, request.startNonce });
+    membership.admit(start, request.isFirstStart);
     changeMembership(std::move(membership), now);
 }
 
+Member RaftNode::ownStart() const
+{
+    return { .node = m_options.self,
+        .disk = m_disk,
+        .generation = m_generation,
+        .startNonce = m_startNonce,
+        .zone = m_options.zone };
+}
+
 // Records the start of a member in the log, so that the record survives a restart of all controllers. Does not change
 // the set of voters.
-void RaftNode::recordStart(const Member& member, core::TimePoint now)
+void RaftNode::recordStart(const Member& start, core::TimePoint now)
 {
-    const auto* known = m_log.membership().find(member.node);
-    if (!canChangeMembership() || !known || known->disk != member.disk || known->generation >= member.generation)
+    const auto* known = m_log.membership().find(start.node);
+    if (!canChangeMembership() || !known || known->disk != start.disk || known->generation >= start.generation)
         return;
+    auto member = start;
+    member.voter = known->voter;
+    member.admission = known->admission;
     auto membership = m_log.membership();
     membership.put(member);
     changeMembership(std::move(membership), now);
 }
 
-// Number of voters that are in contact with the leader, for the limit maxVoters. Silent voters may have failed
-// permanently and are not counted: otherwise a group that has maxVoters voters and has lost one of them could neither
-// remove it nor promote its replacement.
-std::size_t RaftNode::votersInContact(core::TimePoint now) const
-{
-    return static_cast<std::size_t>(std::ranges::count_if(
-        m_log.membership().members, [&](const Member& it) { return it.voter && !isSilent(it.node, now); }));
-}
-
 bool RaftNode::isSilent(core::NodeId node, core::TimePoint now) const
 {
     if (node == m_options.self)
@@ -92,32 +101,6 @@
     return progress->second.isStopping || now - progress->second.lastContact >= m_options.removalTimeout;
 }
 
-bool RaftNode::isLearnerInContact(const Member& member, core::TimePoint now) const
-{
-    const auto progress = m_progress.find(member.node);
-    return !member.voter && progress != m_progress.end() && !progress->second.isStopping
-        && now - progress->second.lastContact <= m_options.electionTimeout;
-}
-
-// Makes one learner a voter once its durable log holds every committed entry (dissertation, 4.2.1).
-void RaftNode::promoteLearners(core::TimePoint now)
-{
-    recordStart({ m_options.self, m_disk, isSelfVoter(), m_generation, m_startNonce }, now);
-    if (!canChangeMembership() || votersInContact(now) >= m_options.maxVoters)
-        return;
-    for (const auto& it : m_log.membership().members) {
-        const auto progress = m_progress.find(it.node);
-        if (!isLearnerInContact(it, now) || progress->second.matchIndex < m_commitIndex)
-            continue;
-        auto membership = m_log.membership();
-        auto voter = it;
-        voter.voter = true;
-        membership.put(voter);
-        changeMembership(std::move(membership), now);
-        return;
-    }
-}
-
 // With an open membership no operator reports that a controller has failed permanently, so the leader removes members
 // that are silent for the removal timeout. A controller that was only partitioned rejoins as a learner with its next
 // DiskCheckRequest.
@@ -170,6 +153,13 @@
     changeMembership(std::move(membership), now);
 }
 
+void RaftNode::setVoter(core::NodeId node, bool isVoter, core::TimePoint now)
+{
+    auto membership = m_log.membership();
+    membership.setVoter(node, isVoter);
+    changeMembership(std::move(membership), now);
+}
+
 void RaftNode::changeMembership(Membership membership, core::TimePoint now)
 {
     if (!appendToLog({ LogEntry { m_vote.term, EntryKind::Membership, {}, std::move(membership) } }))
--- a/src/ibisgw/configuration/RaftMessage.h
+++ b/src/ibisgw/configuration/RaftMessage.h
@@ -60,6 +60,9 @@
 struct DiskCheckRequest {
     std::uint64_t startNonce { 0 };
     LogIndex lastIndex { 0 };
+    core::ZoneName zone {};
+    // The sender takes part in the first start of the deployment.
+    bool isFirstStart { false };
 
     bool operator==(const DiskCheckRequest&) const = default;
 };
--- a/src/ibisgw/configuration/RaftNode.cpp
+++ b/src/ibisgw/configuration/RaftNode.cpp
@@ -83,6 +83,7 @@
             updateProgress(now);
             promoteLearners(now);
             removeSilentMembers(now);
+            demoteReplacedVoters(now);
             leaveAsLeader(now);
             if (now >= m_nextHeartbeat)
                 broadcastEntries(now, true);
--- a/src/ibisgw/configuration/RaftNode.h
+++ b/src/ibisgw/configuration/RaftNode.h
@@ -138,6 +138,7 @@
     void countVotes(core::TimePoint now);
     void becomeLeader(core::TimePoint now);
     void checkQuorum(core::TimePoint now);
+    bool isInContact(const Member&, core::TimePoint now) const;
     bool hasLeaderContact(core::TimePoint now) const;
     void handle(core::NodeId from, const RaftMessage&, const VoteRequest&, core::TimePoint now);
     void handle(core::NodeId from, const RaftMessage&, const VoteReply&, core::TimePoint now);
@@ -187,21 +188,29 @@
     // RaftMembership.cpp
     void bootstrapGroup(core::TimePoint now);
     void admitController(core::NodeId, const RaftMessage&, const DiskCheckRequest&, core::TimePoint now);
+    Member ownStart() const;
     void recordStart(const Member&, core::TimePoint now);
-    void promoteLearners(core::TimePoint now);
-    std::size_t votersInContact(core::TimePoint now) const;
     // On the leader: true if a member has announced its stop, or has had no contact for the removal timeout and may
     // have failed permanently.
     bool isSilent(core::NodeId, core::TimePoint now) const;
-    bool isLearnerInContact(const Member&, core::TimePoint now) const;
     void removeSilentMembers(core::TimePoint now);
     bool hasVoterToSpare() const;
     void removeFromMembership(core::NodeId, core::TimePoint now);
+    void setVoter(core::NodeId, bool isVoter, core::TimePoint now);
     bool canBootstrapGroup() const;
     bool canChangeMembership() const;
     void changeMembership(Membership, core::TimePoint now);
     void updateProgress(core::TimePoint now);
 
+    // RaftReplacement.cpp
+    void promoteLearners(core::TimePoint now);
+    bool mayVote(const Member& learner, core::TimePoint now) const;
+    bool isLearnerInContact(const Member&, core::TimePoint now) const;
+    std::size_t intendedVoterCount() const;
+    std::size_t votersInContact(core::TimePoint now) const;
+    void demoteReplacedVoters(core::TimePoint now);
+    bool hasMajorityInContactWithout(core::NodeId, core::TimePoint now) const;
+
     // RaftLeave.cpp
     void sendLeaveRequest(core::TimePoint now);
     void leaveAsLeader(core::TimePoint now);
--- a/src/ibisgw/configuration/RaftOptions.h
+++ b/src/ibisgw/configuration/RaftOptions.h
@@ -29,6 +29,8 @@
 // Configuration of a RaftNode.
 struct RaftOptions {
     core::NodeId self;
+    // Zone of this controller; empty if it is not known.
+    core::ZoneName zone {};
     // All controllers from the settings, including this one. With an open membership these are only the seeds: the
     // leader admits every controller that sends a DiskCheckRequest and removes unresponsive ones.
     std::vector<core::NodeId> controllers;
--- a/src/ibisgw/runtime/DirectController.cpp
+++ b/src/ibisgw/runtime/DirectController.cpp
@@ -37,6 +37,7 @@
 {
     configuration::RaftOptions options;
     options.self = self;
+    options.zone = settings.zone;
     options.controllers = settings.seedNodes();
     options.membershipMode = configuration::MembershipMode::Open;
     options.mayBootstrapGroup = settings.firstStart;
@@ -167,8 +168,11 @@
         m_loggedMembershipIndex = raft.log().membershipIndex();
         m_events.record(Event::MembersChanged, now, [&] {
             auto members = nlohmann::json::array();
-            for (const auto& it : m_register.membership().members)
-                members.push_back(it.node.endpoint().toString() + (it.voter ? " voter" : " learner"));
+            const auto& membership = m_register.membership();
+            for (const auto& it : membership.members) {
+                const auto* const role = it.voter ? " voter" : membership.isReplaced(it) ? " replaced" : " learner";
+                members.push_back(it.node.endpoint().toString() + role);
+            }
             return nlohmann::json { { "members", std::move(members) }, { "index", m_loggedMembershipIndex } };
         });
     }
@@ -189,8 +193,9 @@
 
 bool DirectController::canReachMajority(core::TimePoint now) const
 {
-    const auto others = controllerNodes().size() - 1;
-    return m_subscriber.reachableControllers(now) >= (others + 1) / 2;
+    const auto voters = voterNodes();
+    const auto self = static_cast<std::size_t>(std::ranges::count(voters, m_peers.self()));
+    return m_subscriber.reachableAmong(voters, now) + self >= voters.size() / 2 + 1;
 }
 
 // The directory is not part of the replicated state. If the file is lost or outdated, only the start takes longer.
@@ -279,13 +284,18 @@
     return nodes.empty() ? m_settings.seedNodes() : nodes;
 }
 
+std::vector<core::NodeId> DirectController::voterNodes() const
+{
+    auto nodes = m_register.membership().voters();
+    return nodes.empty() ? m_settings.seedNodes() : nodes;
+}
+
 sync::FeedStatus DirectController::feedHead() const
 {
-    const auto nodes = controllerNodes();
-    const bool isAlone = nodes.size() <= 1;
+    const bool isAlone = controllerNodes().size() <= 1;
     const bool isCurrent = isAlone
         || (m_subscriber.hasCompleteDirectory() && canReachMajority(m_loop.now()) && !m_departures.isFailing());
-    return { m_register.version(), nodes, m_register.raft().log().membershipIndex(), m_settings.zone, isCurrent,
+    return { m_register.version(), voterNodes(), m_register.raft().log().membershipIndex(), m_settings.zone, isCurrent,
         m_register.loggedVersion(), m_register.raft().isConfirmedVoter(), m_register.evacuations(),
         m_register.loggedEvacuationRevision() };
 }
--- a/src/ibisgw/runtime/DirectController.h
+++ b/src/ibisgw/runtime/DirectController.h
@@ -111,7 +111,10 @@
     void refuseReport(const std::string& instance, const std::string& reason);
     ControlAnswer redirectToLeader() const;
     std::optional<core::Endpoint> reportTargetOf(const upstream::InstanceReport&, core::TimePoint now) const;
+    // The members of the group, or the seeds while there is none.
     std::vector<core::NodeId> controllerNodes() const;
+    // The voters, of which a majority decides.
+    std::vector<core::NodeId> voterNodes() const;
     sync::FeedStatus feedHead() const;
 
     settings::DirectSettings m_settings;
--- a/src/ibisgw/runtime/DirectControllerCalls.cpp
+++ b/src/ibisgw/runtime/DirectControllerCalls.cpp
@@ -107,13 +107,13 @@
     return core::Endpoint { best->endpoint().address, m_settings.control.port };
 }
 
-// A departure is confirmed once a majority of the controllers holds it. A balancer only follows a controller that
+// A departure is confirmed once a majority of the voters holds it. A balancer only follows a controller that
 // reaches a majority, and any two majorities overlap, so that controller reaches one that holds the departure.
 bool DirectController::isConfirmed(upstream::InstanceId id, std::uint64_t change) const
 {
-    const auto nodes = controllerNodes();
-    const bool isMember = std::ranges::find(nodes, m_peers.self()) != nodes.end();
-    const std::size_t ownConfirmations = isMember && m_departures.isDurable(id) ? 1 : 0;
+    const auto nodes = voterNodes();
+    const bool isVoter = std::ranges::find(nodes, m_peers.self()) != nodes.end();
+    const std::size_t ownConfirmations = isVoter && m_departures.isDurable(id) ? 1 : 0;
     return m_feed.confirmations(change, nodes) + ownConfirmations >= nodes.size() / 2 + 1;
 }
 
@@ -209,9 +209,8 @@
         m_leaveConfirmationLatency.record(now - waiting.receivedAt);
     else
         m_events.record(Event::ReportUnconfirmed, now, [&] {
-            return nlohmann::json { { "upstream", textOf(waiting.instance) },
-                { "controllers", controllerNodes().size() },
-                { "confirmed", m_feed.confirmations(waiting.change, controllerNodes()) } };
+            return nlohmann::json { { "upstream", textOf(waiting.instance) }, { "controllers", voterNodes().size() },
+                { "confirmed", m_feed.confirmations(waiting.change, voterNodes()) } };
         });
     waiting.answer({ isDone ? AnswerKind::Done : AnswerKind::Unavailable, {}, {} });
     return true;
--- a/src/ibisgw/sync/DirectoryFeed.h
+++ b/src/ibisgw/sync/DirectoryFeed.h
@@ -13,11 +13,11 @@
 struct FeedStatus {
     // Newest accepted configuration that the controller has received.
     direct::ConfigurationVersion version { 0 };
-    // Members of the controller group, and the index of the log entry that set them.
+    // Voters of the controller group, and the index of the log entry that set them.
     std::vector<core::NodeId> controllers;
     std::uint64_t membershipIndex { 0 };
     core::ZoneName zone;
-    // The controller receives updates from a majority of the group and holds all changes of those members.
+    // The controller receives updates from a majority of the voters and holds all changes of those members.
     bool isCurrent { false };
     // See DirectoryUpdate.
     direct::ConfigurationVersion loggedVersion { 0 };
--- a/src/ibisgw/sync/DirectorySubscriber.cpp
+++ b/src/ibisgw/sync/DirectorySubscriber.cpp
@@ -58,7 +58,7 @@
 void DirectorySubscriber::tick(core::TimePoint now, SyncOutput& output)
 {
     dropUnknownFeeds();
-    for (const auto* nodes : { &m_options.seeds, &m_members, &m_contacts }) {
+    for (const auto* nodes : { &m_options.seeds, &m_voters, &m_contacts }) {
         for (const auto& it : *nodes) {
             if (it != m_options.self)
                 m_feeds.try_emplace(it);
@@ -273,10 +273,10 @@
 
 void DirectorySubscriber::adoptControllers(const DirectoryUpdate& update)
 {
-    if (update.membershipIndex < m_membershipIndex || update.controllers.empty())
+    if (update.membershipIndex < m_votershipIndex || update.controllers.empty())
         return;
-    m_membershipIndex = update.membershipIndex;
-    m_members = update.controllers;
+    m_votershipIndex = update.membershipIndex;
+    m_voters = update.controllers;
 }
 
 void DirectorySubscriber::adoptEvacuations(const DirectoryUpdate& update)
@@ -301,7 +301,7 @@
         const auto isListedIn = [&it](const std::vector<core::NodeId>& nodes) {
             return std::ranges::find(nodes, it.first) != nodes.end();
         };
-        return !isListedIn(m_options.seeds) && !isListedIn(m_members) && !isListedIn(m_contacts);
+        return !isListedIn(m_options.seeds) && !isListedIn(m_voters) && !isListedIn(m_contacts);
     });
 }
 
@@ -329,10 +329,10 @@
 ConfigurationCheck DirectorySubscriber::checkConfiguration(
     direct::ConfigurationVersion heldVersion, std::uint64_t heldEvacuationRevision, core::TimePoint now) const
 {
-    const auto& members = m_members.empty() ? m_options.seeds : m_members;
+    const auto& voters = m_voters.empty() ? m_options.seeds : m_voters;
     std::size_t inContact = 0;
     std::size_t confirming = 0;
-    for (const auto& it : members) {
+    for (const auto& it : voters) {
         const auto found = m_feeds.find(it);
         if (found == m_feeds.end() || !isInContact(found->second, now, contactLimit))
             continue;
@@ -342,7 +342,7 @@
             && feed.loggedEvacuationRevision <= heldEvacuationRevision)
             ++confirming;
     }
-    const auto majority = members.size() / 2 + 1;
+    const auto majority = voters.size() / 2 + 1;
     if (inContact < majority)
         return ConfigurationCheck::Isolated;
     return confirming < majority ? ConfigurationCheck::Unconfirmed : ConfigurationCheck::Confirmed;
@@ -374,6 +374,13 @@
     return nodes;
 }
 
+std::size_t DirectorySubscriber::reachableAmong(std::span<const core::NodeId> controllers, core::TimePoint now) const
+{
+    const auto inContact = controllersInContact(now, contactLimit);
+    return static_cast<std::size_t>(std::ranges::count_if(
+        controllers, [&](core::NodeId it) { return std::ranges::find(inContact, it) != inContact.end(); }));
+}
+
 std::size_t DirectorySubscriber::reachableControllers(core::TimePoint now) const
 {
     return controllersInContact(now, contactLimit).size();
--- a/src/ibisgw/sync/DirectorySubscriber.h
+++ b/src/ibisgw/sync/DirectorySubscriber.h
@@ -6,6 +6,7 @@
 
 #include <map>
 #include <optional>
+#include <span>
 #include <vector>
 
 namespace ibisgw::sync {
@@ -18,7 +19,7 @@
     // Random number that is chosen at each start of the process.
     std::uint64_t process { 0 };
     bool isController { false };
-    // Controllers to contact first. Their updates name the members of the controller group.
+    // Controllers to contact first. Their updates name the voters of the controller group.
     std::vector<core::NodeId> seeds;
     // Time between two subscriptions to a controller whose changes are requested (FollowMode::Changes).
     core::Duration interval { std::chrono::milliseconds(500) };
@@ -28,9 +29,9 @@
 
 // Whether a configuration and a set of evacuated zones are known to be the newest accepted ones.
 enum class ConfigurationCheck : std::uint8_t {
-    Isolated, // fewer than a majority of the controllers are in contact, so that nothing can be known
+    Isolated, // fewer than a majority of the voters are in contact, so that nothing can be known
     Unconfirmed, // a majority is in contact, and a newer version or set may have been accepted
-    Confirmed, // a majority of the controllers are voters that have logged neither a newer version nor a newer set
+    Confirmed, // a majority of the voters have logged neither a newer version nor a newer set
 };
 
 // Keeps a copy of the upstream directory up to date by subscriptions to the feeds of controllers. A controller
@@ -69,6 +70,8 @@
     bool hasCompleteDirectory() const;
     // Number of controllers that have sent an update within contactLimit.
     std::size_t reachableControllers(core::TimePoint now) const;
+    // Number of the given controllers that have done so.
+    std::size_t reachableAmong(std::span<const core::NodeId>, core::TimePoint now) const;
     // Controllers of a zone that answer subscriptions and report isCurrent, so that upstreams can report to them.
     std::vector<core::NodeId> currentControllersIn(const core::ZoneName&, core::TimePoint now) const;
     // The controller that a balancer follows; invalid until one has answered.
@@ -122,11 +125,11 @@
     upstream::InstanceDirectory& m_directory;
     DepartureWriter* m_departures;
     std::map<core::NodeId, Feed> m_feeds;
-    // Members of the controller group, from the update with the highest membership index.
-    std::vector<core::NodeId> m_members;
+    // Voters of the controller group, from the update with the highest membership index.
+    std::vector<core::NodeId> m_voters;
     // Controllers of addController(), the oldest first.
     std::vector<core::NodeId> m_contacts;
-    std::uint64_t m_membershipIndex { 0 };
+    std::uint64_t m_votershipIndex { 0 };
     upstream::ZoneEvacuations m_evacuations;
     std::optional<core::TimePoint> m_startedAt;
     // Earliest time of the next configuration request, and the controller that received the last one.
--- a/src/ibisgw/sync/SyncMessage.h
+++ b/src/ibisgw/sync/SyncMessage.h
@@ -81,7 +81,7 @@
     std::vector<InstanceRenewal> renewals;
     // Newest accepted configuration that the controller has received.
     direct::ConfigurationVersion version { 0 };
-    // Members of the controller group, and the index of the log entry that set them.
+    // Voters of the controller group, and the index of the log entry that set them.
     std::vector<core::NodeId> controllers;
     std::uint64_t membershipIndex { 0 };
     // There are changes after `to`, which the subscriber must request.
@@ -89,7 +89,7 @@
     std::vector<OverdueMark> marks;
     // Zone of the controller.
     core::ZoneName zone;
-    // The controller receives updates from a majority of the group and holds all changes of those members.
+    // The controller receives updates from a majority of the voters and holds all changes of those members.
     bool isCurrent { false };
     // Highest configuration version in the controller's log, accepted or not.
     direct::ConfigurationVersion loggedVersion { 0 };
