Seek controllers that were removed while they were cut off

Cause: the cut controller was removed for its silence and could not hear of it. It looked for the group at its seeds and at the members in its log, and all of these were gone; the leader had dropped its address with its vote, so nobody looked for it. New seeds reached the directory, not the agreement. The group ran with two live voters of three. Evidence: members_changed names neither the controller nor any other in its place.

A member that is removed for its silence is kept in the replicated membership as absent (the last 14). The leader sends it one RejoinNotice a second; the receiver asks the sender for admission and keeps its place in the order of admission. A controller that was restarted meanwhile also asks senders of its group that it does not know. Seeds that are read again reach the agreement, except for who may bootstrap a group. The directory follows the voters of the controller's own log, so that a controller that has come back exchanges reports again.

Why it works: the side that has a majority always knows the address of the other, in its log, across new leaders and restarts.

--- a/src/ibisgw/adapters/RaftCodec.cpp
+++ b/src/ibisgw/adapters/RaftCodec.cpp
@@ -85,6 +85,8 @@
     json.push_back(body.nonce);
 }
 
+void write(const RejoinNotice&, Json&) { }
+
 void read(detail::JsonArrayReader& reader, VoteRequest& body)
 {
     body.preVote = reader.boolean();
@@ -168,6 +170,8 @@
     body.nonce = reader.number();
 }
 
+void read(detail::JsonArrayReader&, RejoinNotice&) { }
+
 // Reads the body as the alternative of the variant with index `type`; fails when there is no such alternative.
 template <std::size_t index = 0> void readBody(detail::JsonArrayReader& reader, std::size_t type, Body& body)
 {
--- a/src/ibisgw/adapters/detail/RaftJson.cpp
+++ b/src/ibisgw/adapters/detail/RaftJson.cpp
@@ -42,6 +42,14 @@
     return member;
 }
 
+nlohmann::json toJson(const std::vector<Member>& members)
+{
+    auto json = nlohmann::json::array();
+    for (const auto& it : members)
+        json.push_back(toJson(it));
+    return json;
+}
+
 nlohmann::json toJson(const std::map<core::ZoneName, std::size_t>& initialControllers)
 {
     auto json = nlohmann::json::array();
@@ -67,10 +75,8 @@
 
 nlohmann::json toJson(const Membership& membership)
 {
-    auto members = nlohmann::json::array();
-    for (const auto& it : membership.members)
-        members.push_back(toJson(it));
-    return { membership.group, std::move(members), toJson(membership.initialControllers) };
+    return { membership.group, toJson(membership.members), toJson(membership.initialControllers),
+        toJson(membership.absent) };
 }
 
 nlohmann::json toJson(const LogEntry& entry)
@@ -105,6 +111,12 @@
         if (!initialControllers)
             return std::nullopt;
         membership.initialControllers = std::move(*initialControllers);
+        for (const auto& it : reader.array()) {
+            auto member = readMember(it);
+            if (!member)
+                return std::nullopt;
+            membership.absent.push_back(std::move(*member));
+        }
     }
     if (!reader.finished())
         return std::nullopt;
--- a/src/ibisgw/configuration/ConfigurationRegister.h
+++ b/src/ibisgw/configuration/ConfigurationRegister.h
@@ -43,6 +43,8 @@
     // Planned stop; see RaftNode::beginLeave().
     void beginLeave(core::TimePoint now) { m_raft.beginLeave(now); }
     bool isLeaveComplete() const { return m_raft.isLeaveComplete(); }
+    // See RaftNode::setSeeds().
+    void setSeeds(std::vector<core::NodeId> seeds) { m_raft.setSeeds(std::move(seeds)); }
 
     // Newest committed configuration that this controller has applied; other controllers may have a newer one.
     std::uint64_t version() const { return m_state.version(); }
--- a/src/ibisgw/configuration/Membership.cpp
+++ b/src/ibisgw/configuration/Membership.cpp
@@ -4,6 +4,13 @@
 
 namespace ibisgw::configuration {
 
+namespace {
+
+// Twice the number of voters that a group may have.
+constexpr std::size_t maxAbsentControllers = 14;
+
+} // namespace
+
 const Member* Membership::find(core::NodeId node) const
 {
     const auto it = std::ranges::find(members, node, &Member::node);
@@ -60,6 +67,8 @@
 void Membership::admit(Member member, bool isFirstStart)
 {
     const auto* known = find(member.node);
+    if (!known)
+        known = findAbsent(member.node);
     member.voter = false;
     if (known) {
         member.admission = known->admission;
@@ -75,6 +84,7 @@
 void Membership::put(const Member& member)
 {
     remove(member.node);
+    std::erase_if(absent, [&member](const Member& it) { return it.node == member.node; });
     members.push_back(member);
     std::ranges::sort(members, {}, &Member::node);
 }
@@ -82,8 +92,10 @@
 AdmissionNumber Membership::nextAdmission() const
 {
     AdmissionNumber newest = initialAdmission;
-    for (const auto& it : members)
-        newest = std::max(newest, it.admission);
+    for (const auto* list : { &members, &absent }) {
+        for (const auto& it : *list)
+            newest = std::max(newest, it.admission);
+    }
     return newest + 1;
 }
 
@@ -99,4 +111,22 @@
     std::erase_if(members, [node](const Member& it) { return it.node == node; });
 }
 
+void Membership::removeAsAbsent(core::NodeId node)
+{
+    const auto* member = find(node);
+    if (!member)
+        return;
+    absent.push_back(*member);
+    absent.back().voter = false;
+    if (absent.size() > maxAbsentControllers)
+        absent.erase(absent.begin());
+    remove(node);
+}
+
+const Member* Membership::findAbsent(core::NodeId node) const
+{
+    const auto it = std::ranges::find(absent, node, &Member::node);
+    return it == absent.end() ? nullptr : &*it;
+}
+
 } // namespace ibisgw::configuration
--- a/src/ibisgw/configuration/Membership.h
+++ b/src/ibisgw/configuration/Membership.h
@@ -50,6 +50,9 @@
     std::vector<Member> members {};
     // Number of controllers of each zone that took part in the first start.
     std::map<core::ZoneName, std::size_t> initialControllers {};
+    // Controllers that were removed without having announced it, the latest last. They may have been partitioned, so
+    // the leader goes on to tell them where the group is.
+    std::vector<Member> absent {};
 
     const Member* find(core::NodeId) const;
     bool isVoter(core::NodeId, DiskIdentity) const;
@@ -71,10 +74,13 @@
     void put(const Member&);
     void setVoter(core::NodeId, bool isVoter);
     void remove(core::NodeId);
+    // Removes a member and remembers it as absent.
+    void removeAsAbsent(core::NodeId);
 
     bool operator==(const Membership&) const = default;
 
 private:
+    const Member* findAbsent(core::NodeId) const;
     AdmissionNumber nextAdmission() const;
 };
 
--- a/src/ibisgw/configuration/RaftDiskCheck.cpp
+++ b/src/ibisgw/configuration/RaftDiskCheck.cpp
@@ -27,12 +27,13 @@
         enqueue(it, DiskCheckRequest { m_startNonce, m_log.lastIndex(), m_options.zone, isFirstStart });
 }
 
-// The listed controllers; with an open membership also the members according to the log and the controllers
+// The listed controllers; with an open membership also the seeds, the members according to the log and the controllers
 // discovered through messages.
 std::set<core::NodeId> RaftNode::diskCheckPeers() const
 {
     std::set<core::NodeId> nodes(m_options.controllers.begin(), m_options.controllers.end());
     if (m_options.membershipMode == MembershipMode::Open) {
+        nodes.insert(m_seeds.begin(), m_seeds.end());
         nodes.insert(m_discoveredControllers.begin(), m_discoveredControllers.end());
         const auto members = m_log.membership().nodes();
         nodes.insert(members.begin(), members.end());
--- a/src/ibisgw/configuration/RaftMembership.cpp
+++ b/src/ibisgw/configuration/RaftMembership.cpp
@@ -101,9 +101,14 @@
     return progress->second.isStopping || now - progress->second.lastContact >= m_options.removalTimeout;
 }
 
+bool RaftNode::hasAnnouncedStop(core::NodeId node) const
+{
+    const auto progress = m_progress.find(node);
+    return progress != m_progress.end() && progress->second.isStopping;
+}
+
 // With an open membership no operator reports that a controller has failed permanently, so the leader removes members
-// that are silent for the removal timeout. A controller that was only partitioned rejoins as a learner with its next
-// DiskCheckRequest.
+// that are silent for the removal timeout. A controller that was only partitioned rejoins as a learner.
 void RaftNode::removeSilentMembers(core::TimePoint now)
 {
     if (m_options.membershipMode != MembershipMode::Open || !canChangeMembership())
@@ -111,7 +116,12 @@
     for (const auto& it : m_log.membership().members) {
         if (!isSilent(it.node, now) || (it.voter && !hasVoterToSpare()))
             continue;
-        removeFromMembership(it.node, now);
+        auto membership = m_log.membership();
+        if (hasAnnouncedStop(it.node))
+            membership.remove(it.node);
+        else
+            membership.removeAsAbsent(it.node);
+        changeMembership(std::move(membership), now);
         return;
     }
 }
--- a/src/ibisgw/configuration/RaftMessage.h
+++ b/src/ibisgw/configuration/RaftMessage.h
@@ -111,6 +111,12 @@
     bool operator==(const LeaveReply&) const = default;
 };
 
+// Sent by the leader to controllers that were removed without having announced it. The group of the receiver may have
+// changed completely while it was partitioned, so that all addresses that it knows are gone.
+struct RejoinNotice {
+    bool operator==(const RejoinNotice&) const = default;
+};
+
 // Message between two controllers. Its fields describe the sender.
 struct RaftMessage {
     Term term { 0 };
@@ -119,7 +125,7 @@
     DiskIdentity disk { 0 };
     std::uint64_t generation { 0 };
     std::variant<VoteRequest, VoteReply, AppendRequest, AppendReply, SnapshotRequest, DiskCheckRequest, DiskCheckReply,
-        LeaveRequest, LeaveReply, DiskIdentityRequest, DiskIdentityReply>
+        LeaveRequest, LeaveReply, DiskIdentityRequest, DiskIdentityReply, RejoinNotice>
         body;
 
     bool operator==(const RaftMessage&) const = default;
--- a/src/ibisgw/configuration/RaftNode.cpp
+++ b/src/ibisgw/configuration/RaftNode.cpp
@@ -18,6 +18,7 @@
     , m_store(store)
     , m_stateMachine(stateMachine)
     , m_random(random)
+    , m_seeds(m_options.controllers)
 {
 }
 
@@ -54,12 +55,7 @@
 {
     if (m_role == RaftRole::Halted)
         return;
-    // A controller with an empty disk has only the addresses in its settings, and all controllers listed there may
-    // have lost their disks as well. The members of the group still send messages to this address, so their senders
-    // are added to the peers of the disk check.
-    const bool isOpen = m_options.membershipMode == MembershipMode::Open;
-    if (isOpen && m_log.membership().group == 0 && message.group != 0 && from != m_options.self)
-        m_discoveredControllers.insert(from);
+    discoverSender(from, message);
     if (!acceptsMessage(from, message))
         return;
     recordPeerState(from, message);
@@ -84,6 +80,7 @@
             promoteLearners(now);
             removeSilentMembers(now);
             demoteReplacedVoters(now);
+            sendRejoinNotices(now);
             leaveAsLeader(now);
             if (now >= m_nextHeartbeat)
                 broadcastEntries(now, true);
@@ -256,7 +253,7 @@
 
 bool RaftNode::acceptsMessage(core::NodeId from, const RaftMessage& message) const
 {
-    if (holdsAnyOf<DiskCheckRequest, DiskCheckReply, DiskIdentityRequest, DiskIdentityReply>(message))
+    if (holdsAnyOf<DiskCheckRequest, DiskCheckReply, DiskIdentityRequest, DiskIdentityReply, RejoinNotice>(message))
         return from != m_options.self;
     const auto group = m_log.membership().group;
     if (group != 0 && message.group != group)
--- a/src/ibisgw/configuration/RaftNode.h
+++ b/src/ibisgw/configuration/RaftNode.h
@@ -62,6 +62,10 @@
     // True once this controller is no member any more, or must remain one, so that the process may end.
     bool isLeaveComplete() const;
 
+    // Sets the controllers at which a controller with an open membership looks for its group. Those that may bootstrap
+    // a group stay the ones of the start, so that two groups cannot be bootstrapped.
+    void setSeeds(std::vector<core::NodeId> seeds) { m_seeds = std::move(seeds); }
+
     RaftRole role() const { return m_role; }
     Term term() const { return m_vote.term; }
     core::NodeId leader() const { return m_leader; }
@@ -193,6 +197,7 @@
     // On the leader: true if a member has announced its stop, or has had no contact for the removal timeout and may
     // have failed permanently.
     bool isSilent(core::NodeId, core::TimePoint now) const;
+    bool hasAnnouncedStop(core::NodeId) const;
     void removeSilentMembers(core::TimePoint now);
     bool hasVoterToSpare() const;
     void removeFromMembership(core::NodeId, core::TimePoint now);
@@ -218,6 +223,11 @@
     void handle(core::NodeId from, const RaftMessage&, const LeaveRequest&, core::TimePoint now);
     void handle(core::NodeId from, const RaftMessage&, const LeaveReply&, core::TimePoint now);
 
+    // RaftRejoin.cpp
+    void sendRejoinNotices(core::TimePoint now);
+    void discoverSender(core::NodeId, const RaftMessage&);
+    void handle(core::NodeId from, const RaftMessage&, const RejoinNotice&, core::TimePoint now);
+
     RaftOptions m_options;
     LogStore& m_store;
     StateMachine& m_stateMachine;
@@ -244,6 +254,7 @@
     core::TimePoint m_lastLeaderContact;
     core::TimePoint m_electionDeadline;
     core::TimePoint m_nextHeartbeat;
+    core::TimePoint m_nextRejoinNotice;
     // Disks of the other controllers that have granted their vote.
     std::map<core::NodeId, DiskIdentity> m_votes;
     std::uint64_t m_diskIdentityNonce { 0 };
@@ -257,8 +268,10 @@
 
     std::map<ControllerDisk, PeerRecord> m_peerRecords;
     std::map<core::NodeId, DiskCheckResult> m_diskCheckResults;
-    // Controllers discovered through messages: members listed in a DiskCheckReply, and senders of messages while this
-    // controller belongs to no group. Used only with an open membership.
+    // Controllers of the settings, which may have been read again since the start.
+    std::vector<core::NodeId> m_seeds;
+    // Controllers discovered through messages: members listed in a DiskCheckReply, and senders of messages of the group
+    // that are not members according to the log. Used only with an open membership.
     std::set<core::NodeId> m_discoveredControllers;
     // True once the disk check is complete: this controller may vote and acknowledge entries.
     bool m_isDiskConfirmed { false };
--- a/src/ibisgw/configuration/RaftOptions.h
+++ b/src/ibisgw/configuration/RaftOptions.h
@@ -44,6 +44,8 @@
     std::size_t toleratedDiskLosses { 1 };
     // A voter without contact to the leader for this long is removed if enough others remain. Open membership only.
     core::Duration removalTimeout { std::chrono::milliseconds(3000) };
+    // Interval at which the leader contacts controllers that were removed because they were silent.
+    core::Duration rejoinNoticeInterval { std::chrono::milliseconds(1000) };
     // Limit of the number of voters; further controllers stay learners. More voters would make each change slower
     // and add no tolerance.
     std::size_t maxVoters { 7 };
--- a/src/ibisgw/runtime/DirectController.cpp
+++ b/src/ibisgw/runtime/DirectController.cpp
@@ -129,6 +129,8 @@
     const auto now = m_loop.now();
     m_processMonitor.recordTick(now);
     m_register.tick(now, *this);
+    // After a partition all controllers may be gone that the last updates have named.
+    m_subscriber.adoptVoters(m_register.membership().voters(), m_register.raft().log().membershipIndex());
     m_subscriber.tick(now, *this);
     m_overdueMonitor.tick(m_directory, canReachMajority(now), now);
     m_departures.flush(now);
@@ -173,7 +175,11 @@
                 const auto* const role = it.voter ? " voter" : membership.isReplaced(it) ? " replaced" : " learner";
                 members.push_back(it.node.endpoint().toString() + role);
             }
-            return nlohmann::json { { "members", std::move(members) }, { "index", m_loggedMembershipIndex } };
+            auto absent = nlohmann::json::array();
+            for (const auto& it : membership.absent)
+                absent.push_back(it.node.endpoint().toString());
+            return nlohmann::json { { "members", std::move(members) }, { "absent", std::move(absent) },
+                { "index", m_loggedMembershipIndex } };
         });
     }
     const bool isHalted = raft.role() == configuration::RaftRole::Halted;
@@ -253,6 +259,7 @@
     m_settings.seeds = settings.seeds;
     m_settings.zones = settings.zones;
     m_subscriber.setSeeds(settings.seedNodes());
+    m_register.setSeeds(settings.seedNodes());
     m_events.setLinesPerSecond(settings.logLinesPerSecond);
 }
 
--- a/src/ibisgw/runtime/DirectControllerMetrics.cpp
+++ b/src/ibisgw/runtime/DirectControllerMetrics.cpp
@@ -16,6 +16,8 @@
         = raft.role() == configuration::RaftRole::Halted ? 1 : 0;
     m_metrics.gauge("ibisgw_raft_voters", "Controllers that vote")
         = static_cast<double>(m_register.membership().voterCount());
+    m_metrics.gauge("ibisgw_raft_absent", "Removed controllers that are sought, as they may be partitioned")
+        = static_cast<double>(m_register.membership().absent.size());
     m_metrics.gauge("ibisgw_subscribers", "Daemons that follow this controller")
         = static_cast<double>(m_feed.subscriberCount());
     m_metrics.gauge("ibisgw_reachable_controllers", "Controllers that have answered lately")
--- a/src/ibisgw/sync/DirectorySubscriber.cpp
+++ b/src/ibisgw/sync/DirectorySubscriber.cpp
@@ -171,7 +171,7 @@
         addController(from);
     auto& feed = m_feeds[from];
     noteStatus(feed, update, now);
-    adoptControllers(update);
+    adoptVoters(update.controllers, update.membershipIndex);
     adoptEvacuations(update);
     if (update.from > feed.acknowledged)
         return;
@@ -271,12 +271,12 @@
         m_directory.renew(it.id, it.incarnation, it.sequence, now, from);
 }
 
-void DirectorySubscriber::adoptControllers(const DirectoryUpdate& update)
+void DirectorySubscriber::adoptVoters(const std::vector<core::NodeId>& voters, std::uint64_t membershipIndex)
 {
-    if (update.membershipIndex < m_votershipIndex || update.controllers.empty())
+    if (membershipIndex < m_membershipIndex || voters.empty())
         return;
-    m_votershipIndex = update.membershipIndex;
-    m_voters = update.controllers;
+    m_membershipIndex = membershipIndex;
+    m_voters = voters;
 }
 
 void DirectorySubscriber::adoptEvacuations(const DirectoryUpdate& update)
--- a/src/ibisgw/sync/DirectorySubscriber.h
+++ b/src/ibisgw/sync/DirectorySubscriber.h
@@ -61,6 +61,8 @@
     // Makes all subscriptions due, because updates may have been missed.
     void requestUpdates(core::TimePoint now);
     void setSeeds(std::vector<core::NodeId> seeds) { m_options.seeds = std::move(seeds); }
+    // Sets the voters of the group, unless they are known from an entry with a higher index.
+    void adoptVoters(const std::vector<core::NodeId>&, std::uint64_t membershipIndex);
     // Adds a controller that has sent a message without being a seed or a known member of the group.
     void addController(core::NodeId);
 
@@ -118,7 +120,6 @@
     void merge(core::NodeId from, const DirectoryUpdate&, core::TimePoint now);
     static bool isInContact(const Feed&, core::TimePoint now, core::Duration limit);
     std::vector<core::NodeId> controllersInContact(core::TimePoint now, core::Duration limit) const;
-    void adoptControllers(const DirectoryUpdate&);
     void dropUnknownFeeds();
 
     SubscriberOptions m_options;
@@ -129,7 +130,7 @@
     std::vector<core::NodeId> m_voters;
     // Controllers of addController(), the oldest first.
     std::vector<core::NodeId> m_contacts;
-    std::uint64_t m_votershipIndex { 0 };
+    std::uint64_t m_membershipIndex { 0 };
     upstream::ZoneEvacuations m_evacuations;
     std::optional<core::TimePoint> m_startedAt;
     // Earliest time of the next configuration request, and the controller that received the last one.
--- a/tests/adapters/RaftCodecTests.cpp
+++ b/tests/adapters/RaftCodecTests.cpp
@@ -1,4 +1,5 @@
 #include "ibisgw/adapters/RaftCodec.h"
+#include "ibisgw/adapters/detail/RaftJson.h"
 #include "ibisgw/core/PcgRandomSource.h"
 
 #include <doctest/doctest.h>
@@ -10,7 +11,8 @@
 
 std::vector<RaftMessage> sampleMessages()
 {
-    const Membership membership { 7, { { { 1 }, 11, true, 2, 3 }, { { 2 }, 12, false, 4, 5 } } };
+    const Membership membership { 7, { { { 1 }, 11, true, 2, 3, "a", 1 }, { { 2 }, 12, false, 4, 5, "b", 3 } },
+        { { "a", 1 }, { "b", 2 } }, { { { 3 }, 13, false, 6, 7, "b", 2 } } };
     const std::vector<LogEntry> entries {
         { 1, EntryKind::NoOperation, {}, {} },
         { 2, EntryKind::Command, std::string("\0\xff text", 7), {} },
@@ -23,12 +25,13 @@
     add(AppendRequest { 8, 4, 7, 6, entries });
     add(AppendReply { true, 9, 6 });
     add(SnapshotRequest { { 9, 4, membership, "state" } });
-    add(DiskCheckRequest { 77, 9 });
+    add(DiskCheckRequest { 77, 9, "a", true });
     add(DiskCheckReply { 11, 77, true, 3, membership });
     add(LeaveRequest {});
     add(LeaveReply { LeaveOutcome::Retained });
     add(DiskIdentityRequest { 78 });
     add(DiskIdentityReply { 78 });
+    add(RejoinNotice {});
     return messages;
 }
 
@@ -50,6 +53,15 @@
         }
     }
 
+    // Guards against a group of an earlier release that cannot be read any more.
+    TEST_CASE("a membership that was stored without zones is read")
+    {
+        const auto json = nlohmann::json::parse("[7, [[1, 11, true, 2, 3], [2, 12, false, 4, 5]]]");
+        const auto membership = adapters::detail::readMembership(json);
+        REQUIRE(membership);
+        CHECK(*membership == Membership { 7, { { { 1 }, 11, true, 2, 3 }, { { 2 }, 12, false, 4, 5 } } });
+    }
+
     TEST_CASE("malicious bytes neither crash the decoder nor exhaust its stack")
     {
         // A million nested arrays (0x81 starts an array of one element) overflow the stack of a recursive parser.
--- a/tests/configuration/ControllerReplacementTests.cpp
+++ b/tests/configuration/ControllerReplacementTests.cpp
@@ -55,6 +55,25 @@
         std::swap(items[n - 1], items[random.below(n)]);
 }
 
+void restart(RegisterGroup& group, core::NodeId node)
+{
+    group.stop(node);
+    group.start(node);
+}
+
+// Starts a successor of each controller at once, and stops the replaced ones soon one after the other.
+void replaceAsPlanned(RegisterGroup& group, std::vector<core::NodeId> replaced, core::RandomSource& random)
+{
+    for (const auto& it : replaced)
+        group.addSuccessor(it);
+    group.runFor(catchUpDuration);
+    shuffle(replaced, random);
+    for (const auto& it : replaced) {
+        group.stopAsPlanned(it);
+        group.runFor(200ms);
+    }
+}
+
 } // namespace
 
 TEST_SUITE("configuration")
@@ -128,6 +147,11 @@
             group.runFor(repairDuration);
             CHECK(group.membership().find(replaced)->voter);
             CHECK(!group.membership().find(successor));
+
+            group.start(successor);
+            group.runFor(repairDuration);
+            CHECK(group.membership().find(successor)->voter);
+            CHECK(!group.membership().find(replaced)->voter);
         }
         SUBCASE("which votes in place of a voter of another zone that is gone for good")
         {
@@ -176,4 +200,88 @@
         for (const auto& it : old)
             CHECK(!group.membership().find(it)->voter);
     }
+
+    // Guards against controllers that never find the group again, because all others that they knew of were replaced
+    // while they were partitioned. The group then runs on with too few voters to bear the loss of a disk.
+    TEST_CASE("controllers that were partitioned while the others were replaced join the group again")
+    {
+        constexpr std::uint64_t seeds = 20;
+        for (const auto& size : { GroupSize { 3, 3, 1 }, GroupSize { 4, 4, 1 }, GroupSize { 5, 5, 2 } }) {
+            for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+                CAPTURE(size.controllers);
+                CAPTURE(seed);
+                core::PcgRandomSource random(seed);
+                RegisterGroup group(size.controllers, size.tolerated, 110 * seed, commitSaveInterval, size.zones);
+                group.runFor(4s);
+                REQUIRE(group.replace(1));
+                auto others = group.running();
+                const auto partitioned = drawNodes(group, size.tolerated, random);
+                std::erase_if(others, [&](core::NodeId it) { return partitioned.contains(it); });
+                for (const auto& it : partitioned)
+                    group.isolate(it);
+                replaceAsPlanned(group, others, random);
+                group.runFor(random.below(8000) * 1ms);
+                REQUIRE(group.replace(2));
+
+                // The addresses must not be lost with the memory of either side.
+                const bool restartsPartitioned = random.chance(0.5);
+                const bool restartsOthers = random.chance(0.5);
+                for (const auto& it : group.running()) {
+                    if (partitioned.contains(it) ? restartsPartitioned : restartsOthers)
+                        restart(group, it);
+                }
+                for (const auto& it : partitioned)
+                    group.reconnect(it);
+                group.runFor(12s);
+                REQUIRE(group.replace(3));
+                group.runFor(500ms);
+                CHECK(group.membership().voterCount() == size.controllers);
+                for (const auto& it : partitioned) {
+                    const auto* member = group.membership().find(it);
+                    CHECK((member && member->voter));
+                    CHECK(group.find(it)->version() == 3);
+                }
+                loseDisks(group, drawNodes(group, size.tolerated, random), random.chance(0.5));
+                CHECK(group.read() == 3);
+                CHECK(group.replace(4));
+            }
+        }
+    }
+
+    // Guards against a removed controller whose only way back is the memory of the leader that removed it.
+    TEST_CASE("controllers that were removed for their silence are remembered up to a limit")
+    {
+        Membership membership { .group = 1 };
+        membership.admit({ .node = { 1 }, .disk = 11 }, true);
+        for (std::uint64_t n = 2; n <= 40; ++n) {
+            membership.admit({ .node = { n }, .disk = 10 + n }, false);
+            const auto admission = membership.find({ n })->admission;
+            membership.removeAsAbsent({ n });
+            CHECK(!membership.find({ n }));
+            CHECK(membership.absent.back().node == core::NodeId { n });
+            CHECK(membership.absent.size() <= 14);
+
+            // It is still older than a controller that was admitted meanwhile.
+            membership.admit({ .node = { n }, .disk = 100 + n }, false);
+            CHECK(membership.find({ n })->admission == admission);
+            CHECK(std::ranges::find(membership.absent, core::NodeId { n }, &Member::node) == membership.absent.end());
+            membership.removeAsAbsent({ n });
+        }
+        CHECK(membership.members.size() == 1);
+    }
+
+    // Guards against new seeds that only a restart brings to the agreement.
+    TEST_CASE("a new controller whose seeds are all gone joins once its settings name others")
+    {
+        RegisterGroup group(3, 1, 9, commitSaveInterval, 3);
+        group.runFor(4s);
+        REQUIRE(group.replace(1));
+        group.setSeeds({ { 91 }, { 92 }, { 93 } });
+        const auto added = group.addWithPresentSeeds(group.zoneOf({ 1 }));
+        group.runFor(repairDuration);
+        REQUIRE(!group.membership().find(added));
+        group.reloadSeeds(added, { { 2 } });
+        group.runFor(2s);
+        CHECK(group.membership().find(added));
+    }
 }
--- a/tests/support/RegisterGroup.h
+++ b/tests/support/RegisterGroup.h
@@ -27,6 +27,14 @@
     // Starts a controller with a new address and an empty disk, which joins the existing group. From now on the first
     // three running controllers are the seeds.
     core::NodeId add(const core::ZoneName& zone = {});
+    // The same, but the seeds stay as they are.
+    core::NodeId addWithPresentSeeds(const core::ZoneName& zone) { return create(zone, false); }
+    void setSeeds(std::vector<core::NodeId> seeds) { m_seeds = std::move(seeds); }
+    // Changes the seeds in the settings of a running controller, which reads them again.
+    void reloadSeeds(core::NodeId node, std::vector<core::NodeId> seeds)
+    {
+        m_members.at(node).instance->setSeeds(std::move(seeds));
+    }
     // Starts a successor of the controller, in its zone.
     core::NodeId addSuccessor(core::NodeId node) { return add(zoneOf(node)); }
     const core::ZoneName& zoneOf(core::NodeId node) const { return m_members.at(node).zone; }
--- a/tests/sync/DirectorySyncTests.cpp
+++ b/tests/sync/DirectorySyncTests.cpp
@@ -10,6 +10,7 @@
 #include <algorithm>
 #include <deque>
 #include <map>
+#include <set>
 #include <utility>
 
 using namespace ibisgw;
@@ -606,6 +607,28 @@
         CHECK(it.toController.messages.size() == 1);
     }
 
+    // Guards against a controller that has rejoined the group after a partition, but exchanges no reports with the
+    // others, because all controllers that its last updates have named are gone.
+    TEST_CASE("a controller subscribes to the voters that its own log names")
+    {
+        FeedAndSubscriber it(true);
+        it.subscribe();
+        it.subscriber.adoptVoters({ { 31 }, { 32 } }, 5);
+        it.now += 1s;
+        it.subscriber.tick(it.now, it.toController);
+        std::set<core::NodeId> receivers;
+        for (const auto& [node, message] : it.toController.messages)
+            receivers.insert(node);
+        CHECK(receivers == std::set<core::NodeId> { controllerNode, { 31 }, { 32 } });
+
+        // An update with an older membership does not undo it.
+        it.deliver();
+        CHECK(it.subscriber.reachableAmong(std::vector<core::NodeId> { controllerNode, { 31 } }, it.now) == 1);
+        it.now += 1s;
+        it.subscriber.tick(it.now, it.toController);
+        CHECK(it.toController.messages.size() == 3);
+    }
+
     TEST_CASE("messages are equal after encoding and decoding, and truncated or extended ones are rejected")
     {
         const std::vector<SyncMessage> messages {
