Let a controller stand for election until its demotion is known to be committed

The leader had appended the demotion of a voter and was gone for good. That voter held the entry, which was not committed; the others did not. It refused its vote to them, as its log was newer, and did not stand itself, as its own log calls it a learner.

A voter of a membership that is still in force now stands for election, as the dissertation (4.2.2) says of removed servers, and steps down once a membership without its vote is committed. The same held for voters that are removed. A vote still counts only in the memberships that the candidate requires, so quorums stay as they were.

--- a/src/ibisgw/configuration/RaftElection.cpp
+++ b/src/ibisgw/configuration/RaftElection.cpp
@@ -1,5 +1,7 @@
 #include "ibisgw/configuration/RaftNode.h"
 
+#include <algorithm>
+
 namespace ibisgw::configuration {
 
 // Randomized election timeouts make split votes rare (ATC 2014, section 5.2).
@@ -21,6 +23,17 @@
     resetElectionTimer(now);
 }
 
+// A voter whose demotion or removal is not known to be committed is still needed: it may be the only one whose log is
+// up to date (dissertation, 4.2.2).
+bool RaftNode::mayStandForElection() const
+{
+    const auto isVoter = [this](const Membership* it) {
+        const auto* self = it->find(m_options.self);
+        return self && hasVote(*self, m_disk);
+    };
+    return !m_isLeaving && std::ranges::any_of(membershipsInForce(), isVoter);
+}
+
 // With pre-votes (dissertation, 9.6) a controller increments its term only after a majority would grant it their
 // votes, so a controller that rejoins after a partition does not depose a working leader.
 void RaftNode::startElection(bool isPreVote, core::TimePoint now)
@@ -87,6 +100,15 @@
     }
 }
 
+// A leader that has committed a membership in which it does not vote leaves the term to the others.
+void RaftNode::stepDownIfNoVoter(core::TimePoint now)
+{
+    if (m_isLeaving || isSelfVoter() || !canChangeMembership())
+        return;
+    broadcastEntries(now, true);
+    becomeFollower(m_vote.term, {}, now);
+}
+
 bool RaftNode::isInContact(const Member& member, core::TimePoint now) const
 {
     const auto* progress = findProgress(member);
--- a/src/ibisgw/configuration/RaftNode.cpp
+++ b/src/ibisgw/configuration/RaftNode.cpp
@@ -80,12 +80,13 @@
             promoteLearners(now);
             removeSilentMembers(now);
             demoteReplacedVoters(now);
+            stepDownIfNoVoter(now);
             sendRejoinNotices(now);
             leaveAsLeader(now);
             if (now >= m_nextHeartbeat)
                 broadcastEntries(now, true);
         }
-    } else if (m_role != RaftRole::CheckingDisk && isSelfVoter() && !m_isLeaving && now >= m_electionDeadline) {
+    } else if (m_role != RaftRole::CheckingDisk && mayStandForElection() && now >= m_electionDeadline) {
         startElection(true, now);
     }
     saveCommitIfDue(now);
--- a/src/ibisgw/configuration/RaftNode.h
+++ b/src/ibisgw/configuration/RaftNode.h
@@ -138,10 +138,12 @@
     // RaftElection.cpp
     void resetElectionTimer(core::TimePoint now);
     void becomeFollower(Term, core::NodeId leader, core::TimePoint now);
+    bool mayStandForElection() const;
     void startElection(bool isPreVote, core::TimePoint now);
     void countVotes(core::TimePoint now);
     void becomeLeader(core::TimePoint now);
     void checkQuorum(core::TimePoint now);
+    void stepDownIfNoVoter(core::TimePoint now);
     bool isInContact(const Member&, core::TimePoint now) const;
     bool hasLeaderContact(core::TimePoint now) const;
     void handle(core::NodeId from, const RaftMessage&, const VoteRequest&, core::TimePoint now);
--- a/tests/configuration/ScheduleTests.cpp
+++ b/tests/configuration/ScheduleTests.cpp
@@ -76,4 +76,12 @@
         CHECK(totals.lostDisks > 100);
         CHECK(totals.gone > 300);
     }
+
+    // Guards against a group that stops for good, because the only controller whose log is up to date has given its
+    // vote away in an entry that is not committed, and refuses its vote to the others.
+    TEST_CASE("a controller whose demotion is not known to be committed may be elected")
+    {
+        for (const std::uint64_t seed : { 300'821, 305'168, 310'272 })
+            checkSchedules(seed, 1, MembershipMode::Open, DiskLosses::LeaveMajority, Replacements::InEachZone);
+    }
 }
--- a/tests/support/ControllerGroup.cpp
+++ b/tests/support/ControllerGroup.cpp
@@ -176,6 +176,14 @@
         && std::ranges::all_of(m_controllers, [&](const auto& it) { return holdsOnDisk(*it.second.store, hasQuorum); });
 }
 
+bool ControllerGroup::mayEndForGood(Machine machine) const
+{
+    const auto hasMajority = [&](const Membership& it) { return countIntactVoters(it, machine) >= it.majority(); };
+    return holdsInMemberships(hasMajority) && std::ranges::all_of(m_controllers, [&](const auto& it) {
+        return holdsOnDisk(*it.second.store, hasMajority);
+    });
+}
+
 bool ControllerGroup::holdsOnDisk(const MemoryLogStore& store, const MembershipCheck& check) const
 {
     auto stored = store.copy();
--- a/tests/support/ControllerGroup.h
+++ b/tests/support/ControllerGroup.h
@@ -52,6 +52,9 @@
     // The same, but a majority may include as many voters with lost disks as the membership allows. Must also hold for
     // the memberships on the disks of stopped controllers, and for those whose replacement may not be committed.
     bool hasQuorumWithoutDisk(Machine) const;
+    // Whether the group survives that this machine never runs again. Nothing then shows that its disk is lost, so a
+    // majority of the voters must have intact disks without it, also in the memberships that stopped controllers know.
+    bool mayEndForGood(Machine) const;
     // Runs until a leader accepts submissions, all controllers are voters, or with successors as many as took part in
     // the first start, and the leader's log is committed; false when the limit has passed.
     bool runUntilComplete(ibisgw::core::Duration limit);
