--- a/src/ibisgw/adapters/RaftCodec.cpp
+++ b/src/ibisgw/adapters/RaftCodec.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-constexpr std::uint64_t raftProtocolVersion = 3;
+constexpr std::uint64_t raftProtocolVersion = 4;
 
 using Json = nlohmann::json;
 using Body = decltype(RaftMessage::body);
@@ -55,6 +55,8 @@
 {
     json.push_back(body.startNonce);
     json.push_back(body.lastIndex);
+    json.push_back(body.zone);
+    json.push_back(body.isFirstStart);
 }
 
 void write(const DiskCheckReply& body, Json& json)
@@ -83,6 +85,8 @@
     json.push_back(body.nonce);
 }
 
+void write(const RejoinNotice&, Json&) { }
+
 void read(detail::JsonArrayReader& reader, VoteRequest& body)
 {
     body.preVote = reader.boolean();
@@ -132,6 +136,8 @@
 {
     body.startNonce = reader.number();
     body.lastIndex = reader.number();
+    body.zone = reader.text();
+    body.isFirstStart = reader.boolean();
 }
 
 void read(detail::JsonArrayReader& reader, DiskCheckReply& body)
@@ -164,6 +170,8 @@
     body.nonce = reader.number();
 }
 
+void read(detail::JsonArrayReader&, RejoinNotice&) { }
+
 // Reads the body as the alternative of the variant with index `type`; fails when there is no such alternative.
 template <std::size_t index = 0> void readBody(detail::JsonArrayReader& reader, std::size_t type, Body& body)
 {
--- a/src/ibisgw/configuration/RaftNode.h
+++ b/src/ibisgw/configuration/RaftNode.h
@@ -62,6 +62,10 @@
     // True once this controller is no member any more, or must remain one, so that the process may end.
     bool isLeaveComplete() const;
 
+    // Sets the controllers at which a controller with an open membership looks for its group. Those that may bootstrap
+    // a group stay the ones of the start, so that two groups cannot be bootstrapped.
+    void setSeeds(std::vector<core::NodeId> seeds) { m_seeds = std::move(seeds); }
+
     RaftRole role() const { return m_role; }
     Term term() const { return m_vote.term; }
     core::NodeId leader() const { return m_leader; }
@@ -134,10 +138,13 @@
     // RaftElection.cpp
     void resetElectionTimer(core::TimePoint now);
     void becomeFollower(Term, core::NodeId leader, core::TimePoint now);
+    bool mayStandForElection() const;
     void startElection(bool isPreVote, core::TimePoint now);
     void countVotes(core::TimePoint now);
     void becomeLeader(core::TimePoint now);
     void checkQuorum(core::TimePoint now);
+    void stepDownIfNoVoter(core::TimePoint now);
+    bool isInContact(const Member&, core::TimePoint now) const;
     bool hasLeaderContact(core::TimePoint now) const;
     void handle(core::NodeId from, const RaftMessage&, const VoteRequest&, core::TimePoint now);
     void handle(core::NodeId from, const RaftMessage&, const VoteReply&, core::TimePoint now);
@@ -187,21 +194,30 @@
     // RaftMembership.cpp
     void bootstrapGroup(core::TimePoint now);
     void admitController(core::NodeId, const RaftMessage&, const DiskCheckRequest&, core::TimePoint now);
+    Member ownStart() const;
     void recordStart(const Member&, core::TimePoint now);
-    void promoteLearners(core::TimePoint now);
-    std::size_t votersInContact(core::TimePoint now) const;
     // On the leader: true if a member has announced its stop, or has had no contact for the removal timeout and may
     // have failed permanently.
     bool isSilent(core::NodeId, core::TimePoint now) const;
-    bool isLearnerInContact(const Member&, core::TimePoint now) const;
+    bool hasAnnouncedStop(core::NodeId) const;
     void removeSilentMembers(core::TimePoint now);
     bool hasVoterToSpare() const;
     void removeFromMembership(core::NodeId, core::TimePoint now);
+    void setVoter(core::NodeId, bool isVoter, core::TimePoint now);
     bool canBootstrapGroup() const;
     bool canChangeMembership() const;
     void changeMembership(Membership, core::TimePoint now);
     void updateProgress(core::TimePoint now);
 
+    // RaftReplacement.cpp
+    void promoteLearners(core::TimePoint now);
+    bool mayVote(const Member& learner, core::TimePoint now) const;
+    bool isLearnerInContact(const Member&, core::TimePoint now) const;
+    std::size_t intendedVoterCount() const;
+    std::size_t votersInContact(core::TimePoint now) const;
+    void demoteReplacedVoters(core::TimePoint now);
+    bool hasMajorityInContactWithout(core::NodeId, core::TimePoint now) const;
+
     // RaftLeave.cpp
     void sendLeaveRequest(core::TimePoint now);
     void leaveAsLeader(core::TimePoint now);
@@ -209,6 +225,11 @@
     void handle(core::NodeId from, const RaftMessage&, const LeaveRequest&, core::TimePoint now);
     void handle(core::NodeId from, const RaftMessage&, const LeaveReply&, core::TimePoint now);
 
+    // RaftRejoin.cpp
+    void sendRejoinNotices(core::TimePoint now);
+    void discoverSender(core::NodeId, const RaftMessage&);
+    void handle(core::NodeId from, const RaftMessage&, const RejoinNotice&, core::TimePoint now);
+
     RaftOptions m_options;
     LogStore& m_store;
     StateMachine& m_stateMachine;
@@ -235,6 +256,7 @@
     core::TimePoint m_lastLeaderContact;
     core::TimePoint m_electionDeadline;
     core::TimePoint m_nextHeartbeat;
+    core::TimePoint m_nextRejoinNotice;
     // Disks of the other controllers that have granted their vote.
     std::map<core::NodeId, DiskIdentity> m_votes;
     std::uint64_t m_diskIdentityNonce { 0 };
@@ -248,8 +270,10 @@
 
     std::map<ControllerDisk, PeerRecord> m_peerRecords;
     std::map<core::NodeId, DiskCheckResult> m_diskCheckResults;
-    // Controllers discovered through messages: members listed in a DiskCheckReply, and senders of messages while this
-    // controller belongs to no group. Used only with an open membership.
+    // Controllers of the settings, which may have been read again since the start.
+    std::vector<core::NodeId> m_seeds;
+    // Controllers discovered through messages: members listed in a DiskCheckReply, and senders of messages of the group
+    // that are not members according to the log. Used only with an open membership.
     std::set<core::NodeId> m_discoveredControllers;
     // True once the disk check is complete: this controller may vote and acknowledge entries.
     bool m_isDiskConfirmed { false };
--- a/src/ibisgw/configuration/RaftOptions.h
+++ b/src/ibisgw/configuration/RaftOptions.h
@@ -29,6 +29,8 @@
 // Configuration of a RaftNode.
 struct RaftOptions {
     core::NodeId self;
+    // Zone of this controller; empty if it is not known.
+    core::ZoneName zone {};
     // All controllers from the settings, including this one. With an open membership these are only the seeds: the
     // leader admits every controller that sends a DiskCheckRequest and removes unresponsive ones.
     std::vector<core::NodeId> controllers;
@@ -42,6 +44,8 @@
     std::size_t toleratedDiskLosses { 1 };
     // A voter without contact to the leader for this long is removed if enough others remain. Open membership only.
     core::Duration removalTimeout { std::chrono::milliseconds(3000) };
+    // Interval at which the leader contacts controllers that were removed because they were silent.
+    core::Duration rejoinNoticeInterval { std::chrono::milliseconds(1000) };
     // Limit of the number of voters; further controllers stay learners. More voters would make each change slower
     // and add no tolerance.
     std::size_t maxVoters { 7 };
